--- /dev/null
+++ b/src/model/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Values that every other folder shares: resources, work, outcomes and the machines of the fleet.
+ */
+export * from './fleet.js';
+export * from './outcome.js';
+export * from './resources.js';
+export * from './work.js';
--- /dev/null
+++ b/src/model/outcome.ts
@@ -0,0 +1,61 @@
+/**
+ * The three outcomes of a request. They are never mixed: `done` carries the complete answer,
+ * `refused` states that the request certainly did not run, and `unknown` that it may have run.
+ */
+
+/** Why a request was refused. Each reason is documented in docs/operating.md. */
+export type RefusalReason =
+  | 'malformed'
+  | 'too-large'
+  | 'unknown-entry'
+  | 'not-authorized'
+  | 'keys-not-current'
+  | 'id-too-old'
+  | 'id-in-future'
+  | 'id-conflict'
+  | 'never-fits'
+  | 'queue-full'
+  | 'deadline-passed'
+  | 'cancelled'
+  | 'no-capacity'
+  | 'store-unavailable'
+  | 'worker-refused'
+  | 'shutting-down';
+
+/** A complete answer of a worker. */
+export interface Done {
+  readonly kind: 'done';
+  /** HTTP status that the worker's task answered with. */
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Uint8Array;
+  readonly worker: string;
+}
+
+/** The request did not run and will not run. */
+export interface Refused {
+  readonly kind: 'refused';
+  readonly reason: RefusalReason;
+  /** One sentence for the caller that names the fix. */
+  readonly detail: string;
+  /** When a new attempt makes sense, in milliseconds; absent if it never does. */
+  readonly retryAfterMs?: number;
+}
+
+/** The request may have run; only its owner can find out. */
+export interface Unknown {
+  readonly kind: 'unknown';
+  readonly detail: string;
+}
+
+export type Outcome = Done | Refused | Unknown;
+
+export function refuse(reason: RefusalReason, detail: string, retryAfterMs?: number): Refused {
+  return retryAfterMs === undefined
+    ? { kind: 'refused', reason, detail }
+    : { kind: 'refused', reason, detail, retryAfterMs };
+}
+
+export function unknownOutcome(detail: string): Unknown {
+  return { kind: 'unknown', detail };
+}
--- /dev/null
+++ b/src/model/resources.ts
@@ -0,0 +1,67 @@
+/**
+ * Resource vectors. Processors, memory and accelerators are always checked together, because a
+ * worker that is out of any one of them cannot take the task.
+ */
+
+/** An amount of each resource that a worker can run out of. */
+export interface Resources {
+  /** Processor cores; fractions are allowed. */
+  readonly processors: number;
+  /** Memory in mebibytes. */
+  readonly memoryMb: number;
+  /** Whole accelerators. */
+  readonly accelerators: number;
+}
+
+/** The empty vector. */
+export const NO_RESOURCES: Resources = { processors: 0, memoryMb: 0, accelerators: 0 };
+
+/** Absorbs the rounding of repeated additions and subtractions of fractional cores. */
+const ROUNDING_TOLERANCE = 1e-9;
+
+export function addResources(left: Resources, right: Resources): Resources {
+  return {
+    processors: left.processors + right.processors,
+    memoryMb: left.memoryMb + right.memoryMb,
+    accelerators: left.accelerators + right.accelerators,
+  };
+}
+
+export function subtractResources(left: Resources, right: Resources): Resources {
+  return {
+    processors: left.processors - right.processors,
+    memoryMb: left.memoryMb - right.memoryMb,
+    accelerators: left.accelerators - right.accelerators,
+  };
+}
+
+/** The larger of both vectors, resource by resource. */
+export function maxResources(left: Resources, right: Resources): Resources {
+  return {
+    processors: Math.max(left.processors, right.processors),
+    memoryMb: Math.max(left.memoryMb, right.memoryMb),
+    accelerators: Math.max(left.accelerators, right.accelerators),
+  };
+}
+
+/** Whether `wanted` fits into `free` in every resource. */
+export function fitsWithin(wanted: Resources, free: Resources): boolean {
+  return (
+    wanted.processors <= free.processors + ROUNDING_TOLERANCE &&
+    wanted.memoryMb <= free.memoryMb + ROUNDING_TOLERANCE &&
+    wanted.accelerators <= free.accelerators + ROUNDING_TOLERANCE
+  );
+}
+
+/** The largest fraction that `used` takes of any one resource of `total`; 0 for an empty total. */
+export function dominantShare(used: Resources, total: Resources): number {
+  return Math.max(
+    fraction(used.processors, total.processors),
+    fraction(used.memoryMb, total.memoryMb),
+    fraction(used.accelerators, total.accelerators),
+  );
+}
+
+function fraction(part: number, whole: number): number {
+  return whole > 0 ? part / whole : 0;
+}
