Fix the shared interfaces of store, workers, hosts and logs in code

The interface files let the modules be built side by side.

The callers' interface reads, checks and authorizes submissions.

--- /dev/null
+++ b/src/callers/problem.ts
@@ -0,0 +1,80 @@
+/**
+ * Problem documents (RFC 9457) and the status codes of outcomes. `done` is 200, an accepted request
+ * is 202, `unknown` is 504, and no refusal uses one of these codes, so that a script can tell the
+ * outcomes apart by the status code alone.
+ */
+import type { RefusalReason, Refused, Unknown } from '../model/index.js';
+
+/** Status code of each refusal. */
+export const REFUSAL_STATUS: Readonly<Record<RefusalReason, number>> = {
+  malformed: 400,
+  'not-authorized': 401,
+  'wrong-team': 403,
+  'unknown-entry': 404,
+  'id-conflict': 409,
+  'id-too-old': 410,
+  cancelled: 410,
+  'too-large': 413,
+  'id-in-future': 422,
+  'never-fits': 422,
+  'queue-full': 429,
+  'keys-not-current': 503,
+  'deadline-passed': 503,
+  'no-capacity': 503,
+  'store-unavailable': 503,
+  'worker-refused': 503,
+  'shutting-down': 503,
+};
+
+export const UNKNOWN_STATUS = 504;
+
+const MS_PER_SECOND = 1000;
+
+/** One mistake in a request, with the place and what to send instead. */
+export interface RequestFinding {
+  readonly place: string;
+  readonly problem: string;
+}
+
+interface ProblemOptions {
+  readonly status: number;
+  readonly title: string;
+  readonly detail: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly members?: Readonly<Record<string, unknown>>;
+}
+
+export function createProblem(options: ProblemOptions): Response {
+  const { status, title, detail, members = {}, headers = {} } = options;
+  return new Response(JSON.stringify({ title, status, detail, ...members }) + '\n', {
+    status,
+    headers: { 'content-type': 'application/problem+json', ...headers },
+  });
+}
+
+export function createRefusal(
+  refused: Refused,
+  id?: string,
+  findings?: readonly RequestFinding[],
+): Response {
+  const { reason, detail, retryAfterMs } = refused;
+  return createProblem({
+    status: REFUSAL_STATUS[reason],
+    title: 'The request was refused and did not run',
+    detail,
+    headers:
+      retryAfterMs === undefined
+        ? {}
+        : { 'retry-after': String(Math.ceil(retryAfterMs / MS_PER_SECOND)) },
+    members: { outcome: 'refused', reason, retryAfterMs, id, findings },
+  });
+}
+
+export function createUnknown(unknown: Unknown, id: string): Response {
+  return createProblem({
+    status: UNKNOWN_STATUS,
+    title: 'The request may have run',
+    detail: unknown.detail,
+    members: { outcome: 'unknown', id },
+  });
+}
--- /dev/null
+++ b/src/callers/submission.ts
@@ -0,0 +1,127 @@
+/**
+ * Reading a submission: the body is read up to its limit, checked as a whole, and every mistake is
+ * reported at once.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { isRequestId, refuse, type Refused } from '../model/index.js';
+import type { RequestFinding } from './problem.js';
+
+const MAX_DEADLINE_MS = 7 * 24 * 60 * 60 * 1000;
+
+/** A checked submission. */
+export interface Submission {
+  readonly entry: string;
+  readonly id?: string;
+  readonly input: Uint8Array;
+  readonly contentType: string;
+  readonly deadlineMs?: number;
+  /** Whether the caller waits for the outcome; by default only for interactive entries. */
+  readonly wait?: boolean;
+}
+
+/** A submission that was refused before anything was decided about it. */
+export interface MalformedSubmission {
+  readonly refused: Refused;
+  readonly findings: readonly RequestFinding[];
+}
+
+const requestId = z
+  .string()
+  .refine(isRequestId, 'send a UUID of version 7 in lower case, or leave the id out');
+
+const deadline = z
+  .number()
+  .int('send whole milliseconds')
+  .min(1, 'send at least 1 millisecond')
+  .max(MAX_DEADLINE_MS, `send at most ${String(MAX_DEADLINE_MS)} milliseconds`);
+
+const submissionSchema = z.strictObject({
+  entry: z.string('name an entry of the catalogue').min(1, 'name an entry of the catalogue'),
+  id: requestId.optional(),
+  input: z.unknown().optional(),
+  deadlineMs: deadline.optional(),
+  wait: z.boolean('send true or false').optional(),
+});
+
+const headerSchema = z.object({
+  id: requestId.optional(),
+  deadlineMs: z.coerce.number('send whole milliseconds').pipe(deadline).optional(),
+  wait: z.enum(['true', 'false'], 'send true or false').optional(),
+});
+
+/** Reads a body up to `limit` bytes; undefined if it is longer. */
+export async function readBody(request: Request, limit: number): Promise<Uint8Array | undefined> {
+  if (request.body === null) return new Uint8Array();
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  for await (const chunk of request.body as unknown as AsyncIterable<Uint8Array>) {
+    size += chunk.byteLength;
+    if (size > limit) return undefined;
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
+/** Parses the JSON form: the input is any JSON value inside the document. */
+export function parseSubmission(body: Uint8Array): Result<Submission, MalformedSubmission> {
+  const document = parseJson(body);
+  if (document.isErr()) return err(document.error);
+  const parsed = submissionSchema.safeParse(document.value);
+  if (!parsed.success) return err(describeMistakes(parsed.error));
+  const { entry, id, input, deadlineMs, wait } = parsed.data;
+  return ok({
+    entry,
+    input: Buffer.from(JSON.stringify(input ?? null)),
+    contentType: 'application/json',
+    ...(id !== undefined && { id }),
+    ...(deadlineMs !== undefined && { deadlineMs }),
+    ...(wait !== undefined && { wait }),
+  });
+}
+
+/** Parses the raw form: the body is the input, everything else travels in headers. */
+export function parseRawSubmission(
+  entry: string,
+  headers: Headers,
+  input: Uint8Array,
+): Result<Submission, MalformedSubmission> {
+  const parsed = headerSchema.safeParse({
+    id: headers.get('request-id') ?? undefined,
+    deadlineMs: headers.get('deadline-ms') ?? undefined,
+    wait: headers.get('wait') ?? undefined,
+  });
+  if (!parsed.success) return err(describeMistakes(parsed.error));
+  const { id, deadlineMs, wait } = parsed.data;
+  return ok({
+    entry,
+    input,
+    contentType: headers.get('content-type') ?? 'application/octet-stream',
+    ...(id !== undefined && { id }),
+    ...(deadlineMs !== undefined && { deadlineMs }),
+    ...(wait !== undefined && { wait: wait === 'true' }),
+  });
+}
+
+function parseJson(body: Uint8Array): Result<unknown, MalformedSubmission> {
+  try {
+    return ok(JSON.parse(Buffer.from(body).toString('utf8')));
+  } catch (error) {
+    const problem = error instanceof Error ? error.message : 'not JSON';
+    return err({
+      refused: refuse('malformed', 'The body is not a JSON document; send one.'),
+      findings: [{ place: 'body', problem }],
+    });
+  }
+}
+
+function describeMistakes(error: z.ZodError): MalformedSubmission {
+  const findings = error.issues.map((issue) => ({
+    place: issue.path.length === 0 ? 'body' : issue.path.map(String).join('.'),
+    problem: issue.message,
+  }));
+  return {
+    refused: refuse('malformed', 'The request has mistakes; correct the listed findings.'),
+    findings,
+  };
+}
--- /dev/null
+++ b/src/catalogue/finding.ts
@@ -0,0 +1,13 @@
+/**
+ * Findings are mistakes in a text that an operator wrote. All findings of a file are collected and
+ * reported together.
+ */
+
+/** One mistake, its place and what to write instead. */
+export interface Finding {
+  readonly file: string;
+  readonly line: number;
+  readonly column: number;
+  readonly problem: string;
+  readonly fix: string;
+}
--- /dev/null
+++ b/src/catalogue/index.ts
@@ -0,0 +1,5 @@
+/**
+ * The operators' catalogue of work, with teams and keys.
+ */
+export * from './finding.js';
+export * from './key.js';
--- /dev/null
+++ b/src/log/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Logging.
+ */
+export * from './log.js';
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -3,5 +3,7 @@
  */
 export * from './fleet.js';
 export * from './outcome.js';
+export * from './request-id.js';
+export * from './request-state.js';
 export * from './resources.js';
 export * from './work.js';
--- a/src/model/outcome.ts
+++ b/src/model/outcome.ts
@@ -9,6 +9,7 @@
   | 'too-large'
   | 'unknown-entry'
   | 'not-authorized'
+  | 'wrong-team'
   | 'keys-not-current'
   | 'id-too-old'
   | 'id-in-future'
--- /dev/null
+++ b/src/platform/update-record.ts
@@ -0,0 +1,92 @@
+/**
+ * Read-modify-write of JSON records. Every write carries a unique id in its envelope, so that a
+ * write whose answer was lost can be read back and told from a concurrent one.
+ */
+import { randomUUID } from 'node:crypto';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import type { Store, StoreError, Versioned } from './store.js';
+
+const DEFAULT_ATTEMPTS = 5;
+
+/** How one record is read and changed. */
+export interface RecordUpdate<T> {
+  readonly key: string;
+  /** Checks the decoded JSON value; throws if it is not a record of this kind. */
+  readonly parse: (data: unknown) => T;
+  /** Returns the new record, or undefined to leave it as it is. May be called several times. */
+  readonly change: (current: T | undefined) => T | undefined;
+  /** Attempts after conflicts with concurrent writers. */
+  readonly maxAttempts?: number;
+}
+
+interface Envelope {
+  readonly writeId: string;
+  readonly data: unknown;
+}
+
+/** Wraps a record for the store. */
+export function encodeRecord(data: unknown, writeId: string = randomUUID()): string {
+  return JSON.stringify({ writeId, data } satisfies Envelope);
+}
+
+/** Unwraps a record of the store. */
+export function decodeRecord<T>(text: string, parse: (data: unknown) => T): T {
+  return parse((JSON.parse(text) as Envelope).data);
+}
+
+/**
+ * Changes a record by compare-and-swap and returns the record in force afterwards. Fails with
+ * `in-doubt` only if the write could not be read back either.
+ */
+export function updateRecord<T>(
+  store: Store,
+  update: RecordUpdate<T>,
+): ResultAsync<T | undefined, StoreError> {
+  return attempt(store, update, update.maxAttempts ?? DEFAULT_ATTEMPTS);
+}
+
+function attempt<T>(
+  store: Store,
+  update: RecordUpdate<T>,
+  attemptsLeft: number,
+): ResultAsync<T | undefined, StoreError> {
+  return store.get(update.key).andThen((found) => {
+    const current = found && decodeRecord(found.value, update.parse);
+    const next = update.change(current);
+    if (next === undefined) return okAsync<T | undefined, StoreError>(current);
+    const writeId = randomUUID();
+    return store
+      .compareAndSwap(update.key, found?.version ?? 0, encodeRecord(next, writeId))
+      .map((): T | undefined => next)
+      .orElse((error) => {
+        if (error.kind === 'unavailable') return errAsync(error);
+        return recover(store, update, { error, writeId, next, attemptsLeft });
+      });
+  });
+}
+
+interface Doubt<T> {
+  readonly error: StoreError;
+  readonly writeId: string;
+  readonly next: T;
+  readonly attemptsLeft: number;
+}
+
+function recover<T>(
+  store: Store,
+  update: RecordUpdate<T>,
+  doubt: Doubt<T>,
+): ResultAsync<T | undefined, StoreError> {
+  const { error, writeId, next, attemptsLeft } = doubt;
+  const retry = (): ResultAsync<T | undefined, StoreError> =>
+    attemptsLeft > 1 ? attempt(store, update, attemptsLeft - 1) : errAsync(error);
+  if (error.kind === 'conflict') return retry();
+  return store
+    .get(update.key)
+    .mapErr((): StoreError => error)
+    .andThen((found) => (wroteIt(found, writeId) ? okAsync(next) : retry()));
+}
+
+function wroteIt(found: Versioned | undefined, writeId: string): boolean {
+  return found !== undefined && (JSON.parse(found.value) as Envelope).writeId === writeId;
+}
--- /dev/null
+++ b/src/workers/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Workers: their client, ledger and health.
+ */
+export * from './task.js';
--- /dev/null
+++ b/test/platform/update-record.test.ts
@@ -0,0 +1,32 @@
+import { expect } from 'chai';
+import { createMemoryStore, updateRecord, type Store } from '../../src/platform/index.js';
+
+const parse = (data: unknown) => data as number;
+
+describe('updateRecord', () => {
+  it('counts a write once when its answer was lost, so that nothing is applied twice', async () => {
+    const store = createMemoryStore();
+    store.setMode('lose-answers');
+    const change = (current = 0) => current + 1;
+    const result = await updateRecord(store, { key: 'k', parse, change });
+    expect(result._unsafeUnwrap()).to.equal(1);
+    store.setMode('up');
+    const read = await updateRecord(store, { key: 'k', parse, change: () => undefined });
+    expect(read._unsafeUnwrap()).to.equal(1);
+  });
+
+  it('applies both changes of two racing writers', async () => {
+    const store = createMemoryStore();
+    const increment = () =>
+      updateRecord(store, { key: 'k', parse, change: (current = 0) => current + 1 });
+    await Promise.all([increment(), increment(), increment()]);
+    expect((await increment())._unsafeUnwrap()).to.equal(4);
+  });
+
+  it('reports an outage instead of retrying without end', async () => {
+    const store: Store & { setMode: (mode: 'down') => void } = createMemoryStore();
+    store.setMode('down');
+    const result = await updateRecord(store, { key: 'k', parse, change: () => 1 });
+    expect(result._unsafeUnwrapErr().kind).to.equal('unavailable');
+  });
+});
