--- a/src/model/work.ts
+++ b/src/model/work.ts
@@ -94,11 +94,19 @@
   readonly maxAttempts: number;
   /** Entry hosts that the request has passed, to bound forwarding. */
   readonly hops: readonly string[];
+  /** Number of runs that have certainly ended without success; absent before the first retry. */
+  readonly attempt?: number;
 }
 
-/** One task of a request: the request id, a dot and the index of the task. */
+/** Team, request id, index of the task and attempt, joined by dots. */
 export type TaskId = string;
 
-export function taskIdOf(request: Pick<WorkRequest, 'id' | 'team'>, index: number): TaskId {
-  return [request.team, request.id, String(index)].join('.');
+/**
+ * A retry gets a new task id, because a worker runs each id at most once.
+ */
+export function taskIdOf(
+  request: Pick<WorkRequest, 'id' | 'team' | 'attempt'>,
+  index: number,
+): TaskId {
+  return [request.team, request.id, String(index), String(request.attempt ?? 0)].join('.');
 }
