--- a/src/workers/index.ts
+++ b/src/workers/index.ts
@@ -1,4 +1,5 @@
 /**
  * Workers: their client, ledger and health.
  */
+export * from './client.js';
 export * from './task.js';
