--- /dev/null
+++ b/stand-ins/key-value/server.ts
@@ -0,0 +1,129 @@
+/**
+ * HTTP interface of the key-value stand-in.
+ */
+import { z } from 'zod';
+import { createGate, type Gate } from '../faults.js';
+import {
+  dropConnection,
+  listen,
+  parseJson,
+  type Answered,
+  type Call,
+  type Listener,
+  type Route,
+} from '../http.js';
+import { createValues, type Values, type Write } from './values.js';
+
+export interface KeyValueOptions {
+  readonly address?: string;
+  readonly port?: number;
+}
+
+/** Largest value that the platform stores. */
+const MAX_VALUE_BYTES = 1024 * 1024;
+const MAX_WAIT_MS = 30_000;
+
+const version = z.coerce.number().int().nonnegative();
+const leaseRequest = z.object({ leaseMs: z.number().positive() });
+
+export async function startKeyValueServer(options: KeyValueOptions = {}): Promise<Listener> {
+  const values = createValues();
+  const gate = createGate();
+  const routes = gate.guard([...describeReads(values, gate), ...describeWrites(values, gate)]);
+  const listener = await listen({ ...options, routes });
+  return {
+    url: listener.url,
+    close: async () => {
+      values.close();
+      await listener.close();
+    },
+  };
+}
+
+function describeReads(values: Values, gate: Gate): readonly Route[] {
+  return [
+    {
+      method: 'GET',
+      path: '/v1/keys',
+      handle: ({ query }) => ({
+        status: 200,
+        body: { items: values.list(query.get('prefix') ?? '') },
+      }),
+    },
+    {
+      method: 'GET',
+      path: '/v1/keys/:key',
+      handle: (call) =>
+        call.query.has('since') ? watchKey(values, gate, call) : readKey(values, call),
+    },
+  ];
+}
+
+function describeWrites(values: Values, gate: Gate): readonly Route[] {
+  const answer = (call: Call, reply: Answered) =>
+    gate.faults().loseAnswers ? dropConnection(call) : reply;
+  const writeValue = (value: (call: Call) => string | undefined) => (call: Call) =>
+    answer(call, writeKey(values, call, value(call)));
+  return [
+    { method: 'PUT', path: '/v1/keys/:key', handle: writeValue(({ body }) => body.toString()) },
+    { method: 'DELETE', path: '/v1/keys/:key', handle: writeValue(() => undefined) },
+    {
+      method: 'POST',
+      path: '/v1/leases',
+      handle: (call) => {
+        const lease = values.grantLease(parseJson(call, leaseRequest).leaseMs);
+        return answer(call, { status: 200, body: { lease } });
+      },
+    },
+    {
+      method: 'POST',
+      path: '/v1/leases/:lease/renew',
+      handle: (call) => {
+        const renewed = values.renewLease(call.parameters.lease ?? '');
+        return answer(call, { status: renewed ? 200 : 404, body: {} });
+      },
+    },
+    {
+      method: 'DELETE',
+      path: '/v1/leases/:lease',
+      handle: (call) => {
+        values.endLease(call.parameters.lease ?? '');
+        return answer(call, { status: 200, body: {} });
+      },
+    },
+  ];
+}
+
+function readKey(values: Values, { parameters }: Call): Answered {
+  const found = values.get(parameters.key ?? '');
+  return found === undefined ? { status: 404, body: {} } : { status: 200, body: found };
+}
+
+async function watchKey(values: Values, gate: Gate, call: Call): Promise<Answered> {
+  const since = version.parse(call.query.get('since'));
+  const waitMs = Math.min(version.parse(call.query.get('waitMs') ?? 0), MAX_WAIT_MS);
+  const result = await values.waitForChange(call.parameters.key ?? '', since, waitMs);
+  const refused = gate.check(call);
+  if (refused !== undefined) return refused;
+  return result === 'same' ? { status: 204 } : readKey(values, call);
+}
+
+function writeKey(values: Values, call: Call, value: string | undefined): Answered {
+  if (call.body.byteLength > MAX_VALUE_BYTES) {
+    return { status: 413, body: { error: `the value exceeds ${String(MAX_VALUE_BYTES)} bytes` } };
+  }
+  const result = values.write(describeWrite(call, value));
+  if (result.kind === 'written') return { status: 200, body: { version: result.version } };
+  if (result.kind === 'conflict') return { status: 409, body: { version: result.version } };
+  return { status: 404, body: { error: 'the lease has ended' } };
+}
+
+function describeWrite({ parameters, query }: Call, value: string | undefined): Write {
+  const lease = query.get('lease');
+  return {
+    key: parameters.key ?? '',
+    expectedVersion: version.parse(query.get('version')),
+    value,
+    ...(lease === null ? {} : { lease }),
+  };
+}
