--- /dev/null
+++ b/stand-ins/worker/answers.ts
@@ -0,0 +1,78 @@
+/**
+ * Sends the answers of tasks, with the faults that a test has switched on.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import { HANDLED, dropConnection, sendReply, type Call } from '../http.js';
+import type { WorkerSettings } from './spec.js';
+import type { TaskAnswer } from './tasks.js';
+
+export const TASK_HEADER = 'sapphirewing-task';
+const ENDED_HEADER = 'sapphirewing-ended';
+
+export interface AnswerSender {
+  send(call: Call, answer: TaskAnswer): Promise<typeof HANDLED>;
+}
+
+interface Pending {
+  readonly call: Call;
+  readonly answer: TaskAnswer;
+}
+
+export function createAnswerSender(settings: () => WorkerSettings): AnswerSender {
+  let pending: Pending | undefined;
+
+  function crossWith(call: Call, answer: TaskAnswer): void {
+    if (pending === undefined) {
+      pending = { call, answer };
+      return;
+    }
+    settings().crossAnswers -= 1;
+    write(call, pending.answer);
+    write(pending.call, answer);
+    pending = undefined;
+  }
+
+  return {
+    send: async (call, answer) => {
+      const { answerDelayMs } = settings();
+      if (answerDelayMs > 0) await delay(answerDelayMs);
+      if (settings().cutAnswers > 0) {
+        settings().cutAnswers -= 1;
+        return cutShort(call, answer);
+      }
+      if (settings().crossAnswers > 0) crossWith(call, answer);
+      else write(call, answer);
+      return HANDLED;
+    },
+  };
+}
+
+function write({ response }: Call, answer: TaskAnswer): void {
+  sendReply(response, {
+    status: answer.status,
+    headers: describeHeaders(answer),
+    body: answer.body,
+  });
+}
+
+/** Sends the head and half of the body, then breaks the connection. */
+function cutShort(call: Call, answer: TaskAnswer): typeof HANDLED {
+  const { body, status } = answer;
+  if (body.byteLength === 0) return dropConnection(call);
+  call.response.writeHead(status, {
+    ...describeHeaders(answer),
+    'content-length': body.byteLength,
+  });
+  call.response.write(body.subarray(0, Math.floor(body.byteLength / 2)), () => {
+    dropConnection(call);
+  });
+  return HANDLED;
+}
+
+function describeHeaders(answer: TaskAnswer): Record<string, string> {
+  return {
+    'content-type': answer.contentType,
+    [TASK_HEADER]: encodeURIComponent(answer.task),
+    ...(answer.ended === undefined ? {} : { [ENDED_HEADER]: answer.ended }),
+  };
+}
--- /dev/null
+++ b/stand-ins/worker/tasks.ts
@@ -0,0 +1,284 @@
+/**
+ * The tasks of one worker: admission, run time, leases, and the answers of ended tasks.
+ */
+import { randomUUID } from 'node:crypto';
+import type { Audit, Run, RunOutcome } from './audit.js';
+import { readBehaviour, type Behaviour, type Resources, type WorkerSpec } from './spec.js';
+
+export interface TaskAnswer {
+  readonly task: string;
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Uint8Array;
+  /** Why the worker ended the task, if the task did not end by itself. */
+  readonly ended?: RunOutcome;
+}
+
+export interface StartRequest {
+  readonly task: string;
+  readonly team: string;
+  readonly entry: string;
+  readonly class: string;
+  readonly size: Resources;
+  readonly chargedTo: string;
+  readonly epoch: number;
+  readonly leaseMs: number;
+  readonly maxRunMs: number;
+  readonly input: Uint8Array;
+  readonly contentType: string;
+}
+
+export type StartRefusal =
+  'stale-epoch' | 'epoch-not-raised' | 'leaving' | 'id-seen' | 'no-capacity';
+
+export interface Task {
+  readonly run: Run;
+  readonly answer: Promise<TaskAnswer>;
+}
+
+export interface Tasks {
+  bootId(): string;
+  epoch(): number;
+  /** False if a higher epoch, or the same one of another holder, was raised before. */
+  raiseEpoch(epoch: number, holder: string): boolean;
+  start(request: StartRequest, options: StartOptions): Task | StartRefusal;
+  find(task: string): Task | undefined;
+  running(): readonly Task[];
+  renew(leaseMs: number): void;
+  stop(task: string): void;
+  throttle(task: string, fraction: number): void;
+  /** Tasks that ran at the given time, with the fraction of their processors that they may use. */
+  ranAt(at: number): readonly { readonly run: Run; readonly fraction: number }[];
+  setFrozen(frozen: boolean): void;
+  /** Resolves once the worker is not frozen. */
+  thawed(): Promise<void>;
+  /** Loses everything except the audit, as a crash of the machine does. */
+  reboot(): void;
+}
+
+export interface StartOptions {
+  readonly leaving: boolean;
+  readonly fail: boolean;
+}
+
+interface LiveTask extends Task {
+  readonly behaviour: Behaviour;
+  readonly request: StartRequest;
+  readonly runUntil: number;
+  readonly resolve: (answer: TaskAnswer) => void;
+  leaseUntil: number;
+  /** Work left when the pace last changed, in milliseconds at full speed. */
+  workLeftMs: number;
+  paceChangedAt: number;
+  fraction: number;
+  timer?: NodeJS.Timeout;
+}
+
+interface EndedTask extends Task {
+  readonly endedAt: number;
+  readonly fraction: number;
+}
+
+const MAX_TIMER_MS = 2 ** 31 - 1;
+const FILLER = 'x';
+
+export function createTasks(spec: WorkerSpec, audit: Audit): Tasks {
+  let bootId: string = randomUUID();
+  let epoch = 0;
+  let holder = '';
+  let frozen = false;
+  let thawWaiters: (() => void)[] = [];
+  const live = new Map<string, LiveTask>();
+  const ended = new Map<string, EndedTask>();
+
+  function refuseStart(request: StartRequest, leaving: boolean): StartRefusal | undefined {
+    // First, because every other reason lets the caller conclude that the task has not run.
+    if (live.has(request.task) || ended.has(request.task)) return 'id-seen';
+    if (request.epoch < epoch) return 'stale-epoch';
+    if (request.epoch > epoch) return 'epoch-not-raised';
+    if (leaving) return 'leaving';
+    const exceeded = audit.exceededBy(request.size, live.values());
+    const detail = 'refused a start over capacity';
+    for (const kind of exceeded) {
+      audit.addViolation({ kind, effect: 'attempted', task: request.task, detail });
+    }
+    return exceeded.length > 0 ? 'no-capacity' : undefined;
+  }
+
+  function start(request: StartRequest, { leaving, fail }: StartOptions): Task | StartRefusal {
+    forgetEnded();
+    const refusal = refuseStart(request, leaving);
+    if (refusal !== undefined) return refusal;
+    const behaviour = fail ? { status: 500, runMs: 0 } : readBehaviour(request.input);
+    const task = createLiveTask(request, behaviour, bootId);
+    live.set(request.task, task);
+    audit.addRun(task.run, live.values());
+    schedule(task);
+    return task;
+  }
+
+  function forgetEnded(): void {
+    const oldest = Date.now() - spec.rememberMs;
+    for (const [id, { endedAt }] of ended) {
+      if (endedAt > oldest) return;
+      ended.delete(id);
+    }
+  }
+
+  function schedule(task: LiveTask): void {
+    clearTimeout(task.timer);
+    const delayMs = Math.max(0, nextEvent(task).at - Date.now());
+    task.timer = setTimeout(
+      () => {
+        settle(task);
+      },
+      Math.min(delayMs, MAX_TIMER_MS),
+    );
+  }
+
+  function settle(task: LiveTask): void {
+    if (frozen) return;
+    const event = nextEvent(task);
+    if (event.at > Date.now()) schedule(task);
+    else end(task, event.outcome);
+  }
+
+  function end(task: LiveTask, outcome: RunOutcome): void {
+    clearTimeout(task.timer);
+    const { run, fraction, answer } = task;
+    live.delete(run.task);
+    const result = describeAnswer(task, outcome);
+    const endedAt = Date.now();
+    Object.assign(run, { end: endedAt, status: result.status });
+    run.outcome = outcome === 'answered' && result.status >= 500 ? 'failed' : outcome;
+    ended.set(run.task, { run, answer, endedAt, fraction });
+    task.resolve(result);
+  }
+
+  function throttle(id: string, fraction: number): void {
+    const task = live.get(id);
+    if (task === undefined) return;
+    const now = Date.now();
+    task.workLeftMs -= (now - task.paceChangedAt) * task.fraction;
+    task.paceChangedAt = now;
+    task.fraction = fraction;
+    schedule(task);
+  }
+
+  function setFrozen(next: boolean): void {
+    frozen = next;
+    if (frozen) return;
+    for (const task of [...live.values()]) settle(task);
+    for (const wake of thawWaiters) wake();
+    thawWaiters = [];
+  }
+
+  function reboot(): void {
+    for (const task of live.values()) {
+      clearTimeout(task.timer);
+      Object.assign(task.run, { end: Date.now(), outcome: 'lost' satisfies RunOutcome });
+    }
+    live.clear();
+    ended.clear();
+    bootId = randomUUID();
+    epoch = 0;
+    holder = '';
+  }
+
+  return {
+    bootId: () => bootId,
+    epoch: () => epoch,
+    raiseEpoch: (next, nextHolder) => {
+      if (next < epoch || (next === epoch && nextHolder !== holder)) return false;
+      epoch = next;
+      holder = nextHolder;
+      return true;
+    },
+    start,
+    find: (id) => live.get(id) ?? ended.get(id),
+    running: () => [...live.values()],
+    renew: (leaseMs) => {
+      for (const task of live.values()) {
+        task.leaseUntil = Date.now() + leaseMs;
+        schedule(task);
+      }
+    },
+    stop: (id) => {
+      const task = live.get(id);
+      if (task !== undefined) end(task, 'stopped');
+    },
+    throttle,
+    ranAt: (at) => {
+      const recent = [...ended.values()].filter(({ endedAt }) => endedAt > at);
+      return [...live.values(), ...recent].filter(({ run }) => run.start <= at);
+    },
+    setFrozen,
+    thawed: () =>
+      frozen ? new Promise((resolve) => thawWaiters.push(resolve)) : Promise.resolve(),
+    reboot,
+  };
+}
+
+function createLiveTask(request: StartRequest, behaviour: Behaviour, bootId: string): LiveTask {
+  const now = Date.now();
+  const service = request.class === 'service';
+  const { task, team, entry, size, chargedTo, epoch } = request;
+  const kind = request.class;
+  let resolve: (answer: TaskAnswer) => void = () => undefined;
+  const answer = new Promise<TaskAnswer>((settled) => {
+    resolve = settled;
+  });
+  return {
+    run: {
+      task,
+      team,
+      entry,
+      class: kind,
+      size,
+      chargedTo,
+      epoch,
+      bootId,
+      start: now,
+      outcome: 'running',
+      checkpoints: 0,
+    },
+    answer,
+    behaviour,
+    request,
+    resolve,
+    runUntil: service ? Number.POSITIVE_INFINITY : now + request.maxRunMs,
+    leaseUntil: now + request.leaseMs,
+    workLeftMs: behaviour.runMs ?? (service ? Number.POSITIVE_INFINITY : 0),
+    paceChangedAt: now,
+    fraction: 1,
+  };
+}
+
+/** What ends the task next if nothing changes. An expired lease precedes an end of the same time. */
+function nextEvent(task: LiveTask): { readonly at: number; readonly outcome: RunOutcome } {
+  const finishAt = task.paceChangedAt + task.workLeftMs / task.fraction;
+  const { leaseUntil, runUntil } = task;
+  if (leaseUntil <= Math.min(finishAt, runUntil))
+    return { at: leaseUntil, outcome: 'lease-expired' };
+  return runUntil < finishAt
+    ? { at: runUntil, outcome: 'run-limit' }
+    : { at: finishAt, outcome: 'answered' };
+}
+
+function describeAnswer(task: LiveTask, outcome: RunOutcome): TaskAnswer {
+  const { request, behaviour } = task;
+  const id = request.task;
+  if (outcome !== 'answered') {
+    const body = Buffer.from(JSON.stringify({ ended: outcome }));
+    return { task: id, status: 500, contentType: 'application/json', body, ended: outcome };
+  }
+  const { status = 200, answerBytes, echo } = behaviour;
+  if (answerBytes !== undefined) {
+    return { task: id, status, contentType: 'text/plain', body: Buffer.alloc(answerBytes, FILLER) };
+  }
+  if (echo !== undefined) {
+    const body = Buffer.from(JSON.stringify(echo));
+    return { task: id, status, contentType: 'application/json', body };
+  }
+  return { task: id, status, contentType: request.contentType, body: request.input };
+}
