--- /dev/null
+++ b/src/catalogue/catalogue.ts
@@ -0,0 +1,88 @@
+/**
+ * Reading the text of the operators' configuration: teams, entries and keys, each a mapping by name.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import type { CatalogueEntry, Configuration, Key, Team } from '../model/index.js';
+import { mapping, nameField } from './fields.js';
+import type { Finding } from './finding.js';
+import { membersOf } from './members.js';
+import { checkRules } from './rules.js';
+import { completeEntry, completeKey, entrySchema, keySchema, teamSchema } from './schema.js';
+import { checkValue, readSource, sortFindings, type SourceDocument } from './source-document.js';
+
+/** The checked contents of a configuration text. */
+export interface CatalogueDocument {
+  readonly entries: ReadonlyMap<string, CatalogueEntry>;
+  readonly teams: ReadonlyMap<string, Team>;
+  readonly keys: readonly Key[];
+}
+
+/** Top-level fields of a catalogue. */
+export const CATALOGUE_SECTIONS = ['teams', 'entries', 'keys'] as const;
+
+type SectionName = (typeof CATALOGUE_SECTIONS)[number];
+
+interface Section<T> {
+  readonly items: ReadonlyMap<string, T>;
+  readonly findings: readonly Finding[];
+}
+
+const DEFAULT_FILE = 'configuration';
+
+/** A section may be missing or empty, for example before the first key is granted. */
+const section = z.looseObject({}, 'write a mapping by name').nullish();
+const rootSchema = mapping({ teams: section, entries: section, keys: section });
+
+/** Checks a configuration text; all its mistakes are reported together. */
+export function parseCatalogue(
+  text: string,
+  file: string = DEFAULT_FILE,
+): Result<CatalogueDocument, readonly Finding[]> {
+  const source = readSource(text, file);
+  const root = checkValue(source, rootSchema, source.value, []);
+  const teams = checkSection(source, 'teams', teamSchema, (name, team) => ({ name, ...team }));
+  const entries = checkSection(source, 'entries', entrySchema, completeEntry);
+  const keys = checkSection(source, 'keys', keySchema, completeKey);
+  const findings = [
+    ...source.findings,
+    ...root.findings,
+    ...teams.findings,
+    ...entries.findings,
+    ...keys.findings,
+    ...checkRules(source),
+  ];
+  if (findings.length > 0) return err(sortFindings(findings));
+  return ok({ teams: teams.items, entries: entries.items, keys: [...keys.items.values()] });
+}
+
+/** Builds the configuration of one revision from its text. */
+export function compileConfiguration(
+  text: string,
+  revision: number,
+  changeId: string,
+): Result<Configuration, readonly Finding[]> {
+  return parseCatalogue(text).map((document) => ({ revision, changeId, text, ...document }));
+}
+
+function checkSection<Value, Item>(
+  source: SourceDocument,
+  sectionName: SectionName,
+  schema: z.ZodType<Value>,
+  complete: (name: string, value: Value) => Item,
+): Section<Item> {
+  const items = new Map<string, Item>();
+  const findings: Finding[] = [];
+  for (const [name, raw] of Object.entries(membersOf(membersOf(source.value)[sectionName]))) {
+    const path = [sectionName, name];
+    const checkedName = nameField.safeParse(name);
+    if (!checkedName.success) {
+      const fix = checkedName.error.issues.map((issue) => issue.message).join(', ');
+      findings.push(source.findingAt(path, `the name "${name}" is not valid`, fix, 'key'));
+    }
+    const checked = checkValue(source, schema, raw, path);
+    findings.push(...checked.findings);
+    if (checked.value !== undefined) items.set(name, complete(name, checked.value));
+  }
+  return { items, findings };
+}
--- a/src/catalogue/finding.ts
+++ b/src/catalogue/finding.ts
@@ -11,3 +11,9 @@
   readonly problem: string;
   readonly fix: string;
 }
+
+/** One line in the form that editors and terminals turn into a link to the place. */
+export function formatFinding(finding: Finding): string {
+  const { file, line, column, problem, fix } = finding;
+  return `${file}:${String(line)}:${String(column)}: ${problem}; ${fix}`;
+}
--- a/src/catalogue/index.ts
+++ b/src/catalogue/index.ts
@@ -1,5 +1,11 @@
 /**
  * The operators' catalogue of work, with teams and keys.
  */
+export * from './catalogue.js';
+export * from './diff.js';
+export * from './edit-keys.js';
+export * from './fields.js';
 export * from './finding.js';
 export * from './key.js';
+export { membersOf } from './members.js';
+export * from './source-document.js';
--- /dev/null
+++ b/src/catalogue/rules.ts
@@ -0,0 +1,79 @@
+/**
+ * Rules between several values of a catalogue. They read the unchecked value, so that their findings
+ * are reported together with those of the schema.
+ */
+import type { Finding } from './finding.js';
+import { membersOf, type Members } from './members.js';
+import type { Path, SourceDocument } from './source-document.js';
+
+/** Finds references to unknown teams, wrong numbers of tasks and keys that share a secret. */
+export function checkRules(source: SourceDocument): readonly Finding[] {
+  const root = membersOf(source.value);
+  const teams = new Set(Object.keys(membersOf(root.teams)));
+  return [
+    ...Object.entries(membersOf(root.entries)).flatMap(([name, entry]) => [
+      ...checkTeam(source, ['entries', name, 'owner'], membersOf(entry).owner, teams),
+      ...checkTasks(source, name, membersOf(entry)),
+    ]),
+    ...Object.entries(membersOf(root.keys)).flatMap(([id, key]) =>
+      checkKeyTeam(source, id, membersOf(key), teams),
+    ),
+    ...checkHashes(source, membersOf(root.keys)),
+  ];
+}
+
+function checkTeam(
+  source: SourceDocument,
+  path: Path,
+  team: unknown,
+  teams: ReadonlySet<string>,
+): readonly Finding[] {
+  if (typeof team !== 'string' || teams.has(team)) return [];
+  const fix =
+    teams.size === 0
+      ? 'add the team below "teams"'
+      : `add the team below "teams" or use one of: ${[...teams].join(', ')}`;
+  return [source.findingAt(path, `unknown ${String(path.at(-1))} "${team}"`, fix)];
+}
+
+function checkKeyTeam(
+  source: SourceDocument,
+  id: string,
+  key: Members,
+  teams: ReadonlySet<string>,
+): readonly Finding[] {
+  if (key.role === 'operator') return [];
+  if (key.team !== undefined) return checkTeam(source, ['keys', id, 'team'], key.team, teams);
+  const fix = 'write the name of the team whose work the key submits';
+  return [source.findingAt(['keys', id, 'team'], '"team" is missing', fix)];
+}
+
+function checkTasks(source: SourceDocument, name: string, entry: Members): readonly Finding[] {
+  const tasks = entry.tasks ?? 1;
+  const place: Path = ['entries', name, entry.tasks === undefined ? 'class' : 'tasks'];
+  if (entry.class === 'gang' && tasks === 1) {
+    const fix = 'write the number of tasks, at least 2, or use the class batch';
+    return [source.findingAt(place, 'a gang has one task', fix)];
+  }
+  const single =
+    entry.class === 'interactive' || entry.class === 'batch' || entry.class === 'service';
+  if (single && typeof tasks === 'number' && tasks > 1) {
+    const problem = `an entry of class ${String(entry.class)} has ${String(tasks)} tasks`;
+    return [source.findingAt(place, problem, 'remove "tasks" or use the class gang')];
+  }
+  return [];
+}
+
+/** Two keys with one secret would make it unclear which team presents it. */
+function checkHashes(source: SourceDocument, keys: Members): readonly Finding[] {
+  const firstIds = new Map<string, string>();
+  return Object.entries(keys).flatMap(([id, key]) => {
+    const { hash } = membersOf(key);
+    if (typeof hash !== 'string') return [];
+    const first = firstIds.get(hash);
+    firstIds.set(hash, first ?? id);
+    if (first === undefined) return [];
+    const problem = `the keys "${first}" and "${id}" have the same secret`;
+    return [source.findingAt(['keys', id, 'hash'], problem, 'grant a new key for one of them')];
+  });
+}
