Load the daemon's settings with defaults and positions

The settings use the catalogue's position mapping, so that findings of both files look alike. Contradicting timers are findings, because a lease shorter than the suspicion timeout would end the tasks of a dead host before peers renew it.

--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Settings of the daemon.
+ */
+export * from './settings.js';
--- /dev/null
+++ b/src/settings/rules.ts
@@ -0,0 +1,69 @@
+/**
+ * Rules between several settings.
+ */
+import { membersOf, type Finding, type SourceDocument } from '../catalogue/index.js';
+import { timersSchema } from './schema.js';
+
+/** Finds timers, link URLs and peers that contradict each other. */
+export function checkSettingsRules(source: SourceDocument): readonly Finding[] {
+  const root = membersOf(source.value);
+  return [
+    ...checkTimers(source, root.timers),
+    ...checkLinks(source, membersOf(root.links)),
+    ...checkPeers(source, root.peers),
+  ];
+}
+
+function checkTimers(source: SourceDocument, raw: unknown): readonly Finding[] {
+  const parsed = timersSchema.safeParse(raw ?? {});
+  if (!parsed.success) return [];
+  const { heartbeatMs, suspectAfterMs, leaseMs } = parsed.data;
+  const findings: Finding[] = [];
+  if (suspectAfterMs <= heartbeatMs) {
+    findings.push(
+      source.findingAt(
+        ['timers', 'suspectAfterMs'],
+        'live peers would be suspected between two heartbeats',
+        `write more than heartbeatMs (${String(heartbeatMs)})`,
+      ),
+    );
+  }
+  // Peers renew the leases of a dead holder only after they suspect it.
+  if (leaseMs <= suspectAfterMs) {
+    findings.push(
+      source.findingAt(
+        ['timers', 'leaseMs'],
+        'leases of a dead host would expire before its peers renew them',
+        `write more than suspectAfterMs (${String(suspectAfterMs)})`,
+      ),
+    );
+  }
+  return findings;
+}
+
+function checkLinks(
+  source: SourceDocument,
+  links: Readonly<Record<string, unknown>>,
+): readonly Finding[] {
+  if (typeof links.advertise !== 'string') return [];
+  const secure = links.advertise.startsWith('wss:');
+  if (secure === (links.tls !== undefined)) return [];
+  const [problem, fix] = secure
+    ? ['the advertised URL uses TLS, but the links have no certificate', 'add "tls" or write ws://']
+    : ['the links use TLS, but the advertised URL does not', 'write wss:// or remove "tls"'];
+  return [source.findingAt(['links', 'advertise'], problem, fix)];
+}
+
+function checkPeers(source: SourceDocument, peers: unknown): readonly Finding[] {
+  if (!Array.isArray(peers)) return [];
+  const seen = new Set<unknown>();
+  return peers.flatMap((peer: unknown, index) => {
+    const { id } = membersOf(peer);
+    if (typeof id !== 'string' || !seen.has(id)) {
+      seen.add(id);
+      return [];
+    }
+    const fix = 'rename or remove one of the two';
+    return [source.findingAt(['peers', index, 'id'], `duplicate peer "${id}"`, fix)];
+  });
+}
--- /dev/null
+++ b/src/settings/schema.ts
@@ -0,0 +1,104 @@
+/**
+ * Schema of the daemon's settings with their defaults.
+ */
+import { z } from 'zod';
+import { fraction, mapping, nameField, oneOf, url, wholeNumber } from '../catalogue/index.js';
+
+const MAX_PORT = 65_535;
+/** Short secrets can be guessed by anyone who reaches the link port. */
+const MIN_SECRET_CHARS = 16;
+const HTTP = ['http:', 'https:'];
+const LINK = ['ws:', 'wss:'];
+const ADDRESS_FIX = 'write an IP address to listen on, for example 0.0.0.0';
+const FILE_FIX = 'write the path of a PEM file';
+const HASH_FIX = 'write the SHA-256 of the secret as 64 lower-case hexadecimal digits';
+const WEIGHT_FIX = 'write a weight of at least 0';
+const URGENT_FIX = 'write a fraction from 0 to 1';
+
+const address = z.union([z.ipv4(), z.ipv6()], ADDRESS_FIX);
+const port = wholeNumber('the port', 0, MAX_PORT);
+const weight = fraction(WEIGHT_FIX, 0, Number.MAX_VALUE);
+const milliseconds = wholeNumber('milliseconds', 1);
+const pemFile = z.string(FILE_FIX).min(1, FILE_FIX);
+const secretFix = `write a secret of at least ${String(MIN_SECRET_CHARS)} characters`;
+
+const hostSchema = mapping({ id: nameField, dataCentre: nameField });
+
+const linksSchema = mapping({
+  address: address.default('0.0.0.0'),
+  port,
+  advertise: url(LINK),
+  secret: z.string(secretFix).min(MIN_SECRET_CHARS, secretFix),
+  tls: mapping({ key: pemFile, cert: pemFile, ca: pemFile }).optional(),
+});
+
+const peerSchema = mapping({
+  id: nameField,
+  dataCentre: nameField,
+  url: url(HTTP),
+  linkUrl: url(LINK),
+  state: oneOf(['live', 'leaving']).default('live'),
+});
+
+const metricsSchema = z.union(
+  [
+    z.literal('off'),
+    mapping({
+      address: z.string().min(1),
+      port: wholeNumber('the port', 1, MAX_PORT).default(8125),
+    }),
+  ],
+  'write off, or the address and port of a statsd daemon',
+);
+
+export const timersSchema = mapping({
+  heartbeatMs: milliseconds.default(1000),
+  suspectAfterMs: milliseconds.default(5000),
+  leaseMs: milliseconds.default(10_000),
+  keyStalenessMs: milliseconds.default(5000),
+  drainGraceMs: wholeNumber('milliseconds', 0).default(1000),
+});
+
+const weightsSchema = mapping({
+  waiting: weight.default(1),
+  share: weight.default(1),
+  packing: weight.default(1),
+});
+
+const schedulingSchema = mapping({
+  weights: weightsSchema.prefault({}),
+  urgentShare: fraction(URGENT_FIX, 0, 1).default(0.9),
+  maxWaitBoostMs: wholeNumber('milliseconds', 0).default(60_000),
+});
+
+const limitsSchema = mapping({
+  maxBodyBytes: wholeNumber('bytes', 1).default(1024 * 1024),
+  maxIdAgeMs: milliseconds.default(600_000),
+  maxClockSkewMs: wholeNumber('milliseconds', 0).default(5000),
+});
+
+const operatorsSchema = mapping({
+  bootstrapKeyHash: z
+    .string(HASH_FIX)
+    .regex(/^[0-9a-f]{64}$/, HASH_FIX)
+    .optional(),
+});
+
+export const settingsSchema = mapping({
+  host: hostSchema,
+  listen: mapping({ address: address.default('0.0.0.0'), port }),
+  advertise: url(HTTP),
+  links: linksSchema,
+  store: url(HTTP),
+  hostList: url(HTTP),
+  peers: z.array(peerSchema, 'write a list of hosts').default([]),
+  log: mapping({
+    level: oneOf(['debug', 'info', 'warn', 'error']).default('info'),
+    format: oneOf(['text', 'json']).default('text'),
+  }).prefault({}),
+  metrics: metricsSchema.default('off'),
+  timers: timersSchema.prefault({}),
+  scheduling: schedulingSchema.prefault({}),
+  limits: limitsSchema.prefault({}),
+  operators: operatorsSchema.prefault({}),
+});
--- /dev/null
+++ b/src/settings/settings.ts
@@ -0,0 +1,98 @@
+/**
+ * Settings of the daemon on one entry host.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { checkValue, readSource, sortFindings, type Finding } from '../catalogue/index.js';
+import type { Host } from '../model/index.js';
+import { checkSettingsRules } from './rules.js';
+import { settingsSchema } from './schema.js';
+
+/** An address and port to listen on; port 0 lets the system choose one. */
+export interface ListenAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Paths of the PEM files of the peer links. */
+export interface TlsFiles {
+  readonly key: string;
+  readonly cert: string;
+  readonly ca: string;
+}
+
+export interface LinkSettings extends ListenAddress {
+  /** The URL under which peers reach this host. */
+  readonly advertise: string;
+  /** The cluster secret that peers present. */
+  readonly secret: string;
+  readonly tls?: TlsFiles | undefined;
+}
+
+export interface Timers {
+  readonly heartbeatMs: number;
+  /** Silence after which a peer counts as dead. */
+  readonly suspectAfterMs: number;
+  readonly leaseMs: number;
+  /** Age of the last contact with the store after which keys count as not current. */
+  readonly keyStalenessMs: number;
+  /** Time between reporting `leaving` and closing the listener. */
+  readonly drainGraceMs: number;
+}
+
+export interface SchedulingSettings {
+  readonly weights: {
+    readonly waiting: number;
+    readonly share: number;
+    readonly packing: number;
+  };
+  /** Largest fraction of the starts that interactive work takes while other work waits. */
+  readonly urgentShare: number;
+  /** Wait after which the priority of a waiting job no longer rises. */
+  readonly maxWaitBoostMs: number;
+}
+
+export interface Limits {
+  readonly maxBodyBytes: number;
+  readonly maxIdAgeMs: number;
+  readonly maxClockSkewMs: number;
+}
+
+/** The settings of one entry host. */
+export interface Settings {
+  readonly host: { readonly id: string; readonly dataCentre: string };
+  /** Listener for callers and operators. */
+  readonly listen: ListenAddress;
+  /** The URL under which callers, operators and peers reach the listener. */
+  readonly advertise: string;
+  readonly links: LinkSettings;
+  /** URL of the key-value service. */
+  readonly store: string;
+  /** URL of the platform's host list. */
+  readonly hostList: string;
+  /** Hosts that are known without the host list. */
+  readonly peers: readonly Host[];
+  readonly log: {
+    readonly level: 'debug' | 'info' | 'warn' | 'error';
+    readonly format: 'text' | 'json';
+  };
+  readonly metrics: 'off' | ListenAddress;
+  readonly timers: Timers;
+  readonly scheduling: SchedulingSettings;
+  readonly limits: Limits;
+  readonly operators: {
+    /** Hash of an operator key that is accepted while no operator key is in force. */
+    readonly bootstrapKeyHash?: string | undefined;
+  };
+}
+
+/** Top-level fields of the settings. */
+export const SETTINGS_FIELDS: readonly string[] = Object.keys(settingsSchema.shape);
+
+/** Checks the settings of a daemon; all mistakes are reported together. */
+export function loadSettings(text: string, file: string): Result<Settings, readonly Finding[]> {
+  const source = readSource(text, file);
+  const checked = checkValue<Settings>(source, settingsSchema, source.value, []);
+  const findings = [...source.findings, ...checked.findings, ...checkSettingsRules(source)];
+  if (checked.value === undefined || findings.length > 0) return err(sortFindings(findings));
+  return ok(checked.value);
+}
