--- /dev/null
+++ b/src/log/create-log.ts
@@ -0,0 +1,77 @@
+/**
+ * Logs through loglevel: one line per message, as text or as one JSON object.
+ */
+import loglevel from 'loglevel';
+import type { Fields, Log } from './log.js';
+
+export type Level = 'debug' | 'info' | 'warn' | 'error' | 'silent';
+
+/** How a log is written. */
+export interface LogOptions {
+  /** Lowest level that is written; `info` by default. */
+  readonly level?: Level;
+  /** `text` by default. */
+  readonly format?: 'text' | 'json';
+  /** Takes one line without its line break; writes to standard error by default. */
+  readonly write?: (line: string) => void;
+  readonly now?: () => number;
+}
+
+/** Values with other characters are quoted, so that a text line is split at spaces without doubt. */
+const PLAIN_VALUE = /^[\w.:/@+-]+$/;
+const LINE_BREAKS = /[\r\n\u2028\u2029]+/g;
+
+/** Creates the log of one part; every line carries the prefix `[part]`. */
+export function createLog(part: string, options: LogOptions = {}): Log {
+  const write = options.write ?? writeToStandardError;
+  const format = options.format === 'json' ? formatJson : formatText;
+  const now = options.now ?? Date.now;
+  // loglevel returns the same logger for the same name; a symbol keeps two hosts in one process apart.
+  const logger = loglevel.getLogger(Symbol(part));
+  logger.methodFactory = (level) => (message: string, fields?: Fields) => {
+    write(format({ time: new Date(now()).toISOString(), level, part, message }, fields));
+  };
+  logger.setLevel(options.level ?? 'info', false);
+  return {
+    debug: (message, fields) => {
+      logger.debug(message, fields);
+    },
+    info: (message, fields) => {
+      logger.info(message, fields);
+    },
+    warn: (message, fields) => {
+      logger.warn(message, fields);
+    },
+    error: (message, fields) => {
+      logger.error(message, fields);
+    },
+  };
+}
+
+interface Line {
+  readonly time: string;
+  readonly level: string;
+  readonly part: string;
+  readonly message: string;
+}
+
+function formatText(line: Line, fields: Fields = {}): string {
+  const message = line.message.replaceAll(LINE_BREAKS, ' ');
+  const values = Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]) => `${name}=${quoteValue(String(value))}`);
+  return [`[${line.part}]`, line.time, line.level, message, ...values].join(' ');
+}
+
+function quoteValue(value: string): string {
+  return PLAIN_VALUE.test(value) ? value : JSON.stringify(value);
+}
+
+/** The line is spread twice: once for the order of the members, once to win over equal field names. */
+function formatJson(line: Line, fields: Fields = {}): string {
+  return JSON.stringify({ ...line, ...fields, ...line });
+}
+
+function writeToStandardError(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
--- a/src/log/index.ts
+++ b/src/log/index.ts
@@ -1,4 +1,5 @@
 /**
  * Logging.
  */
+export * from './create-log.js';
 export * from './log.js';
--- /dev/null
+++ b/src/metrics/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Metrics.
+ */
+export * from './metrics.js';
