Add links between entry hosts

Each side of the upgrade proves with an HMAC that it knows the cluster secret, so the secret is never sent.

--- /dev/null
+++ b/src/links/connection.ts
@@ -0,0 +1,234 @@
+/**
+ * One open connection to a peer: numbered messages, replies matched by id, keepalives and the limit
+ * on unsent bytes.
+ */
+import type { Socket } from 'node:net';
+import { err, ok, type Result } from 'neverthrow';
+import { WebSocket } from 'ws';
+import type { Log } from '../log/index.js';
+import type { HybridClock } from '../timeline/index.js';
+import { createDelayLine } from './delay-line.js';
+import type { Identity } from './handshake.js';
+import { decodeMessage, encodeMessage, MAX_MESSAGE_BYTES, type Message } from './message.js';
+import type { Direction, LinkError, LinkFilter, LinkTiming, Traffic } from './types.js';
+
+/** A peer that reads too slowly is disconnected; its unsent bytes would grow without bound. */
+export const MAX_UNSENT_BYTES = 4 * 1024 * 1024;
+/** How long a closing connection may take to send what is buffered. */
+const CLOSE_TIMEOUT_MS = 1000;
+const GOING_AWAY = 1001;
+
+/** Handles a notification or request of any kind. */
+export type Dispatch = (kind: string, body: unknown, from: string) => Promise<unknown>;
+
+/** What all connections of one host share. */
+export interface ConnectionContext {
+  readonly self: Identity;
+  readonly clock: HybridClock;
+  readonly filter: LinkFilter;
+  readonly timing: LinkTiming;
+  readonly log: Log;
+  readonly dispatch: Dispatch;
+  /** Next sequence number of messages to a host; rises across connections. */
+  readonly nextSequence: (host: string) => number;
+  /** Whether the message is newer than all others received from this process of the peer. */
+  readonly acceptSequence: (peer: Identity, sequence: number) => boolean;
+}
+
+export interface Connection {
+  readonly peer: Identity;
+  /** Id of the host that dialled. */
+  readonly dialler: string;
+  request(kind: string, body: unknown, timeoutMs: number): Promise<Result<unknown, LinkError>>;
+  notify(kind: string, body: unknown): Result<void, LinkError>;
+  traffic(): Traffic;
+  /** Sends what is buffered, then closes. */
+  close(): Promise<void>;
+  /** Closes at once. */
+  terminate(reason: string): void;
+  /** Resolves when the connection has ended. */
+  readonly ended: Promise<void>;
+}
+
+/** An open socket whose handshake has succeeded. */
+export interface OpenSocket {
+  readonly peer: Identity;
+  readonly dialler: string;
+  readonly socket: WebSocket;
+  readonly transport: Socket;
+}
+
+type Settle = (result: Result<unknown, LinkError>) => void;
+
+export function createConnection(context: ConnectionContext, open: OpenSocket): Connection {
+  const { self, clock, timing, log } = context;
+  const { peer, socket, transport } = open;
+  const pending = new Map<number, Settle>();
+  const outgoing = createDelayLine();
+  const incoming = createDelayLine();
+  let lastId = 0;
+  let sentSinceTick = false;
+  let silentTicks = 0;
+  let terminated = false;
+
+  const ended = new Promise<void>((resolve) => {
+    socket.once('close', () => {
+      clearInterval(ticker);
+      outgoing.clear();
+      incoming.clear();
+      for (const settle of [...pending.values()]) {
+        settle(err({ kind: 'in-doubt', detail: `The link to ${peer.host} broke.` }));
+      }
+      resolve();
+    });
+  });
+  // Ticks are counted instead of comparing times: after a pause of this process only one tick is
+  // due, so the process does not take its own pause for silence of its peers.
+  const ticker = setInterval(checkPeer, timing.keepaliveMs);
+
+  function checkPeer(): void {
+    silentTicks += 1;
+    if (silentTicks * timing.keepaliveMs > timing.silenceMs) {
+      terminate('nothing was received');
+      return;
+    }
+    if (!sentSinceTick) send('keepalive', 0, '', null);
+    sentSinceTick = false;
+  }
+
+  function terminate(reason: string): void {
+    if (socket.readyState === WebSocket.CLOSED) return;
+    log.info('Closes a link.', { peer: peer.host, reason });
+    terminated = true;
+    socket.terminate();
+  }
+
+  function send(
+    type: Message['type'],
+    id: number,
+    kind: string,
+    body: unknown,
+  ): Result<void, LinkError> {
+    if (socket.readyState !== WebSocket.OPEN) return notSent(`The link to ${peer.host} is closed.`);
+    if (socket.bufferedAmount > MAX_UNSENT_BYTES) {
+      terminate('the peer reads too slowly');
+      return notSent(`${peer.host} reads too slowly and was disconnected.`);
+    }
+    const sequence = context.nextSequence(peer.host);
+    const sender = { sender: self.host, bootId: self.bootId, sequence, sentAt: clock.tick() };
+    const data = encodeMessage({ type, ...sender, id, kind, body });
+    if (data.byteLength > MAX_MESSAGE_BYTES) {
+      return notSent(`The message has ${String(data.byteLength)} bytes; send less.`);
+    }
+    sentSinceTick = true;
+    pass('send', () => {
+      if (socket.readyState === WebSocket.OPEN) socket.send(data);
+    });
+    return ok(undefined);
+  }
+
+  function pass(direction: Direction, action: () => void): void {
+    const verdict = context.filter(direction, peer.host);
+    if (verdict === 'drop') return;
+    const line = direction === 'send' ? outgoing : incoming;
+    line.add(verdict === 'pass' ? 0 : verdict, action);
+  }
+
+  function receive(data: Buffer): void {
+    // The socket may still emit messages that it had read before it was terminated.
+    if (terminated) return;
+    const message = decodeMessage(data);
+    if (message?.sender !== peer.host || message.bootId !== peer.bootId) {
+      terminate('the peer sent a malformed message');
+      return;
+    }
+    pass('receive', () => {
+      silentTicks = 0;
+      clock.receive(message.sentAt);
+      if (!context.acceptSequence(peer, message.sequence)) return;
+      handle(message);
+    });
+  }
+
+  function handle(message: Message): void {
+    const { type, id, kind, body } = message;
+    if (type === 'notification') void runNotification(kind, body);
+    if (type === 'request') void runRequest(id, kind, body);
+    if (type === 'reply') pending.get(id)?.(ok(body));
+    if (type === 'rejection') pending.get(id)?.(err({ kind: 'rejected', detail: String(body) }));
+  }
+
+  async function runNotification(kind: string, body: unknown): Promise<void> {
+    try {
+      await context.dispatch(kind, body, peer.host);
+    } catch (error) {
+      log.warn('Failed to handle a notification.', { peer: peer.host, kind, error: String(error) });
+    }
+  }
+
+  async function runRequest(id: number, kind: string, body: unknown): Promise<void> {
+    try {
+      const reply = await context.dispatch(kind, body, peer.host);
+      send('reply', id, '', reply).mapErr((error) => {
+        // Without a rejection the peer would wait for the whole timeout.
+        send('rejection', id, '', error.detail);
+      });
+    } catch (error) {
+      log.warn('Failed to handle a request.', { peer: peer.host, kind, error: String(error) });
+      send('rejection', id, '', error instanceof Error ? error.message : String(error));
+    }
+  }
+
+  function request(kind: string, body: unknown, timeoutMs: number) {
+    lastId += 1;
+    const id = lastId;
+    const sent = send('request', id, kind, body);
+    if (sent.isErr()) return Promise.resolve(err(sent.error));
+    return new Promise<Result<unknown, LinkError>>((resolve) => {
+      const settle: Settle = (result) => {
+        clearTimeout(timer);
+        pending.delete(id);
+        resolve(result);
+      };
+      const timer = setTimeout(() => {
+        const detail = `${peer.host} did not reply to ${kind} within ${String(timeoutMs)} ms.`;
+        settle(err({ kind: 'in-doubt', detail }));
+      }, timeoutMs);
+      pending.set(id, settle);
+    });
+  }
+
+  async function close(): Promise<void> {
+    socket.close(GOING_AWAY);
+    const timer = setTimeout(() => {
+      socket.terminate();
+    }, CLOSE_TIMEOUT_MS);
+    await ended;
+    clearTimeout(timer);
+  }
+
+  socket.on('message', (data) => {
+    receive(data as Buffer);
+  });
+  socket.on('error', (error) => {
+    log.debug('A link failed.', { peer: peer.host, error: error.message });
+  });
+
+  return {
+    peer,
+    dialler: open.dialler,
+    request,
+    notify: (kind, body) => send('notification', 0, kind, body),
+    traffic: () => ({
+      sentBytes: transport.bytesWritten,
+      receivedBytes: transport.bytesRead,
+    }),
+    close,
+    terminate,
+    ended,
+  };
+}
+
+function notSent(detail: string): Result<never, LinkError> {
+  return err({ kind: 'not-connected', detail });
+}
--- /dev/null
+++ b/src/links/dial.ts
@@ -0,0 +1,100 @@
+/**
+ * Dials one peer and checks that the host that answers is the one that was meant.
+ */
+import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+import { err, ok, type Result } from 'neverthrow';
+import { WebSocket } from 'ws';
+import type { Host } from '../model/index.js';
+import type { OpenSocket } from './connection.js';
+import { createGreeting, greetingHeaders, readAnswer, type Identity } from './handshake.js';
+import { MAX_MESSAGE_BYTES } from './message.js';
+import type { LinkTls } from './types.js';
+
+export interface DialOptions {
+  readonly self: Identity;
+  readonly secret: string;
+  readonly tls: LinkTls | undefined;
+  readonly handshakeMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Largest part of an error response that is reported. */
+const MAX_DETAIL_BYTES = 200;
+
+/** Calls `onOpen` in the same turn in which the socket opens, so that no message is missed. */
+export function dial(
+  host: Host,
+  options: DialOptions,
+  onOpen: (open: OpenSocket) => void,
+): Promise<Result<void, string>> {
+  const greeting = createGreeting(options.self, host.id, options.secret);
+  return new Promise((resolve) => {
+    let answer: { readonly peer: Identity; readonly transport: Socket } | undefined;
+    let socket: WebSocket;
+    try {
+      socket = openSocket(host, options, greetingHeaders(greeting));
+    } catch (error) {
+      resolve(err(String(error)));
+      return;
+    }
+    const abort = () => {
+      socket.terminate();
+    };
+    const finish = (result: Result<void, string>) => {
+      options.signal.removeEventListener('abort', abort);
+      resolve(result);
+    };
+    options.signal.addEventListener('abort', abort);
+    socket.once('upgrade', (response) => {
+      const peer = readAnswer(response.headers, greeting, options.secret);
+      if (peer !== undefined) answer = { peer, transport: response.socket };
+    });
+    socket.once('unexpected-response', (_, response: IncomingMessage) => {
+      void describeResponse(response).then((detail) => {
+        socket.terminate();
+        finish(err(detail));
+      });
+    });
+    socket.on('error', (error) => {
+      finish(err(error.message));
+    });
+    socket.once('open', () => {
+      if (answer === undefined) {
+        socket.terminate();
+        finish(err('The listener did not prove that it knows the cluster secret.'));
+        return;
+      }
+      onOpen({ ...answer, dialler: options.self.host, socket });
+      finish(ok(undefined));
+    });
+  });
+}
+
+function openSocket(host: Host, options: DialOptions, headers: Record<string, string>): WebSocket {
+  // Certificates are checked against the cluster's own authority but not for the host name, because
+  // hosts are addressed by IP address; the proof in the handshake names the host instead.
+  const tls = options.tls && { ...options.tls, checkServerIdentity: () => undefined };
+  return new WebSocket(host.linkUrl, {
+    headers,
+    handshakeTimeout: options.handshakeMs,
+    perMessageDeflate: false,
+    maxPayload: MAX_MESSAGE_BYTES,
+    followRedirects: false,
+    ...tls,
+  });
+}
+
+async function describeResponse(response: IncomingMessage): Promise<string> {
+  const status = String(response.statusCode);
+  let text = '';
+  try {
+    for await (const chunk of response) {
+      text += String(chunk);
+      if (text.length > MAX_DETAIL_BYTES) break;
+    }
+  } catch {
+    // The status alone is enough.
+  }
+  return `${status}: ${text.slice(0, MAX_DETAIL_BYTES)}`;
+}
--- /dev/null
+++ b/src/links/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Links between entry hosts.
+ */
+export * from './links.js';
+export * from './types.js';
--- /dev/null
+++ b/src/links/links.ts
@@ -0,0 +1,137 @@
+/**
+ * Assembles the links of one entry host: listener, peer tasks and open connections.
+ */
+import { err, errAsync, ResultAsync } from 'neverthrow';
+import type { Host } from '../model/index.js';
+import { createHybridClock } from '../timeline/index.js';
+import type { ConnectionContext, Dispatch } from './connection.js';
+import { dial } from './dial.js';
+import { createListener } from './listener.js';
+import { createPeerTasks } from './peer-tasks.js';
+import { createRegistry, type Registry } from './registry.js';
+import {
+  DEFAULT_LINK_TIMING,
+  type LinkError,
+  type Links,
+  type LinksOptions,
+  type LinkTiming,
+  type MessageMap,
+} from './types.js';
+
+const DEFAULT_TIMEOUT_MS = 10_000;
+
+type Handlers = Map<string, (body: unknown, from: string) => unknown>;
+
+/** Starts the listener; rejects if the address cannot be bound. */
+export async function createLinks<M extends MessageMap>(options: LinksOptions): Promise<Links<M>> {
+  const handlers: Handlers = new Map();
+  const context = createContext(options, handlers);
+  const registry = createRegistry(context, options.onChange ?? (() => undefined));
+  const listener = await startListener(options, context, registry);
+  const tasks = createPeerTasks({
+    self: context.self.host,
+    registry,
+    timing: context.timing,
+    random: options.random ?? Math.random,
+    dial: (host, signal) => dialPeer(options, context, registry, { host, signal }),
+  });
+  let closing: Promise<unknown> | undefined;
+
+  return {
+    port: listener.port,
+    setPeers: tasks.setPeers,
+    connected: registry.connected,
+    traffic: registry.traffic,
+    request: (host, kind, body, { timeoutMs = DEFAULT_TIMEOUT_MS } = {}) => {
+      const connection = registry.get(host);
+      if (connection === undefined) return errAsync(notConnected(host));
+      return new ResultAsync(connection.request(kind, body, timeoutMs));
+    },
+    notify: (host, kind, body) => registry.get(host)?.notify(kind, body).isOk() ?? false,
+    handle: (kind, handler) => {
+      handlers.set(kind, handler);
+    },
+    close: async () => {
+      closing ??= Promise.all([tasks.close(), registry.close().then(listener.close)]);
+      await closing;
+    },
+  };
+}
+
+function createContext(options: LinksOptions, handlers: Handlers): ConnectionContext {
+  const timing: LinkTiming = { ...DEFAULT_LINK_TIMING, ...options.timing };
+  return {
+    self: { host: options.host.id, bootId: options.bootId },
+    clock: options.clock ?? createHybridClock(Date.now),
+    filter: options.filter ?? (() => 'pass'),
+    timing,
+    log: options.log,
+    dispatch: createDispatch(handlers),
+    ...createSequences(),
+  };
+}
+
+function startListener(options: LinksOptions, context: ConnectionContext, registry: Registry) {
+  return createListener({
+    self: context.self,
+    secret: options.secret,
+    address: options.listen.address,
+    port: options.listen.port,
+    tls: options.tls,
+    handshakeMs: context.timing.handshakeMs,
+    log: options.log,
+    blocks: (host) => isBlocked(context, host),
+    wants: registry.wants,
+    onOpen: registry.open,
+  });
+}
+
+async function dialPeer(
+  options: LinksOptions,
+  context: ConnectionContext,
+  registry: Registry,
+  { host, signal }: { readonly host: Host; readonly signal: AbortSignal },
+): Promise<void> {
+  const { secret, tls, log } = options;
+  const { handshakeMs } = context.timing;
+  const result = isBlocked(context, host.id)
+    ? err('blocked by a test hook')
+    : await dial(host, { self: context.self, secret, tls, handshakeMs, signal }, registry.open);
+  if (result.isErr()) log.debug('Failed to dial.', { peer: host.id, error: result.error });
+}
+
+/** A handshake needs both directions. */
+function isBlocked({ filter }: ConnectionContext, host: string): boolean {
+  return filter('send', host) === 'drop' || filter('receive', host) === 'drop';
+}
+
+function notConnected(host: string): LinkError {
+  return { kind: 'not-connected', detail: `There is no link to ${host}.` };
+}
+
+function createDispatch(handlers: Handlers): Dispatch {
+  return async (kind, body, from) => {
+    const handler = handlers.get(kind);
+    if (handler === undefined) throw new Error(`This host does not handle "${kind}".`);
+    return await handler(body, from);
+  };
+}
+
+/** Numbers the messages to each host and recognizes repeated and overtaken ones. */
+function createSequences(): Pick<ConnectionContext, 'nextSequence' | 'acceptSequence'> {
+  const sent = new Map<string, number>();
+  const received = new Map<string, { readonly bootId: string; readonly sequence: number }>();
+  return {
+    nextSequence: (host) => {
+      const next = (sent.get(host) ?? 0) + 1;
+      sent.set(host, next);
+      return next;
+    },
+    acceptSequence: (peer, sequence) => {
+      const last = received.get(peer.host);
+      if (last?.bootId === peer.bootId && sequence <= last.sequence) return false;
+      received.set(peer.host, { bootId: peer.bootId, sequence });
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/src/links/listener.ts
@@ -0,0 +1,144 @@
+/**
+ * Accepts links from peers that prove that they know the cluster secret. Everything is checked
+ * before the upgrade is answered, so no message of an unknown peer is ever decoded.
+ */
+import { createServer, type IncomingMessage, type Server } from 'node:http';
+import { createServer as createSecureServer } from 'node:https';
+import type { AddressInfo } from 'node:net';
+import type { Duplex } from 'node:stream';
+import { err, ok, type Result } from 'neverthrow';
+import { WebSocketServer, type WebSocket } from 'ws';
+import type { Log } from '../log/index.js';
+import type { OpenSocket } from './connection.js';
+import { answerHeaders, readGreeting, type Greeting, type Identity } from './handshake.js';
+import { MAX_MESSAGE_BYTES } from './message.js';
+import type { LinkTls } from './types.js';
+
+export interface Listener {
+  readonly port: number;
+  readonly close: () => Promise<void>;
+}
+
+export interface ListenerOptions {
+  readonly self: Identity;
+  readonly secret: string;
+  readonly address: string;
+  readonly port: number;
+  readonly tls: LinkTls | undefined;
+  readonly handshakeMs: number;
+  readonly log: Log;
+  /** Whether test hooks cut off the host. */
+  readonly blocks: (host: string) => boolean;
+  /** Whether a link of this peer would be kept. */
+  readonly wants: (peer: Identity, dialler: string) => boolean;
+  readonly onOpen: (open: OpenSocket) => void;
+}
+
+interface Rejection {
+  readonly status: 401 | 403 | 409;
+  readonly detail: string;
+}
+
+const STATUS_TEXTS = { 401: 'Unauthorized', 403: 'Forbidden', 409: 'Conflict' } as const;
+
+export async function createListener(options: ListenerOptions): Promise<Listener> {
+  const server = createHttpServer(options.tls, options.handshakeMs);
+  const greetings = new WeakMap<IncomingMessage, Greeting>();
+  const upgrades = new WebSocketServer({
+    noServer: true,
+    perMessageDeflate: false,
+    maxPayload: MAX_MESSAGE_BYTES,
+  });
+  upgrades.on('headers', (headers, request) => {
+    const greeting = greetings.get(request);
+    if (greeting) headers.push(...answerHeaders(options.self, greeting, options.secret));
+  });
+  server.on('upgrade', (request: IncomingMessage, stream: Duplex, head: Buffer) => {
+    stream.on('error', () => stream.destroy());
+    const greeting = checkGreeting(options, request);
+    if (greeting.isErr()) {
+      rejectUpgrade(options.log, request, stream, greeting.error);
+      return;
+    }
+    greetings.set(request, greeting.value);
+    upgrades.handleUpgrade(request, stream, head, (socket: WebSocket) => {
+      const { host, bootId } = greeting.value;
+      const transport = request.socket;
+      options.onOpen({ peer: { host, bootId }, dialler: host, socket, transport });
+    });
+  });
+  await listen(server, options);
+  return {
+    port: (server.address() as AddressInfo).port,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+        server.closeAllConnections();
+      }),
+  };
+}
+
+function createHttpServer(tls: LinkTls | undefined, handshakeMs: number): Server {
+  const limits = {
+    headersTimeout: handshakeMs,
+    requestTimeout: handshakeMs,
+    connectionsCheckingInterval: handshakeMs,
+  };
+  const server = tls
+    ? createSecureServer({ ...limits, ...tls, requestCert: true, rejectUnauthorized: true })
+    : createServer(limits);
+  server.on('request', (_, response) => {
+    response.writeHead(426).end('This port serves links between entry hosts only.\n');
+  });
+  return server;
+}
+
+function listen(server: Server, { address, port }: ListenerOptions): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, address, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
+
+function checkGreeting(
+  options: ListenerOptions,
+  request: IncomingMessage,
+): Result<Greeting, Rejection> {
+  const greeting = readGreeting(request.headers, options.secret);
+  if (greeting === undefined) {
+    return err({ status: 401, detail: 'use the same cluster secret on all hosts' });
+  }
+  if (greeting.target !== options.self.host) {
+    return err({ status: 409, detail: `this is ${options.self.host}, not ${greeting.target}` });
+  }
+  if (greeting.host === options.self.host) {
+    return err({ status: 409, detail: 'two hosts have the same id; give each its own' });
+  }
+  if (options.blocks(greeting.host)) return err({ status: 403, detail: 'blocked by a test hook' });
+  if (!options.wants(greeting, greeting.host)) {
+    return err({ status: 409, detail: 'a link between both hosts is already open' });
+  }
+  return ok(greeting);
+}
+
+function rejectUpgrade(
+  log: Log,
+  request: IncomingMessage,
+  stream: Duplex,
+  { status, detail }: Rejection,
+): void {
+  const address = request.socket.remoteAddress;
+  if (status === 401) log.warn('Rejected a link without a valid proof.', { address });
+  else log.info('Rejected a link.', { address, detail });
+  stream.end(
+    `HTTP/1.1 ${String(status)} ${STATUS_TEXTS[status]}\r\nConnection: close\r\n` +
+      `Content-Type: text/plain\r\nContent-Length: ${String(Buffer.byteLength(detail))}\r\n\r\n${detail}`,
+    // An HTTP server keeps its side open otherwise until the peer closes.
+    () => stream.destroy(),
+  );
+}
