Add the worker ledger, worker health and the scheduler

Each entry host decides which queued request starts next on the workers that it holds, so the decision and the charge of ledger and allotment are one synchronous step. Sizes known to fit nowhere are marked, so that a full cell costs no scan of all workers per decision.

--- /dev/null
+++ b/src/scheduling/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Scheduling: queues, shares, placement and reservations.
+ */
+export * from './never-fits.js';
+export * from './order.js';
+export * from './placement.js';
+export * from './scheduler.js';
--- /dev/null
+++ b/src/scheduling/pool.ts
@@ -0,0 +1,210 @@
+/**
+ * The workers that this host holds, as a fixed list of views that follow the ledgers. A worker that
+ * must not be chosen keeps its place in the list and shows no free slots.
+ */
+import { fitsWithin, type Resources, type TaskId, type Worker } from '../model/index.js';
+import type { Health, HealthState, Ledger, RunningTask } from '../workers/index.js';
+import type { Placement, WorkerView } from './placement.js';
+import type { Shapes } from './shapes.js';
+import type { Usage } from './usage.js';
+
+/** Health changes seldom; asking for every worker at every decision would dominate its cost. */
+const HEALTH_REFRESH_MS = 100;
+
+/** One worker of the pool. */
+export interface Slot extends WorkerView {
+  readonly ledger: Ledger;
+  free: Resources;
+  freeSlots: number;
+  health: HealthState;
+  /** The worker is kept free for one large request. */
+  held: boolean;
+  /** The task whose outcome decides whether the worker is healthy again. */
+  trial: TaskId | undefined;
+}
+
+/** A task on a worker that this host no longer holds. */
+export interface LostTask {
+  readonly worker: string;
+  readonly task: RunningTask;
+}
+
+export interface Pool {
+  /** Replaces the workers and returns the tasks on those that are gone. */
+  setLedgers(ledgers: readonly Ledger[]): readonly LostTask[];
+  slot(worker: string): Slot | undefined;
+  slots(): readonly Slot[];
+  workers(): readonly Worker[];
+  capacity(): Resources;
+  refreshHealth(): void;
+  /** A worker in trial that waits for a task. */
+  trialFor(size: Resources): Slot | undefined;
+  hasTrial(): boolean;
+  place(size: Resources, placement: Placement): Slot | undefined;
+  setHeld(slot: Slot, held: boolean): void;
+  /** Whether the size fits on a held worker. */
+  fitsHeld(slot: Slot, size: Resources): boolean;
+  /** The worker with the fewest tasks that could hold the size once all but its services ended. */
+  findHoldable(size: Resources): Slot | undefined;
+}
+
+export interface PoolOptions {
+  readonly now: () => number;
+  readonly random: () => number;
+  readonly health: Health;
+  readonly shapes: Shapes;
+  readonly usage: Usage;
+}
+
+export function createPool(options: PoolOptions): Pool {
+  const { now, random, health, shapes, usage } = options;
+  const byWorker = new Map<string, Slot>();
+  const inTrial = new Set<Slot>();
+  let slots: Slot[] = [];
+  let workers: readonly Worker[] = [];
+  let capacity = sumCapacity([]);
+  let refreshedAt = -Infinity;
+
+  function update(slot: Slot) {
+    slot.free = slot.ledger.free();
+    const usable = slot.health === 'healthy' && !slot.held;
+    slot.freeSlots = usable ? slot.ledger.freeSlots() : 0;
+  }
+
+  function updateHealth(slot: Slot) {
+    const state = health.state(slot.worker.id);
+    if (state === slot.health) return;
+    slot.health = state;
+    slot.trial = undefined;
+    if (state === 'trial') inTrial.add(slot);
+    else inTrial.delete(slot);
+    update(slot);
+    shapes.roomGrew(slot);
+  }
+
+  function attach(ledger: Ledger): Slot {
+    const slot: Slot = {
+      worker: ledger.worker,
+      ledger,
+      free: ledger.free(),
+      freeSlots: ledger.freeSlots(),
+      health: 'healthy',
+      held: false,
+      trial: undefined,
+    };
+    ledger.onChange((team, change, tasks) => {
+      update(slot);
+      if (tasks !== 0 || team !== '') usage.add(team, change, tasks);
+      if (tasks <= 0) shapes.roomGrew(slot);
+    });
+    usage.addAll(ledger.teams());
+    return slot;
+  }
+
+  function detach(slot: Slot): readonly LostTask[] {
+    slot.ledger.onChange(undefined);
+    usage.subtractAll(slot.ledger.teams());
+    inTrial.delete(slot);
+    const worker = slot.worker.id;
+    return slot.ledger.running().map((task) => ({ worker, task }));
+  }
+
+  function setLedgers(ledgers: readonly Ledger[]): readonly LostTask[] {
+    const kept = new Set(ledgers);
+    const gone = slots.filter(({ ledger }) => !kept.has(ledger));
+    const lost = gone.flatMap(detach);
+    const known = new Map(slots.map((slot) => [slot.ledger, slot]));
+    slots = ledgers.map((ledger) => known.get(ledger) ?? attach(ledger));
+    byWorker.clear();
+    for (const slot of slots) byWorker.set(slot.worker.id, slot);
+    workers = slots.map(({ worker }) => worker);
+    capacity = sumCapacity(workers);
+    for (const slot of slots) {
+      updateHealth(slot);
+      shapes.roomGrew(slot);
+    }
+    return lost;
+  }
+
+  function place(size: Resources, placement: Placement): Slot | undefined {
+    for (;;) {
+      const view = placement(size, slots, random);
+      const slot = view && byWorker.get(view.worker.id);
+      if (!slot) return undefined;
+      if (health.state(slot.worker.id) === slot.health) return slot;
+      updateHealth(slot);
+    }
+  }
+
+  function findHoldable(size: Resources): Slot | undefined {
+    let best: Slot | undefined;
+    let fewest = Infinity;
+    for (const slot of slots) {
+      if (slot.health !== 'healthy') continue;
+      const tasks = slot.ledger.running();
+      if (tasks.length >= fewest || !fitsBesideServices(size, slot, tasks)) continue;
+      best = slot;
+      fewest = tasks.length;
+    }
+    return best;
+  }
+
+  return {
+    setLedgers,
+    slot: (worker) => byWorker.get(worker),
+    slots: () => slots,
+    workers: () => workers,
+    capacity: () => capacity,
+    refreshHealth: () => {
+      if (now() - refreshedAt < HEALTH_REFRESH_MS) return;
+      refreshedAt = now();
+      slots.forEach(updateHealth);
+    },
+    trialFor: (size) => {
+      for (const slot of inTrial) if (!slot.trial && fitsLedger(slot.ledger, size)) return slot;
+      return undefined;
+    },
+    hasTrial: () => inTrial.size > 0,
+    place,
+    setHeld: (slot, held) => {
+      slot.held = held;
+      update(slot);
+      shapes.roomGrew(slot);
+    },
+    fitsHeld: (slot, size) =>
+      health.state(slot.worker.id) === 'healthy' && fitsLedger(slot.ledger, size),
+    findHoldable,
+  };
+}
+
+function fitsLedger(ledger: Ledger, size: Resources): boolean {
+  return ledger.freeSlots() > 0 && fitsWithin(size, ledger.free());
+}
+
+function fitsBesideServices(
+  size: Resources,
+  { ledger, worker }: Slot,
+  tasks: readonly RunningTask[],
+) {
+  const services = tasks.filter((task) => task.class === 'service');
+  let { processors, memoryMb, accelerators } = worker.capacity;
+  for (const service of services) {
+    processors -= service.size.processors;
+    memoryMb -= service.size.memoryMb;
+    accelerators -= service.size.accelerators;
+  }
+  // A leaving worker shows no slots even when it is empty.
+  const leaving = tasks.length === 0 && ledger.freeSlots() === 0;
+  const slotsLeft = Math.min(worker.slots, worker.connections) - services.length;
+  return !leaving && slotsLeft > 0 && fitsWithin(size, { processors, memoryMb, accelerators });
+}
+
+function sumCapacity(workers: readonly Worker[]): Resources {
+  const sum = { processors: 0, memoryMb: 0, accelerators: 0 };
+  for (const { capacity } of workers) {
+    sum.processors += capacity.processors;
+    sum.memoryMb += capacity.memoryMb;
+    sum.accelerators += capacity.accelerators;
+  }
+  return sum;
+}
--- /dev/null
+++ b/src/scheduling/queue.ts
@@ -0,0 +1,218 @@
+/**
+ * Queued work: one linked list per team and class, with constant time for adding and removing, and
+ * buckets of deadlines.
+ */
+import type { WorkClass, WorkRequest } from '../model/index.js';
+import type { TeamQueue } from './order.js';
+import type { Shape } from './shapes.js';
+
+/** Width of a deadline bucket; `expire` looks at whole buckets. */
+const DEADLINE_BUCKET_MS = 100;
+
+/** One queued task. */
+export interface Item {
+  readonly request: WorkRequest;
+  /** Index of the task within its request. */
+  readonly index: number;
+  readonly shape: Shape;
+  queue: ItemQueue | undefined;
+  previous: Item | undefined;
+  next: Item | undefined;
+  /** Another queued task of the same request. */
+  sibling: Item | undefined;
+}
+
+/** The list of one team and class. The share fields are refreshed before an order sees them. */
+export class ItemQueue implements TeamQueue {
+  length = 0;
+  share = 1;
+  dominant = 0;
+  first: Item | undefined;
+  private last: Item | undefined;
+
+  constructor(
+    readonly team: string,
+    readonly workClass: WorkClass,
+  ) {}
+
+  get class(): WorkClass {
+    return this.workClass;
+  }
+
+  get oldest(): number {
+    return this.first?.request.submittedAt ?? Infinity;
+  }
+
+  append(item: Item) {
+    item.queue = this;
+    item.previous = this.last;
+    if (this.last) this.last.next = item;
+    else this.first = item;
+    this.last = item;
+    this.length += 1;
+  }
+
+  unlink(item: Item) {
+    if (item.previous) item.previous.next = item.next;
+    else this.first = item.next;
+    if (item.next) item.next.previous = item.previous;
+    else this.last = item.previous;
+    item.queue = undefined;
+    item.previous = undefined;
+    item.next = undefined;
+    this.length -= 1;
+  }
+}
+
+/** All queued work of one host. */
+export interface Queues {
+  add(item: Item): void;
+  remove(item: Item): void;
+  /** Tasks of the request that are queued. */
+  find(team: string, id: string): readonly Item[];
+  /** Removes and returns the items whose deadline has passed. */
+  takeExpired(now: number): readonly Item[];
+  takeAll(): readonly Item[];
+  /** Queues of the class that are not empty. */
+  active(workClass: WorkClass): ReadonlySet<ItemQueue>;
+  queued(workClass: WorkClass): number;
+  queuedOfEntry(entry: string): number;
+  queuedOfTeam(workClass: WorkClass, team: string): number;
+}
+
+interface ClassQueues {
+  readonly teams: Map<string, ItemQueue>;
+  readonly active: Set<ItemQueue>;
+  queued: number;
+}
+
+export function createQueues(): Queues {
+  const classes: Record<WorkClass, ClassQueues> = {
+    interactive: emptyClass(),
+    batch: emptyClass(),
+    gang: emptyClass(),
+    service: emptyClass(),
+  };
+  const byRequest = new Map<string, Item>();
+  const byEntry = new Map<string, number>();
+  const deadlines = new Map<number, Set<Item>>();
+  let lastBucket = -Infinity;
+
+  function add(item: Item) {
+    const { request } = item;
+    const kind = classes[request.class];
+    const queue = kind.teams.get(request.team) ?? new ItemQueue(request.team, request.class);
+    kind.teams.set(request.team, queue);
+    queue.append(item);
+    kind.active.add(queue);
+    kind.queued += 1;
+    const key = requestKey(request);
+    item.sibling = byRequest.get(key);
+    byRequest.set(key, item);
+    byEntry.set(request.entry, (byEntry.get(request.entry) ?? 0) + 1);
+    const bucket = bucketOf(request.startBefore);
+    const items = deadlines.get(bucket) ?? new Set();
+    deadlines.set(bucket, items.add(item));
+    // A request may arrive whose deadline lies in a bucket that was emptied before.
+    lastBucket = Math.min(lastBucket, bucket - 1);
+  }
+
+  function remove(item: Item) {
+    const { request, queue } = item;
+    if (!queue) return;
+    const kind = classes[request.class];
+    queue.unlink(item);
+    kind.queued -= 1;
+    if (queue.length === 0) {
+      kind.active.delete(queue);
+      kind.teams.delete(queue.team);
+    }
+    unlinkSibling(byRequest, item);
+    const left = (byEntry.get(request.entry) ?? 1) - 1;
+    if (left === 0) byEntry.delete(request.entry);
+    else byEntry.set(request.entry, left);
+    const bucket = bucketOf(request.startBefore);
+    const items = deadlines.get(bucket);
+    items?.delete(item);
+    if (items?.size === 0) deadlines.delete(bucket);
+  }
+
+  function takeExpired(now: number): readonly Item[] {
+    const bucketNow = bucketOf(now);
+    const expired: Item[] = [];
+    for (const bucket of dueBuckets(deadlines, lastBucket, bucketNow)) {
+      for (const item of deadlines.get(bucket) ?? []) {
+        if (item.request.startBefore < now) expired.push(item);
+      }
+    }
+    lastBucket = bucketNow - 1;
+    expired.forEach(remove);
+    return expired;
+  }
+
+  function takeAll(): readonly Item[] {
+    const all: Item[] = [];
+    for (const kind of Object.values(classes)) {
+      for (const queue of kind.active) {
+        for (let item = queue.first; item; item = item.next) all.push(item);
+      }
+    }
+    all.forEach(remove);
+    return all;
+  }
+
+  return {
+    add,
+    remove,
+    find: (team, id) => siblings(byRequest.get(requestKey({ team, id }))),
+    takeExpired,
+    takeAll,
+    active: (workClass) => classes[workClass].active,
+    queued: (workClass) => classes[workClass].queued,
+    queuedOfEntry: (entry) => byEntry.get(entry) ?? 0,
+    queuedOfTeam: (workClass, team) => classes[workClass].teams.get(team)?.length ?? 0,
+  };
+}
+
+function emptyClass(): ClassQueues {
+  return { teams: new Map(), active: new Set(), queued: 0 };
+}
+
+function requestKey({ team, id }: Pick<WorkRequest, 'team' | 'id'>): string {
+  return `${team} ${id}`;
+}
+
+function bucketOf(time: number): number {
+  return Math.floor(time / DEADLINE_BUCKET_MS);
+}
+
+/** Walks the buckets since the last call, or all of them after a long pause. */
+function dueBuckets(
+  deadlines: ReadonlyMap<number, unknown>,
+  after: number,
+  upTo: number,
+): readonly number[] {
+  if (upTo - after > deadlines.size) {
+    return [...deadlines.keys()].filter((bucket) => bucket <= upTo);
+  }
+  return Array.from({ length: upTo - after }, (_, index) => after + 1 + index);
+}
+
+function siblings(first: Item | undefined): readonly Item[] {
+  const items: Item[] = [];
+  for (let item = first; item; item = item.sibling) items.push(item);
+  return items;
+}
+
+function unlinkSibling(byRequest: Map<string, Item>, item: Item) {
+  const key = requestKey(item.request);
+  const first = byRequest.get(key);
+  if (first === item) {
+    if (item.sibling) byRequest.set(key, item.sibling);
+    else byRequest.delete(key);
+    return;
+  }
+  for (let other = first; other; other = other.sibling) {
+    if (other.sibling === item) other.sibling = item.sibling;
+  }
+}
--- a/src/workers/index.ts
+++ b/src/workers/index.ts
@@ -1,4 +1,6 @@
 /**
  * Workers: their client, ledger and health.
  */
+export * from './health.js';
+export * from './ledger.js';
 export * from './task.js';
