Serve the operators' interface over HTTP

Operators need the configuration, its rollout, tables and the timeline behind an operator key. The first configuration cannot bring its own key, so the settings may name a bootstrap key that holds only while no operator key is in force.

--- a/src/callers/app.ts
+++ b/src/callers/app.ts
@@ -318,7 +318,8 @@
   return refuse('too-large', `The input is larger than ${String(limit)} bytes; send less.`);
 }
 
-function bearerOf(context: Context): string | undefined {
+/** The secret that a request presents as its bearer token. */
+export function bearerOf(context: Context): string | undefined {
   const header = context.req.header('authorization');
   return header?.startsWith('Bearer ') === true ? header.slice('Bearer '.length) : undefined;
 }
--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -2,4 +2,5 @@
  * The interface for callers: submissions, outcomes, receipts and cancellation over HTTP.
  */
 export * from './app.js';
-export { REFUSAL_STATUS, UNKNOWN_STATUS } from './problem.js';
+export { createProblem, REFUSAL_STATUS, UNKNOWN_STATUS } from './problem.js';
+export { readBody } from './submission.js';
--- /dev/null
+++ b/src/operators/change.ts
@@ -0,0 +1,103 @@
+/**
+ * Changes of the configuration over HTTP.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { match } from 'ts-pattern';
+import { z } from 'zod';
+import { createProblem, readBody } from '../callers/index.js';
+import type { ChangeError, ConfigurationChange, OperatorBackend } from './backend.js';
+
+/**
+ * The store takes values of up to one megabyte; the record has almost the same form as the body,
+ * and the margin covers the difference.
+ */
+const MAX_BODY_BYTES = 1_000_000 - 1024;
+const MAX_ID_CHARS = 64;
+const STORE_RETRY_S = 1;
+
+const changeSchema = z.strictObject({
+  text: z.string('send the configuration text'),
+  baseRevision: z.number('send the revision that the change is based on').int().min(0),
+  changeId: z.string('send a unique id of the change').min(1).max(MAX_ID_CHARS),
+});
+
+/** Applies the change of a request and describes what became of it. */
+export async function putConfiguration(
+  backend: OperatorBackend,
+  request: Request,
+  operator: string,
+): Promise<Response> {
+  const change = parseChange(await readBody(request, MAX_BODY_BYTES));
+  if (change.isErr()) return change.error;
+  // A host that has not read the configuration cannot tell whether a bootstrap key still holds.
+  if (backend.configuration() === undefined && change.value.baseRevision !== 0) {
+    const detail = 'This host has no configuration yet; try another host or try again.';
+    return describeError({ kind: 'unavailable', detail });
+  }
+  const applied = await backend.apply({ ...change.value, operator });
+  return applied.match((value) => Response.json(value), describeError);
+}
+
+function parseChange(
+  body: Uint8Array | undefined,
+): Result<Omit<ConfigurationChange, 'operator'>, Response> {
+  if (body === undefined) {
+    const detail = `The configuration is larger than the store accepts (${String(MAX_BODY_BYTES)} bytes); shorten it.`;
+    return err(createProblem({ status: 413, title: 'The configuration is too large', detail }));
+  }
+  const parsed = changeSchema.safeParse(parseJson(body));
+  if (parsed.success) return ok(parsed.data);
+  const findings = parsed.error.issues.map(({ path, message }) => ({
+    place: path.map(String).join('.') || 'body',
+    problem: message,
+  }));
+  return err(
+    createProblem({
+      status: 400,
+      title: 'The request has mistakes',
+      detail: 'Send a JSON document with text, baseRevision and changeId.',
+      members: { mistakes: findings },
+    }),
+  );
+}
+
+function parseJson(body: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(body).toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
+
+function describeError(error: ChangeError): Response {
+  return match(error)
+    .with({ kind: 'conflict' }, ({ revision }) =>
+      createProblem({
+        status: 409,
+        title: 'The configuration has changed',
+        detail: `Revision ${String(revision)} is in force; read it, merge the change and apply again.`,
+        members: { kind: 'conflict', revision },
+      }),
+    )
+    .with({ kind: 'invalid' }, ({ findings }) =>
+      createProblem({
+        status: 422,
+        title: 'The configuration has findings',
+        detail: 'Correct the findings and apply again.',
+        members: { kind: 'invalid', findings },
+      }),
+    )
+    .with({ kind: 'unavailable' }, { kind: 'in-doubt' }, ({ kind, detail }) =>
+      createProblem({
+        status: 503,
+        title:
+          kind === 'in-doubt'
+            ? 'The change may have been applied; read the configuration back'
+            : 'The change was not applied',
+        detail,
+        headers: { 'retry-after': String(STORE_RETRY_S) },
+        members: { kind },
+      }),
+    )
+    .exhaustive();
+}
