Claim workers and id buckets in one record per data centre

Holders of workers and homes of request ids need exactly one owner each, and a takeover must survive lost answers, pauses and outages of the store.

A step costs one read and writes only if something changes. Former owners are kept as a list until they are settled, because an owner can die before it has settled the one before it.

Hosts that start or wake from a pause wait for heartbeats before they claim.

--- /dev/null
+++ b/src/claims/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Claims: which entry host holds each worker and is the home of each bucket of request ids.
+ */
+export * from './claim.js';
+export * from './claims.js';
+export * from './options.js';
--- /dev/null
+++ b/test/claims/claims.test.ts
@@ -0,0 +1,283 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { createMemoryStore, type Store } from '../../src/platform/index.js';
+import { GRACE_MS, createCell, rendezvousOrder, type Cell, type Member } from './cell.js';
+
+const SUBJECTS = Array.from({ length: 12 }, (_, index) => `worker:w${String(index)}`);
+const STORE_CALLS_IDLE = 1;
+const SECOND_MS = 1000;
+
+async function settle(...members: Member[]): Promise<void> {
+  for (let round = 0; round < 4; round += 1) {
+    for (const member of members) await member.claims.reconcile();
+  }
+}
+
+/** Steps once a second until silence counts as death. */
+async function waitOutGrace(cell: Cell, ...members: Member[]): Promise<void> {
+  for (let elapsed = 0; elapsed < GRACE_MS; elapsed += SECOND_MS) {
+    cell.now += SECOND_MS;
+    await settle(...members);
+  }
+}
+
+function namesOwned(member: Member): string[] {
+  return member.claims.owned().map((claim) => claim.subject);
+}
+
+/** A store for one host that fails as `mode` says. */
+function wrapStore(store: Store): Store & { mode: 'up' | 'down' | 'lose-answers' } {
+  const wrapper = {
+    ...store,
+    mode: 'up' as 'up' | 'down' | 'lose-answers',
+    get: (key: string) => (wrapper.mode === 'down' ? down.get(key) : store.get(key)),
+    compareAndSwap: (key: string, version: number, value: string) => {
+      if (wrapper.mode === 'down') return down.compareAndSwap(key, version, value);
+      const written = store.compareAndSwap(key, version, value);
+      if (wrapper.mode === 'up') return written;
+      return written.andThen(() => lossy.compareAndSwap(value, 0, value));
+    },
+  };
+  const down = createMemoryStore();
+  down.setMode('down');
+  const lossy = createMemoryStore();
+  lossy.setMode('lose-answers');
+  return wrapper;
+}
+
+describe('createClaims', () => {
+  it('gives every subject one owner when two hosts claim at once', async () => {
+    const cell = createCell(SUBJECTS);
+    const a = cell.boot('a', '1');
+    const b = cell.boot('b', '1');
+    await Promise.all([a.claims.reconcile(), b.claims.reconcile()]);
+    expect([...namesOwned(a), ...namesOwned(b)].sort()).to.deep.equal([...SUBJECTS].sort());
+    for (const { subject, host } of a.claims.owned()) {
+      expect(host).to.equal(rendezvousOrder(subject, ['a', 'b'])[0]);
+    }
+  });
+
+  it('costs one read and no write per step while nothing changes', async () => {
+    const store = createMemoryStore();
+    const cell = createCell(SUBJECTS, store);
+    const a = cell.boot('a', '1');
+    await a.claims.reconcile();
+    const before = store.calls();
+    await a.claims.reconcile();
+    expect(store.calls() - before).to.equal(STORE_CALLS_IDLE);
+  });
+
+  it('owns a subject once when the answer to its claim was lost', async () => {
+    const shared = createMemoryStore();
+    const cell = createCell(SUBJECTS, shared);
+    const lossy = wrapStore(shared);
+    lossy.mode = 'lose-answers';
+    const a = cell.boot('a', '1', lossy);
+    await a.claims.reconcile();
+    expect(namesOwned(a)).to.have.members(SUBJECTS);
+    expect(a.claims.owned().every((claim) => claim.epoch === 1)).to.equal(true);
+  });
+
+  const formerOwners = [
+    { name: 'dead', end: 'kill', reboot: false },
+    { name: 'leaving', end: 'leave', reboot: false },
+    { name: 'restarted with another boot id', end: 'kill', reboot: true },
+  ] as const;
+  for (const { name, end, reboot } of formerOwners) {
+    it(`takes subjects over under a higher epoch from an owner that is ${name}`, async () => {
+      const cell = createCell(SUBJECTS);
+      const a = cell.boot('a', '1');
+      const b = cell.boot('b', '1');
+      await settle(a, b);
+      const left = namesOwned(a);
+      if (end === 'kill') cell.kill(a);
+      else cell.leaving.add('a');
+      const again = reboot ? cell.boot('a', '2') : b;
+      await waitOutGrace(cell, again);
+      const taken = again.claims.owned().filter((claim) => left.includes(claim.subject));
+      expect(taken.map((claim) => claim.subject)).to.have.members(left);
+      for (const claim of taken) expect(claim).to.deep.include({ epoch: 2, from: ['a/1'] });
+    });
+  }
+
+  it('keeps all former owners until they are settled, so that no allotment is lost', async () => {
+    const cell = createCell(['worker:w']);
+    let member = cell.boot('a', '1');
+    for (const bootId of ['2', '3']) {
+      await member.claims.reconcile();
+      cell.kill(member);
+      member = cell.boot('a', bootId);
+    }
+    await member.claims.reconcile();
+    expect(member.claims.ownerOf('worker:w')).to.deep.include({ epoch: 3, from: ['a/1', 'a/2'] });
+    await member.claims.settle(['worker:w']);
+    expect(member.claims.owned()).to.deep.equal([
+      { subject: 'worker:w', host: 'a', bootId: '3', epoch: 3 },
+    ]);
+  });
+
+  it('does not own a subject whose takeover failed, and tries again', async () => {
+    const cell = createCell(['worker:w']);
+    const a = cell.boot('a', '1');
+    a.failGains = true;
+    await a.claims.reconcile();
+    expect(a.claims.owned()).to.deep.equal([]);
+    a.failGains = false;
+    await a.claims.reconcile();
+    expect(namesOwned(a)).to.deep.equal(['worker:w']);
+    expect(a.events).to.deep.equal(['+worker:w@1']);
+  });
+
+  it('tells a paused owner of its loss when it wakes, and takes nothing from live hosts', async () => {
+    const cell = createCell(SUBJECTS);
+    const [a, b, c] = [cell.boot('a', '1'), cell.boot('b', '1'), cell.boot('c', '1')];
+    await settle(a, b, c);
+    const lost = namesOwned(a);
+    b.hears.delete('a');
+    c.hears.delete('a');
+    await waitOutGrace(cell, b, c);
+    a.hears.clear();
+    a.hears.add('a');
+    await a.claims.reconcile();
+    expect(namesOwned(a)).to.deep.equal([]);
+    expect(a.events.filter((event) => event.startsWith('-'))).to.have.length(lost.length);
+    expect(namesOwned(b).length + namesOwned(c).length).to.equal(SUBJECTS.length);
+  });
+
+  it('does not take subjects to and fro between hosts that each see the other dead', async () => {
+    const cell = createCell(SUBJECTS);
+    const [a, b] = [cell.boot('a', '1'), cell.boot('b', '1')];
+    await settle(a, b);
+    a.hears.delete('b');
+    b.hears.delete('a');
+    for (let second = 0; second < 30; second += 1) {
+      cell.now += SECOND_MS;
+      await settle(a, b);
+    }
+    const epochs = a.claims.all().map((claim) => claim.epoch);
+    expect(Math.max(...epochs)).to.be.at.most(2);
+    expect([...namesOwned(a), ...namesOwned(b)].sort()).to.deep.equal([...SUBJECTS].sort());
+  });
+
+  it('leaves owners in place during an outage and takes over after it', async () => {
+    const store = createMemoryStore();
+    const cell = createCell(SUBJECTS, store);
+    const [a, b] = [cell.boot('a', '1'), cell.boot('b', '1')];
+    await settle(a, b);
+    const before = namesOwned(b);
+    cell.kill(a);
+    store.setMode('down');
+    await settle(b);
+    expect(namesOwned(b)).to.deep.equal(before);
+    store.setMode('up');
+    await waitOutGrace(cell, b);
+    expect(namesOwned(b)).to.have.members(SUBJECTS);
+  });
+
+  it('leaves subjects that hash to a host without the store to the next host', async () => {
+    const cell = createCell(SUBJECTS);
+    const a = cell.boot('a', '1');
+    cell.boot('b', '1');
+    cell.cutOff.add('b');
+    await a.claims.reconcile();
+    expect(namesOwned(a)).to.have.members(SUBJECTS);
+  });
+
+  it('hands a new host its part at a bounded rate, never two owners at once', async () => {
+    const cell = createCell(Array.from({ length: 60 }, (_, index) => `bucket:${String(index)}`));
+    const a = cell.boot('a', '1');
+    await a.claims.reconcile();
+    const b = cell.boot('b', '1');
+    let before = a.claims.owned().length;
+    for (let step = 0; step < 20; step += 1) {
+      await a.claims.reconcile();
+      expect(before - a.claims.owned().length).to.be.at.most(8);
+      before = a.claims.owned().length;
+      await b.claims.reconcile();
+      const both = namesOwned(a).filter((subject) => namesOwned(b).includes(subject));
+      expect(both).to.deep.equal([]);
+    }
+    for (const subject of namesOwned(b))
+      expect(rendezvousOrder(subject, ['a', 'b'])[0]).to.equal('b');
+    expect(namesOwned(a).length + namesOwned(b).length).to.equal(60);
+    expect(b.claims.owned()[0]).to.deep.include({ epoch: 2, from: ['a/1'] });
+  });
+
+  it('gives a subject that went away and came back a higher epoch than before', async () => {
+    const cell = createCell(['worker:w', 'worker:v']);
+    const a = cell.boot('a', '1');
+    await a.claims.reconcile();
+    cell.subjects.splice(0, 1);
+    await a.claims.reconcile();
+    expect(a.claims.ownerOf('worker:w')).to.equal(undefined);
+    cell.subjects.push('worker:w');
+    await a.claims.reconcile();
+    expect(a.claims.ownerOf('worker:w')?.epoch).to.equal(2);
+  });
+
+  it('never lets two hosts gain a subject under one epoch, whatever fails', async () => {
+    const hosts = ['a', 'b', 'c'] as const;
+    const kinds = ['up', 'down', 'lose-answers', 'deafen', 'hear', 'release', 'restart'] as const;
+    const event = fc.record({
+      kind: fc.oneof(
+        { weight: 12, arbitrary: fc.constant('step' as const) },
+        { weight: 1, arbitrary: fc.constantFrom(...kinds) },
+      ),
+      host: fc.constantFrom(...hosts),
+    });
+    let takeovers = 0;
+    const property = fc.asyncProperty(
+      fc.array(event, { minLength: 40, maxLength: 80 }),
+      async (events) => {
+        const shared = createMemoryStore();
+        const cell = createCell(SUBJECTS.slice(0, 4), shared, {
+          startGraceMs: 0,
+          silentOwnerMs: 4000,
+        });
+        const gained = new Map<string, string>();
+        const violations: string[] = [];
+        let boots = 0;
+        const boot = (host: string, store: Store) => {
+          boots += 1;
+          const member = cell.boot(host, String(boots), store);
+          member.claims.onGain(({ subject, epoch, bootId }) => {
+            const name = `${subject}@${String(epoch)}`;
+            if ((gained.get(name) ?? bootId) !== bootId) violations.push(name);
+            gained.set(name, bootId);
+            if (epoch > 1) takeovers += 1;
+            return Promise.resolve();
+          });
+          return member;
+        };
+        const nodes = new Map(
+          hosts.map((host) => {
+            const store = wrapStore(shared);
+            return [host, { store, member: boot(host, store) }];
+          }),
+        );
+        let steps: Promise<void>[] = [];
+        for (const { kind, host } of events) {
+          const node = nodes.get(host);
+          if (node === undefined) throw new Error(`no host ${host}`);
+          cell.now += SECOND_MS;
+          if (kind === 'step') steps.push(node.member.claims.reconcile());
+          else if (kind === 'release') steps.push(node.member.claims.release(SUBJECTS));
+          else if (kind === 'deafen')
+            hosts.forEach((id) => id !== host && node.member.hears.delete(id));
+          else if (kind === 'hear') for (const id of hosts) node.member.hears.add(id);
+          else if (kind === 'restart') {
+            cell.kill(node.member);
+            node.member = boot(host, node.store);
+          } else node.store.mode = kind;
+          if (steps.length < 3) continue;
+          await Promise.all(steps);
+          steps = [];
+        }
+        await Promise.all(steps);
+        expect(violations).to.deep.equal([]);
+      },
+    );
+    await fc.assert(property, { seed: 41, numRuns: 300 });
+    expect(takeovers, 'the model takes subjects over').to.be.greaterThan(500);
+  });
+});
