--- a/src/links/message.ts
+++ b/src/links/message.ts
@@ -37,7 +37,7 @@
 
 const packr = new Packr({ useRecords: true });
 
-/** Throws if the body holds values that MessagePack cannot carry, such as functions. */
+/** Throws if the body holds values that MessagePack cannot carry, such as circular ones. */
 export function encodeMessage(message: Message): Buffer {
   return packr.pack([
     TYPES.indexOf(message.type),
