--- /dev/null
+++ b/src/teams/allotments.ts
@@ -0,0 +1,285 @@
+/**
+ * Escrow of upper limits. Each owner (host and boot) has a part of every team's limit and starts
+ * tasks from it without asking anybody. Parts move through one record per team in the store.
+ */
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { SILENT_LOG, type Log } from '../log/index.js';
+import type { Team } from '../model/index.js';
+import { updateRecord, type Store, type StoreError } from '../platform/index.js';
+import { applyPlan, LOW_SHARE, MOVE_SHARE, startPlan } from './plan.js';
+import { parseAllotmentRecord, withoutOwner } from './record.js';
+import { available, confirm, createTeamState, reserved, type TeamState } from './state.js';
+
+export interface Allotments {
+  /** Takes one task from the local part; false if it is used up. */
+  acquire(team: string): boolean;
+  /**
+   * Gives back one task that has certainly ended. `chargedTo` is the owner that it was acquired or
+   * adopted from, by default this one.
+   */
+  release(team: string, chargedTo?: string): void;
+  /** A running task is on a worker that this host no longer holds; another owner may adopt it. */
+  lose(team: string, chargedTo?: string): void;
+  /** A lost task has certainly ended. */
+  releaseLost(team: string): void;
+  /** Tasks that may start now. */
+  spare(team: string): number;
+  /** Moves parts by compare-and-swap ahead of demand. Runs periodically. */
+  rebalance(): Promise<void>;
+  /**
+   * Takes over the charges of tasks found on a worker, by team. Call once per worker that was taken
+   * over; after a failure, `rebalance` repeats the move and `settled` tells when it is done.
+   */
+  adopt(from: string, tasks: ReadonlyMap<string, number>): ResultAsync<void, StoreError>;
+  /** Whether all charges adopted from the owner are in the record. */
+  settled(from: string): boolean;
+  /**
+   * Frees the rest of an owner's parts. Call only once no claim names the owner and all adoptions
+   * from it are settled. A host that was released while it was paused has to go on under a new
+   * owner name, because it may not have read that its parts are gone.
+   */
+  releaseOwner(from: string): ResultAsync<void, StoreError>;
+  /** Configuration in force; ignored for teams of which a higher revision is known. */
+  setLimits(teams: ReadonlyMap<string, Team>, revision: number): void;
+  /** Starts nothing any more and returns all unused parts; later calls of `rebalance` go on. */
+  drain(): Promise<void>;
+}
+
+export interface AllotmentsOptions {
+  readonly store: Store;
+  /** Host id and boot id. */
+  readonly owner: string;
+  readonly now: () => number;
+  readonly log?: Log;
+  /** Age of the last read of a record after which unused parts are offered to owners that ask. */
+  readonly surveyMs?: number;
+  /** Called when a team runs out, at most once a second per team; `rebalance` may run then. */
+  readonly onShortage?: (team: string) => void;
+}
+
+const KEY_PREFIX = 'allotments/';
+/** All hosts write the same records, so that conflicts are frequent when a cell starts. */
+const WRITE_ATTEMPTS = 20;
+/**
+ * At most 16 owners of a team have a large unused part, so that 74 teams cost at most 80 reads a
+ * second in the whole fleet at this interval.
+ */
+const DEFAULT_SURVEY_MS = 15_000;
+const LARGE_UNUSED_SHARE = 1 / 16;
+/** Owners with small unused parts look for owners that ask this many times less often. */
+const SMALL_SURVEY_FACTOR = 4;
+const SHORTAGE_INTERVAL_MS = 1_000;
+/** The second round moves what was adopted while a write in doubt had to be repeated unchanged. */
+const ADOPTION_ROUNDS = 2;
+
+export function createAllotments(options: AllotmentsOptions): Allotments {
+  const { store, owner, now, log = SILENT_LOG, surveyMs = DEFAULT_SURVEY_MS } = options;
+  const states = new Map<string, TeamState>();
+  const shortageTold = new Map<string, number>();
+  let draining = false;
+  let writes = 0;
+  let lastOperation: Promise<unknown> = Promise.resolve();
+
+  function stateOf(team: string): TeamState {
+    const state = states.get(team) ?? createTeamState(team);
+    states.set(team, state);
+    return state;
+  }
+
+  /** Runs store operations one after the other, because two plans must not be in force at once. */
+  function exclusively<T>(operation: () => Promise<T>): Promise<T> {
+    const result = lastOperation.then(operation);
+    lastOperation = result.catch(() => undefined);
+    return result;
+  }
+
+  function update(state: TeamState): ResultAsync<void, StoreError> {
+    writes += 1;
+    const repeated = state.plan !== undefined;
+    const plan = state.plan ?? startPlan(state, writes);
+    let attempts = 0;
+    return updateRecord(store, {
+      key: KEY_PREFIX + state.team,
+      parse: parseAllotmentRecord,
+      maxAttempts: WRITE_ATTEMPTS,
+      change: (current) => {
+        attempts += 1;
+        const forced = repeated || attempts > 1;
+        return applyPlan(current, { state, plan, owner, draining, forced });
+      },
+    })
+      .map((record) => {
+        const known = record ?? { limit: 0, revision: -1, parts: {} };
+        confirm(state, { record: known, plan, owner, now: now() });
+      })
+      .mapErr((error) => {
+        // The request that was short is still waiting.
+        if (!state.plan && plan.shortage) state.shortage = true;
+        return error;
+      });
+  }
+
+  function needsUpdate(state: TeamState): boolean {
+    const unused = available(state);
+    const unread = state.readAt === -Infinity;
+    const low = state.belief > 0 && unused < state.belief * LOW_SHARE;
+    const isLarge = unused >= state.limit * LARGE_UNUSED_SHARE;
+    const due = now() - state.readAt >= surveyMs * (isLarge ? 1 : SMALL_SURVEY_FACTOR);
+    const changed = state.limit !== state.limitInRecord && !(unread && state.limit === 0);
+    return (
+      state.plan !== undefined ||
+      state.shortage ||
+      state.asking ||
+      changed ||
+      state.bound > state.limit ||
+      [...state.adoptions.values()].some(({ running, moved, acknowledged }) => {
+        return running > moved || !acknowledged;
+      }) ||
+      (draining && state.belief > 0) ||
+      (low && (state.spareInRecord * MOVE_SHARE >= 1 || due)) ||
+      (due && (unused > 0 || state.lost > 0))
+    );
+  }
+
+  async function rebalanceAll(): Promise<void> {
+    for (const state of states.values()) {
+      if (!needsUpdate(state)) continue;
+      const result = await update(state);
+      if (result.isOk()) continue;
+      const { kind, detail } = result.error;
+      log.warn(`Allotments of ${state.team} were not rebalanced: ${detail}.`, { kind });
+      if (kind === 'unavailable') return;
+    }
+  }
+
+  async function moveAdopted(from: string): Promise<StoreError | undefined> {
+    for (let round = 0; round < ADOPTION_ROUNDS; round += 1) {
+      for (const state of states.values()) {
+        if (isSettled(state, from)) continue;
+        const result = await update(state);
+        if (result.isErr()) return result.error;
+      }
+    }
+    return undefined;
+  }
+
+  async function removeOwner(from: string): Promise<StoreError | undefined> {
+    const found = await store.list(KEY_PREFIX);
+    if (found.isErr()) return found.error;
+    for (const [key, { value }] of found.value) {
+      if (!value.includes(JSON.stringify(from))) continue;
+      const result = await updateRecord(store, {
+        key,
+        parse: parseAllotmentRecord,
+        maxAttempts: WRITE_ATTEMPTS,
+        change: (record) => (record?.parts[from] ? withoutOwner(record, from) : undefined),
+      });
+      if (result.isErr()) return result.error;
+    }
+    return undefined;
+  }
+
+  function acquire(team: string): boolean {
+    const state = states.get(team);
+    if (!state || draining) return false;
+    if (available(state) > 0) {
+      state.used += 1;
+      return true;
+    }
+    state.shortage = true;
+    const told = shortageTold.get(team) ?? -Infinity;
+    if (options.onShortage && now() - told >= SHORTAGE_INTERVAL_MS) {
+      shortageTold.set(team, now());
+      options.onShortage(team);
+    }
+    return false;
+  }
+
+  /** Takes one task out of the charges that it is counted in. */
+  function uncharge(team: string, chargedTo: string): boolean {
+    const state = stateOf(team);
+    if (chargedTo === owner) {
+      if (state.used === 0) return false;
+      state.used -= 1;
+      return true;
+    }
+    const adoption = findAdoption(state, chargedTo);
+    if (!adoption) return false;
+    adoption.running -= 1;
+    // An acknowledged charge is free for other tasks at once and must not cover a later adoption.
+    if (adoption.acknowledged) adoption.moved = Math.min(adoption.moved, adoption.running);
+    return true;
+  }
+
+  function releaseLost(team: string) {
+    const state = stateOf(team);
+    // Charges that a write in doubt hands over must not be given back as well.
+    if (state.lost > (state.plan?.lostAcknowledged ?? 0)) state.lost -= 1;
+  }
+
+  function setLimit(team: string, limit: number, revision: number) {
+    const state = stateOf(team);
+    if (revision < state.revision) return;
+    state.bound = Math.max(state.bound, state.limit, limit);
+    state.limit = limit;
+    state.revision = revision;
+  }
+
+  return {
+    acquire,
+    release: (team, chargedTo = owner) => {
+      uncharge(team, chargedTo);
+    },
+    lose: (team, chargedTo = owner) => {
+      if (uncharge(team, chargedTo)) stateOf(team).lost += 1;
+    },
+    releaseLost,
+    spare: (team) => {
+      const state = states.get(team);
+      return state && !draining ? available(state) : 0;
+    },
+    rebalance: () => exclusively(rebalanceAll),
+    adopt: (from, tasks) => {
+      for (const [team, running] of tasks) addAdopted(stateOf(team), from, running);
+      return toResult(exclusively(() => moveAdopted(from)));
+    },
+    settled: (from) => [...states.values()].every((state) => isSettled(state, from)),
+    releaseOwner: (from) => toResult(exclusively(() => removeOwner(from))),
+    setLimits: (teams, revision) => {
+      for (const team of states.keys()) if (!teams.has(team)) setLimit(team, 0, revision);
+      for (const { name, limit } of teams.values()) setLimit(name, limit, revision);
+    },
+    drain: () => {
+      draining = true;
+      return exclusively(rebalanceAll);
+    },
+  };
+}
+
+function addAdopted(state: TeamState, from: string, running: number) {
+  const adoption = state.adoptions.get(from) ?? { running: 0, moved: 0, acknowledged: false };
+  adoption.running += running;
+  state.adoptions.set(from, adoption);
+}
+
+function isSettled(state: TeamState, from: string): boolean {
+  const adoption = state.adoptions.get(from);
+  return (!adoption || adoption.running <= adoption.moved) && !state.plan?.moves.has(from);
+}
+
+/**
+ * The charges of one team are interchangeable. Where the owner is not known, an unacknowledged
+ * adoption is reduced, because that frees nothing before the former owner has answered.
+ */
+function findAdoption(state: TeamState, from: string) {
+  const exact = state.adoptions.get(from);
+  if (exact && exact.running > 0) return exact;
+  const others = [...state.adoptions.values()].filter(({ running }) => running > 0);
+  return others.find(({ acknowledged }) => !acknowledged) ?? others[0];
+}
+
+function toResult(outcome: Promise<StoreError | undefined>): ResultAsync<void, StoreError> {
+  return ResultAsync.fromSafePromise(outcome).andThen((error) =>
+    error ? errAsync(error) : okAsync<void, StoreError>(undefined),
+  );
+}
--- /dev/null
+++ b/src/teams/plan.ts
@@ -0,0 +1,145 @@
+/**
+ * Decides how an owner changes the record of a team: it adopts charges, acknowledges what others
+ * took, gives up what others need, and takes or asks for more.
+ */
+import {
+  moveCharge,
+  NO_RECORD,
+  partOf,
+  sumOfParts,
+  wantedByOthers,
+  withoutOwner,
+  withPart,
+  type AllotmentRecord,
+} from './record.js';
+import { reservedBy, type Plan, type TeamState } from './state.js';
+
+/** Large pieces keep store calls rare. To confirm: the unusable part of a limit under skew. */
+export const MOVE_SHARE = 1 / 4;
+/** An owner takes more once less than this share of its part is unused. */
+export const LOW_SHARE = 1 / 4;
+/** First piece before any demand, so that a host can start work while the store is away. */
+const FIRST_PIECE_SHARE = 1 / 64;
+/** Asking for less than an eighth of the limit at a time took minutes to move an unused limit. */
+const ASK_SHARE = 1 / 8;
+/** An owner keeps half of what it does not use, because its own demand may return. */
+const GIVE_SHARE = 1 / 2;
+
+export interface PlanContext {
+  readonly state: TeamState;
+  readonly plan: Plan;
+  readonly owner: string;
+  readonly draining: boolean;
+  /** Whether the write is needed even if it changes nothing, to rule out an earlier one. */
+  readonly forced: boolean;
+}
+
+/** Starts a plan for what has happened since the last one. */
+export function startPlan(state: TeamState, number: number): Plan {
+  const moves = new Map<string, number>();
+  for (const [from, { running, moved }] of state.adoptions) {
+    if (running > moved) moves.set(from, running - moved);
+  }
+  const { shortage } = state;
+  state.shortage = false;
+  return { number, moves, shortage, lostAcknowledged: undefined };
+}
+
+/** The record after the plan, or undefined if it has taken effect or changes nothing. */
+export function applyPlan(
+  current: AllotmentRecord | undefined,
+  context: PlanContext,
+): AllotmentRecord | undefined {
+  const { state, plan, owner } = context;
+  const found = current ?? NO_RECORD;
+  if (partOf(found, owner).writes >= plan.number) return undefined;
+  plan.lostAcknowledged ??= Math.min(state.lost, partOf(found, owner).taken);
+  let next = withLimit(found, state);
+  for (const [from, amount] of plan.moves) next = moveCharge(next, { from, to: owner, amount });
+  const demand = demandAfter(next, context);
+  next = acknowledge(next, context, demand);
+  next = give(next, context, demand);
+  next = takeOrAsk(next, context, demand);
+  const own = partOf(next, owner);
+  const drop = state.belief - (own.part + own.taken) - plan.lostAcknowledged;
+  state.giving = Math.max(state.giving, drop);
+  if (!context.forced && isSame(found, next)) return undefined;
+  state.plan = plan;
+  const idle = own.part === 0 && own.taken === 0 && own.wanted === 0;
+  return idle ? withoutOwner(next, owner) : withPart(next, owner, { ...own, writes: plan.number });
+}
+
+function withLimit(record: AllotmentRecord, state: TeamState): AllotmentRecord {
+  if (record.revision >= state.revision || record.limit === state.limit) return record;
+  return { ...record, limit: state.limit, revision: state.revision };
+}
+
+/** What this owner needs to keep once the plan has taken effect. */
+function demandAfter(record: AllotmentRecord, { state, plan }: PlanContext): number {
+  let demand = state.used + state.lost - (plan.lostAcknowledged ?? 0);
+  for (const [from, adoption] of state.adoptions) {
+    const moved = adoption.moved + (plan.moves.get(from) ?? 0);
+    const acknowledged = partOf(record, from).taken === 0;
+    demand += reservedBy({ ...adoption, moved, acknowledged });
+  }
+  return demand;
+}
+
+function acknowledge(record: AllotmentRecord, context: PlanContext, demand: number) {
+  const own = partOf(record, context.owner);
+  const left = own.taken - (context.plan.lostAcknowledged ?? 0);
+  const taken = Math.max(0, Math.min(left, demand - own.part));
+  return withPart(record, context.owner, { ...own, taken });
+}
+
+function give(record: AllotmentRecord, context: PlanContext, demand: number): AllotmentRecord {
+  const own = partOf(record, context.owner);
+  const unused = Math.max(0, own.part - demand);
+  if (unused === 0) return record;
+  const amount = Math.min(unused, amountToGive(record, context, unused));
+  return withPart(record, context.owner, { ...own, part: own.part - amount });
+}
+
+function amountToGive(record: AllotmentRecord, context: PlanContext, unused: number): number {
+  if (context.draining) return unused;
+  const spare = record.limit - sumOfParts(record);
+  if (spare < 0) return -spare;
+  if (context.plan.shortage) return 0;
+  const missing = Math.max(0, wantedByOthers(record, context.owner) - spare);
+  return Math.min(missing, Math.ceil(unused * GIVE_SHARE));
+}
+
+function takeOrAsk(record: AllotmentRecord, context: PlanContext, demand: number) {
+  const own = partOf(record, context.owner);
+  const amount = context.draining ? 0 : amountToTake(record, context, demand);
+  const short = context.plan.shortage && !context.draining && own.part + amount <= demand;
+  const wanted = short ? Math.ceil(record.limit * ASK_SHARE) : 0;
+  return withPart(record, context.owner, { ...own, part: own.part + amount, wanted });
+}
+
+function amountToTake(record: AllotmentRecord, context: PlanContext, demand: number): number {
+  const { state, plan, owner } = context;
+  const own = partOf(record, owner);
+  const spare = record.limit - sumOfParts(record);
+  if (spare <= 0) return 0;
+  const piece = Math.floor(spare * MOVE_SHARE);
+  const unused = own.part - demand;
+  if (plan.shortage && unused <= 0) return Math.min(spare, Math.max(1, own.wanted, piece));
+  if (wantedByOthers(record, owner) > 0) return 0;
+  if (state.readAt === -Infinity && own.part === 0) {
+    return Math.min(piece, Math.ceil(record.limit * FIRST_PIECE_SHARE));
+  }
+  return own.part > 0 && unused < own.part * LOW_SHARE ? piece : 0;
+}
+
+function isSame(left: AllotmentRecord, right: AllotmentRecord): boolean {
+  if (left.limit !== right.limit) return false;
+  const owners = new Set([...Object.keys(left.parts), ...Object.keys(right.parts)]);
+  return [...owners].every((owner) => {
+    const before = partOf(left, owner);
+    const after = partOf(right, owner);
+    return (
+      before.part === after.part && before.taken === after.taken && before.wanted === after.wanted
+    );
+  });
+}
--- /dev/null
+++ b/src/teams/state.ts
@@ -0,0 +1,135 @@
+/**
+ * What one owner knows of its part of one team's limit. Only confirmed writes raise `belief`; an
+ * amount that is being given up counts as given from the moment of the attempt.
+ */
+import { partOf, sumOfParts, type AllotmentRecord } from './record.js';
+
+/** Tasks that were charged to another owner when they were found on a worker taken over. */
+export interface Adoption {
+  /** Tasks that still run. */
+  running: number;
+  /** Charges moved into this owner's part, including those of tasks that have ended since. */
+  moved: number;
+  /** Whether the former owner knows of the moves or is released, so that it cannot use them. */
+  acknowledged: boolean;
+}
+
+/** One write that is attempted until its effect is known. */
+export interface Plan {
+  /** Number of the write among all writes of this owner. */
+  readonly number: number;
+  /** Charges to move, by former owner. */
+  readonly moves: ReadonlyMap<string, number>;
+  /** Whether a task was refused for want of allotment since the last plan. */
+  readonly shortage: boolean;
+  /** Lost tasks whose move to another owner this write acknowledges; fixed by the first attempt. */
+  lostAcknowledged: number | undefined;
+}
+
+export interface TeamState {
+  readonly team: string;
+  limit: number;
+  revision: number;
+  /** Limit in the record that was last read; -1 before. */
+  limitInRecord: number;
+  /** The sum of all parts is at most this. */
+  bound: number;
+  /** Part in the record, with what others took and this owner has not acknowledged. */
+  belief: number;
+  /** Running tasks that this owner acquired. */
+  used: number;
+  /** Tasks on workers that this host no longer holds. */
+  lost: number;
+  readonly adoptions: Map<string, Adoption>;
+  /** Amount that an unconfirmed write gives up. */
+  giving: number;
+  shortage: boolean;
+  asking: boolean;
+  /** Unassigned part of the limit when the record was last read. */
+  spareInRecord: number;
+  /** -Infinity before the first read. */
+  readAt: number;
+  /** A write that may have taken effect. */
+  plan: Plan | undefined;
+}
+
+export function createTeamState(team: string): TeamState {
+  return {
+    team,
+    limit: 0,
+    revision: -1,
+    limitInRecord: -1,
+    bound: 0,
+    belief: 0,
+    used: 0,
+    lost: 0,
+    adoptions: new Map(),
+    giving: 0,
+    shortage: false,
+    asking: false,
+    spareInRecord: 0,
+    readAt: -Infinity,
+    plan: undefined,
+  };
+}
+
+/** Charges of ended tasks stay reserved until the former owner cannot use them any more. */
+export function reservedBy({ running, moved, acknowledged }: Adoption): number {
+  return acknowledged ? Math.min(running, moved) : moved;
+}
+
+export function reserved(state: TeamState): number {
+  let sum = 0;
+  for (const adoption of state.adoptions.values()) sum += reservedBy(adoption);
+  return sum;
+}
+
+/**
+ * Tasks that may start now. While the parts may exceed a lowered limit, every owner keeps the whole
+ * excess unused, because it cannot know how much of their parts the others use.
+ */
+export function available(state: TeamState): number {
+  const unused = state.belief - state.used - state.lost - reserved(state);
+  const excess = Math.max(0, state.bound - state.limit);
+  return Math.max(0, unused - Math.max(excess, state.giving));
+}
+
+/** Adopts a record that is known to be in force, after the plan has taken effect in it. */
+export function confirm(
+  state: TeamState,
+  change: { record: AllotmentRecord; plan: Plan; owner: string; now: number },
+) {
+  const { record, plan, owner, now } = change;
+  const own = partOf(record, owner);
+  if (record.revision > state.revision) {
+    state.limit = record.limit;
+    state.revision = record.revision;
+  }
+  state.belief = own.part + own.taken;
+  state.asking = own.wanted > 0;
+  state.lost -= plan.lostAcknowledged ?? 0;
+  for (const [from, amount] of plan.moves) {
+    const adoption = state.adoptions.get(from);
+    if (adoption) adoption.moved += amount;
+  }
+  for (const [from, adoption] of state.adoptions) confirmAdoption(state, from, adoption, record);
+  state.limitInRecord = record.limit;
+  const sum = sumOfParts(record);
+  state.bound = Math.max(record.limit, sum);
+  state.spareInRecord = Math.max(0, record.limit - sum);
+  state.giving = 0;
+  state.plan = undefined;
+  state.readAt = now;
+}
+
+function confirmAdoption(
+  state: TeamState,
+  from: string,
+  adoption: Adoption,
+  record: AllotmentRecord,
+) {
+  adoption.acknowledged = partOf(record, from).taken === 0;
+  if (!adoption.acknowledged) return;
+  adoption.moved = Math.min(adoption.moved, adoption.running);
+  if (adoption.running === 0) state.adoptions.delete(from);
+}
--- /dev/null
+++ b/test/teams/allotments.test.ts
@@ -0,0 +1,351 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { errAsync } from 'neverthrow';
+import { createMemoryStore, decodeRecord, type Store } from '../../src/platform/index.js';
+import {
+  createAllotments,
+  parseAllotmentRecord,
+  type AllotmentRecord,
+  type Allotments,
+} from '../../src/teams/index.js';
+
+const TEAM = 'lawns';
+
+/** A team's record, or undefined before the first write. */
+async function readRecord(store: Store): Promise<AllotmentRecord | undefined> {
+  const found = (await store.get(`allotments/${TEAM}`))._unsafeUnwrap();
+  return found && decodeRecord(found.value, parseAllotmentRecord);
+}
+
+function limits(limit: number) {
+  return new Map([[TEAM, { name: TEAM, share: 1, limit }]]);
+}
+
+function sumOf(record: AllotmentRecord): number {
+  return Object.values(record.parts).reduce((sum, { part }) => sum + part, 0);
+}
+
+/** A store whose next writes can be reported in doubt and applied only later. */
+function createDelayingStore() {
+  const store = createMemoryStore();
+  const delayed: (() => void)[] = [];
+  let delaying = false;
+  const compareAndSwap: Store['compareAndSwap'] = (key, version, value) => {
+    if (!delaying) return store.compareAndSwap(key, version, value);
+    delayed.push(() => void store.compareAndSwap(key, version, value));
+    return errAsync({ kind: 'in-doubt', detail: 'the request timed out' });
+  };
+  return {
+    ...store,
+    compareAndSwap,
+    setDelaying: (next: boolean) => {
+      delaying = next;
+    },
+    applyDelayed: () => {
+      for (const apply of delayed.splice(0)) apply();
+    },
+  };
+}
+
+interface Charge {
+  readonly owner: number;
+  label: string;
+}
+
+interface Task {
+  readonly worker: number;
+  running: boolean;
+  charges: Charge[];
+}
+
+const OWNERS = 4;
+const WORKERS = 5;
+
+/** Owners on one store, with the real tasks on workers that fence former holders. */
+function createFleet(limit: number) {
+  const store = createDelayingStore();
+  let time = 0;
+  const owners = Array.from({ length: OWNERS }, (_, index) => ({
+    allotments: createAllotments({ store, owner: `host-${String(index)}`, now: () => time }),
+    crashed: false,
+    released: false,
+    believed: new Set<number>(),
+  }));
+  const holders = Array.from({ length: WORKERS }, (_, worker) => worker % OWNERS);
+  holders.forEach((owner, worker) => owners[owner]?.believed.add(worker));
+  const tasks: Task[] = [];
+  const pending: Promise<unknown>[] = [];
+  let inForce = limit;
+
+  const running = () => tasks.filter((task) => task.running);
+  const name = (owner: number) => `host-${String(owner)}`;
+  const find = (index: number) => {
+    const owner = owners[index % OWNERS];
+    return owner && !owner.crashed ? owner : undefined;
+  };
+
+  function start(index: number, worker: number) {
+    const owner = find(index);
+    if (!owner?.believed.has(worker) || !owner.allotments.acquire(TEAM)) return;
+    if (holders[worker] !== index) {
+      owner.allotments.release(TEAM);
+      return;
+    }
+    const message = 'a task was started above the limit';
+    expect(running().length + 1, message).to.be.at.most(inForce);
+    tasks.push({ worker, running: true, charges: [{ owner: index, label: name(index) }] });
+  }
+
+  function inform(task: Task) {
+    const charge = task.charges.pop();
+    const allotments = charge && find(charge.owner)?.allotments;
+    if (!charge || !allotments) return;
+    if (charge.label === 'lost') allotments.releaseLost(TEAM);
+    else allotments.release(TEAM, charge.label);
+  }
+
+  function takeOver(worker: number, index: number) {
+    const from = holders[worker] ?? 0;
+    const owner = find(index);
+    if (!owner || owner.believed.has(worker) || from === index) return;
+    holders[worker] = index;
+    owner.believed.add(worker);
+    const found = running().filter((task) => task.worker === worker);
+    for (const task of found) task.charges.push({ owner: index, label: name(from) });
+    pending.push(
+      Promise.resolve(owner.allotments.adopt(name(from), new Map([[TEAM, found.length]]))),
+    );
+  }
+
+  function noticeLoss(index: number) {
+    const owner = find(index);
+    for (const worker of owner?.believed ?? []) {
+      if (holders[worker] === index) continue;
+      owner?.believed.delete(worker);
+      for (const task of tasks.filter((other) => other.worker === worker)) {
+        for (const charge of task.charges.filter((other) => other.owner === index)) {
+          if (charge.label === 'lost') continue;
+          owner?.allotments.lose(TEAM, charge.label);
+          charge.label = 'lost';
+        }
+      }
+    }
+  }
+
+  function releaseDead(index: number) {
+    const owner = owners[index];
+    const settled = owners.every((o) => o.crashed || o.allotments.settled(name(index)));
+    const helper = owners.find((other) => !other.crashed);
+    if (!owner?.crashed || holders.includes(index) || !settled || !helper) return;
+    owner.released = true;
+    pending.push(Promise.resolve(helper.allotments.releaseOwner(name(index))));
+  }
+
+  return {
+    store,
+    owners,
+    holders,
+    tasks,
+    running,
+    start,
+    takeOver,
+    noticeLoss,
+    releaseDead,
+    inform,
+    crash: (index: number) => {
+      const alive = owners.filter((owner) => !owner.crashed);
+      const owner = find(index);
+      if (owner && alive.length > 1) owner.crashed = true;
+    },
+    rebalance: (index: number) => {
+      time += 10_000;
+      const allotments = find(index)?.allotments;
+      if (allotments) pending.push(allotments.rebalance());
+    },
+    setLimit: (next: number, revision: number) => {
+      inForce = next;
+      for (const { allotments } of owners) allotments.setLimits(limits(next), revision);
+    },
+    settle: () => Promise.all(pending.splice(0)),
+  };
+}
+
+type Fleet = ReturnType<typeof createFleet>;
+
+const operation = fc.record({
+  kind: fc.constantFrom(
+    ...(['start', 'start', 'start', 'start', 'end', 'end', 'inform', 'inform'] as const),
+    ...(['rebalance', 'rebalance', 'rebalance', 'takeOver', 'noticeLoss', 'crash'] as const),
+    ...(['releaseDead', 'store', 'limit', 'settle', 'settle', 'delayed'] as const),
+  ),
+  owner: fc.nat(OWNERS - 1),
+  worker: fc.nat(WORKERS - 1),
+  pick: fc.nat(1000),
+});
+
+async function perform(
+  fleet: Fleet,
+  step: typeof operation extends fc.Arbitrary<infer T> ? T : never,
+) {
+  const { kind, owner, worker, pick } = step;
+  const running = fleet.running();
+  const ended = fleet.tasks.filter((task) => !task.running && task.charges.length > 0);
+  const held = [...(fleet.owners[owner]?.believed ?? [])];
+  if (kind === 'start')
+    for (let n = 0; n < 8; n += 1) fleet.start(owner, held[worker % held.length] ?? 0);
+  if (kind === 'end') for (const task of running.slice(0, 2)) task.running = false;
+  if (kind === 'inform') for (const task of ended.slice(0, 4)) fleet.inform(task);
+  if (kind === 'rebalance') fleet.rebalance(owner);
+  if (kind === 'takeOver') fleet.takeOver(worker, owner);
+  if (kind === 'noticeLoss') fleet.noticeLoss(owner);
+  if (kind === 'crash') fleet.crash(owner);
+  if (kind === 'releaseDead') fleet.releaseDead(owner);
+  if (kind === 'store') {
+    fleet.store.setMode((['up', 'up', 'down', 'lose-answers'] as const)[pick % 4] ?? 'up');
+    fleet.store.setDelaying(pick % 5 === 0);
+  }
+  if (kind === 'delayed') fleet.store.applyDelayed();
+  if (kind === 'settle') await fleet.settle();
+}
+
+async function recoverAndDrain(fleet: Fleet) {
+  fleet.store.setMode('up');
+  fleet.store.setDelaying(false);
+  fleet.store.applyDelayed();
+  await fleet.settle();
+  const helper = fleet.owners.findIndex((owner) => !owner.crashed);
+  for (let owner = 0; owner < OWNERS; owner += 1) fleet.noticeLoss(owner);
+  fleet.holders.forEach((holder, worker) => {
+    if (fleet.owners[holder]?.crashed) fleet.takeOver(worker, helper);
+  });
+  for (const task of fleet.tasks) {
+    task.running = false;
+    while (task.charges.length > 0) fleet.inform(task);
+  }
+  for (let round = 0; round < 6; round += 1) {
+    for (let owner = 0; owner < OWNERS; owner += 1) {
+      fleet.rebalance(owner);
+      await fleet.settle();
+      fleet.releaseDead(owner);
+      await fleet.settle();
+    }
+  }
+  const alive = fleet.owners.filter((owner) => !owner.crashed);
+  for (const { allotments } of alive) await allotments.drain();
+  for (const { allotments } of alive) await allotments.rebalance();
+}
+
+describe('allotments', () => {
+  it('never run more than the limit and leak nothing, whatever fails in whatever order', async () => {
+    let started = 0;
+    await fc.assert(
+      fc.asyncProperty(fc.array(operation, { minLength: 20, maxLength: 150 }), async (steps) => {
+        const fleet = createFleet(24);
+        let revision = 1;
+        fleet.setLimit(24, revision);
+        for (let owner = 0; owner < OWNERS; owner += 1) fleet.rebalance(owner);
+        await fleet.settle();
+        for (const step of steps) {
+          if (step.kind === 'limit' && step.pick % 3 === 0) {
+            await fleet.settle();
+            revision += 1;
+            fleet.setLimit(4 + (step.pick % 30), revision);
+          } else await perform(fleet, step);
+        }
+        started += fleet.tasks.length;
+        await recoverAndDrain(fleet);
+        const record = await readRecord(fleet.store);
+        expect(record && sumOf(record), JSON.stringify(record)).to.equal(0);
+      }),
+      { seed: 20_260, numRuns: 400 },
+    );
+    // Guards against a model that starts nothing and so can fail nothing.
+    expect(started).to.be.above(4_000);
+  });
+
+  const owner = (store: Store, name: string, now = () => 0): Allotments => {
+    const allotments = createAllotments({ store, owner: name, now });
+    allotments.setLimits(limits(64), 1);
+    return allotments;
+  };
+
+  function take(allotments: Allotments, most = Infinity): number {
+    let count = 0;
+    while (count < most && allotments.acquire(TEAM)) count += 1;
+    return count;
+  }
+
+  it('lets one busy host use most of a limit that lies unused at an idle one', async () => {
+    const store = createMemoryStore();
+    let time = 0;
+    const idle = owner(store, 'idle', () => time);
+    const busy = owner(store, 'busy', () => time);
+    for (let round = 0; round < 20; round += 1) {
+      take(idle, 64);
+      await idle.rebalance();
+    }
+    for (let ended = 0; ended < 64; ended += 1) idle.release(TEAM);
+    let used = take(busy);
+    for (let round = 0; round < 20; round += 1) {
+      time += 30_000;
+      await busy.rebalance();
+      used += take(busy);
+      await idle.rebalance();
+    }
+    expect(used).to.be.at.least(60);
+  });
+
+  it('keeps starting from its part while the store is down, and starts no more than that', async () => {
+    const store = createMemoryStore();
+    const allotments = owner(store, 'host');
+    take(allotments);
+    await allotments.rebalance();
+    const spare = allotments.spare(TEAM);
+    store.setMode('down');
+    await allotments.rebalance();
+    expect(spare).to.be.above(0);
+    expect(take(allotments)).to.equal(spare);
+  });
+
+  it('counts a part given up in a lost answer as gone until it has read it back', async () => {
+    const store = createDelayingStore();
+    const allotments = owner(store, 'host');
+    take(allotments, 1);
+    await allotments.rebalance();
+    store.setDelaying(true);
+    allotments.setLimits(limits(1), 2);
+    await allotments.rebalance();
+    expect(allotments.spare(TEAM)).to.be.at.most(1);
+    store.applyDelayed();
+    store.setDelaying(false);
+    await allotments.rebalance();
+    expect((await readRecord(store))?.limit).to.equal(1);
+  });
+
+  it('takes spare parts first when a limit is lowered below what runs', async () => {
+    const store = createMemoryStore();
+    const full = owner(store, 'full');
+    const spare = owner(store, 'spare');
+    take(full);
+    await full.rebalance();
+    const running = take(full);
+    take(spare, 1);
+    await spare.rebalance();
+    for (const allotments of [full, spare]) allotments.setLimits(limits(running), 2);
+    expect(take(spare), 'a start before the record is corrected').to.equal(0);
+    await spare.rebalance();
+    const record = await readRecord(store);
+    expect(record?.parts['full']?.part).to.be.at.least(running);
+    expect(record?.parts['spare']?.part ?? 0).to.be.at.most(0);
+  });
+
+  it('calls the store seldom when nothing changes', async () => {
+    const store = createMemoryStore();
+    let time = 0;
+    const allotments = owner(store, 'host', () => time);
+    await allotments.rebalance();
+    const before = store.calls();
+    for (; time < 300_000; time += 1_000) await allotments.rebalance();
+    expect(store.calls() - before).to.be.at.most(10);
+  });
+});
