--- a/stand-ins/http.ts
+++ b/stand-ins/http.ts
@@ -37,7 +37,7 @@
 export interface Listener {
   readonly url: string;
   /** Closes all connections, also those with a call in progress. */
-  close(): Promise<void>;
+  readonly close: () => Promise<void>;
 }
 
 export interface ListenOptions {
--- a/stand-ins/worker/audit.ts
+++ b/stand-ins/worker/audit.ts
@@ -62,7 +62,8 @@
   }
 
   function addRun(run: Run, running: Iterable<{ readonly run: Run }>): void {
-    for (const kind of exceededLimits(spec, sumDeclared(running))) {
+    const declared = sumDeclared(running);
+    for (const kind of exceededLimits(spec, declared)) {
       addViolation({ kind, effect: 'happened', task: run.task, detail: 'over capacity' });
     }
     if (ids.has(run.task)) {
@@ -71,15 +72,14 @@
     }
     ids.add(run.task);
     runs.push(run);
-    raisePeak(peak, sumDeclared(running));
+    raisePeak(peak, declared);
   }
 
   return {
     runs,
     violations,
     peak,
-    exceededBy: (size, running) =>
-      exceededLimits(spec, addDeclared({ ...sumDeclared(running) }, size)),
+    exceededBy: (size, running) => exceededLimits(spec, addDeclared(sumDeclared(running), size)),
     addRun,
     addViolation,
   };
