--- /dev/null
+++ b/src/cli/change-command.ts
@@ -0,0 +1,79 @@
+/**
+ * What the commands that change the configuration share.
+ */
+import { randomUUID } from 'node:crypto';
+import { Option } from 'clipanion';
+import { match } from 'ts-pattern';
+import type { Change } from '../catalogue/index.js';
+import { sendChange, waitForRollout, type ChangeResult, type ChangeTiming } from './change.js';
+import { formatRollout } from './changes.js';
+import { EXIT, type ExitCode, type Failure } from './exit-code.js';
+import type { OperatorClient } from './operator-client.js';
+import { HostCommand } from './tool-command.js';
+
+const DEFAULT_TIMEOUT_MS = '10000';
+const POLL_MS = 200;
+
+export type Applied = Extract<ChangeResult, { kind: 'applied' }>;
+
+/** A command that changes the configuration. */
+export abstract class ChangeCommand extends HostCommand {
+  timeoutMs = Option.String('--timeout-ms', DEFAULT_TIMEOUT_MS, {
+    description: 'Longest wait for a lost answer and for the hosts to run the new revision',
+  });
+
+  protected timing(): ChangeTiming {
+    return { timeoutMs: this.readNumber('timeout-ms', this.timeoutMs), pollMs: POLL_MS };
+  }
+
+  protected sendText(
+    client: OperatorClient,
+    text: string,
+    baseRevision: number,
+  ): Promise<ChangeResult> {
+    return sendChange(client, { text, baseRevision, changeId: randomUUID() }, this.timing());
+  }
+
+  /** Waits for the hosts and prints what runs where. */
+  protected async report(
+    client: OperatorClient,
+    applied: Applied,
+    changes: readonly Change[],
+    extra: Readonly<Record<string, unknown>> = {},
+  ): Promise<ExitCode> {
+    const { revision } = applied;
+    const hosts = await waitForRollout(client, revision, applied.hosts, this.timing());
+    if (this.json) this.printJson({ ...extra, revision, changes, hosts });
+    else for (const line of formatRollout(hosts, revision)) this.printProgress(line);
+    return EXIT.success;
+  }
+
+  protected printProgress(line: string): void {
+    this.print(line);
+  }
+}
+
+/** Describes a change that was not, or not certainly, applied. */
+export function describeChangeFailure(result: Exclude<ChangeResult, Applied>): Failure {
+  return match(result)
+    .with({ kind: 'conflict' }, ({ revision }) => {
+      const other = revision === undefined ? 'another revision' : `revision ${String(revision)}`;
+      const message = `Conflict, nothing was applied: ${other} is in force. Run diff, merge the other change and apply again.`;
+      return { exit: EXIT.conflict, message };
+    })
+    .with({ kind: 'invalid' }, ({ findings }) => ({
+      exit: EXIT.refused,
+      message: 'The host refused the configuration; correct the findings.',
+      findings,
+    }))
+    .with({ kind: 'refused' }, ({ detail }) => ({ exit: EXIT.refused, message: detail }))
+    .with({ kind: 'unreachable' }, ({ detail }) => ({
+      exit: EXIT.unreachable,
+      message: `No host was reached and nothing was sent: ${detail}`,
+    }))
+    .with({ kind: 'unknown' }, ({ detail }) => ({
+      exit: EXIT.unknown,
+      message: `The change may have been applied: ${detail}. Run diff to see what is in force.`,
+    }))
+    .exhaustive();
+}
--- /dev/null
+++ b/src/cli/colours.ts
@@ -0,0 +1,10 @@
+/**
+ * Whether output may have colours: only on a terminal, and not against the NO_COLOR convention.
+ */
+import type { WriteStream } from 'node:tty';
+import type { BaseContext } from 'clipanion';
+
+export function wantsColours({ stdout, env }: Pick<BaseContext, 'stdout' | 'env'>): boolean {
+  const terminal = (stdout as Partial<WriteStream>).isTTY === true;
+  return terminal && (env.NO_COLOR ?? '') === '';
+}
--- /dev/null
+++ b/src/cli/commands/apply.ts
@@ -0,0 +1,52 @@
+import { Command, Option } from 'clipanion';
+import { diffCatalogues, parseCatalogue, type Change } from '../../catalogue/index.js';
+import { ChangeCommand, describeChangeFailure } from '../change-command.js';
+import { formatChange } from '../changes.js';
+import { EXIT, type ExitCode, type Failure } from '../exit-code.js';
+
+/** Replaces the configuration in force by a file. */
+export class ApplyCommand extends ChangeCommand {
+  static override paths = [['apply']];
+  static override usage = Command.Usage({
+    description: 'Apply a catalogue and wait until the hosts run it.',
+    details:
+      'The change is based on the revision in force, or on the one of --base, and fails with a conflict if another change comes first. A file that changes keys needs --base, because an old copy of the file could bring a withdrawn key back.',
+  });
+
+  file = Option.String();
+  base = Option.String('--base', {
+    description: 'Revision that the file is based on; conflict if another one is in force',
+  });
+
+  override async perform(): Promise<ExitCode> {
+    const text = await this.readText(this.file);
+    const parsed = parseCatalogue(text, this.file);
+    if (parsed.isErr()) return this.printFindings(parsed.error);
+    const base = this.base === undefined ? undefined : this.readNumber('base', this.base);
+    const client = this.connectOperator();
+    const inForce = await client.configuration();
+    if (inForce.isErr()) return this.fail(inForce.error);
+    const { revision } = inForce.value;
+    const changes = diffCatalogues(inForce.value.text, text);
+    const refusal = base === undefined ? checkKeyChanges(changes, revision) : undefined;
+    if (refusal !== undefined) return this.fail(refusal);
+    const result = await this.sendText(client, text, base ?? revision);
+    if (result.kind !== 'applied') return this.fail(this.describe(result));
+    if (!this.json) for (const change of changes) this.print(formatChange(change));
+    return this.report(client, result, changes);
+  }
+
+  private describe(result: Parameters<typeof describeChangeFailure>[0]): Failure {
+    const failure = describeChangeFailure(result);
+    const findings = failure.findings?.map((finding) => ({ ...finding, file: this.file }));
+    return findings === undefined ? failure : { ...failure, findings };
+  }
+}
+
+/** A file that was copied before a key was withdrawn would bring the key back into force. */
+function checkKeyChanges(changes: readonly Change[], revision: number): Failure | undefined {
+  const keys = changes.filter((change) => change.part === 'key').map(formatChange);
+  if (revision === 0 || keys.length === 0) return undefined;
+  const message = `Conflict, nothing was applied: the keys of the file differ from those in force (${keys.join('; ')}). Take the keys over from the configuration in force, or add --base ${String(revision)} if the file is based on revision ${String(revision)}.`;
+  return { exit: EXIT.conflict, message };
+}
--- /dev/null
+++ b/src/cli/commands/check.ts
@@ -0,0 +1,69 @@
+import { Command, Option } from 'clipanion';
+import {
+  CATALOGUE_SECTIONS,
+  membersOf,
+  parseCatalogue,
+  readSource,
+  type Finding,
+} from '../../catalogue/index.js';
+import { loadSettings, SETTINGS_FIELDS } from '../../settings/index.js';
+import { EXIT, type ExitCode } from '../exit-code.js';
+import { ToolCommand } from '../tool-command.js';
+
+type FileKind = 'catalogue' | 'settings';
+
+/** Checks a file without any host. */
+export class CheckCommand extends ToolCommand {
+  static override paths = [['check']];
+  static override usage = Command.Usage({
+    description: 'Check a catalogue or the settings of a daemon and print all findings.',
+  });
+
+  file = Option.String();
+
+  override async perform(): Promise<ExitCode> {
+    const text = await this.readText(this.file);
+    const kind = detectKind(text);
+    const findings = checkText(text, this.file, kind);
+    const exit = this.printFindings(findings);
+    if (exit === EXIT.success && !this.json)
+      this.print(`${this.file}: no findings (${kind ?? ''})`);
+    return exit;
+  }
+}
+
+/** Tells the two kinds of file apart by their top-level fields. */
+export function detectKind(text: string): FileKind | undefined {
+  const fields = Object.keys(membersOf(readSource(text, '').value));
+  const sections: readonly string[] = CATALOGUE_SECTIONS;
+  const catalogue = fields.filter((field) => sections.includes(field)).length;
+  const settings = fields.filter((field) => SETTINGS_FIELDS.includes(field)).length;
+  if (catalogue === 0 && settings === 0) return undefined;
+  return settings > catalogue ? 'settings' : 'catalogue';
+}
+
+function checkText(text: string, file: string, kind: FileKind | undefined): readonly Finding[] {
+  if (kind === 'catalogue') return findingsOf(parseCatalogue(text, file));
+  if (kind === 'settings') return findingsOf(loadSettings(text, file));
+  const source = readSource(text, file);
+  if (source.findings.length > 0) return source.findings;
+  return [
+    source.findingAt(
+      [],
+      'the file is neither a catalogue nor the settings of a daemon',
+      `write one of the fields ${CATALOGUE_SECTIONS.join(', ')} or ${SETTINGS_FIELDS.join(', ')}`,
+    ),
+  ];
+}
+
+function findingsOf(result: {
+  match: (
+    ok: () => readonly Finding[],
+    err: (findings: readonly Finding[]) => readonly Finding[],
+  ) => readonly Finding[];
+}): readonly Finding[] {
+  return result.match(
+    () => [],
+    (findings) => findings,
+  );
+}
--- /dev/null
+++ b/src/cli/commands/requests.ts
@@ -0,0 +1,134 @@
+import { Command, Option, UsageError } from 'clipanion';
+import { isRequestId, mintRequestId } from '../../model/index.js';
+import { EXIT, type ExitCode } from '../exit-code.js';
+import type { Call, CallError } from '../host-client.js';
+import { describeOutcome, type OutcomeReport } from '../outcome.js';
+import { HostCommand } from '../tool-command.js';
+
+const DEFAULT_WAIT_MS = '0';
+/** The answer may take this much longer than the wait that the host was asked for. */
+const ANSWER_MARGIN_MS = 10_000;
+
+abstract class RequestCommand extends HostCommand {
+  protected async ask(call: Call, id: string): Promise<ExitCode> {
+    const answer = await this.connect().call(call);
+    return this.printOutcome(
+      answer.match(
+        (value) => describeOutcome(value, id, this.json),
+        (error) => describeLostAnswer(error, id),
+      ),
+    );
+  }
+
+  private printOutcome({ exit, output, message }: OutcomeReport): ExitCode {
+    if (output !== undefined) this.context.stdout.write(output);
+    if (message !== undefined) this.warn(message);
+    return exit;
+  }
+}
+
+/** Submits a request and prints its outcome or its receipt. */
+export class SubmitCommand extends RequestCommand {
+  static override paths = [['submit']];
+  static override usage = Command.Usage({
+    category: 'Requests',
+    description: 'Submit a request for an entry of the catalogue.',
+  });
+
+  entry = Option.String();
+  input = Option.String('--input', { description: 'Input of the request as JSON' });
+  file = Option.String('--file', { description: 'File with the input of the request' });
+  contentType = Option.String('--content-type', 'application/octet-stream', {
+    description: 'Media type of the file',
+  });
+  id = Option.String('--id', {
+    description: 'Id of the request; send the same one again to repeat a request safely',
+  });
+  deadlineMs = Option.String('--deadline-ms', { description: 'Longest wait for the start' });
+  wait = Option.Boolean('--wait', {
+    description: 'Wait for the outcome, or with --no-wait take a receipt',
+  });
+
+  override async perform(): Promise<ExitCode> {
+    const id = this.id ?? mintRequestId();
+    if (!isRequestId(id)) throw new UsageError(`--id is "${id}"; write a UUID of version 7.`);
+    if (this.file !== undefined && this.input !== undefined) {
+      throw new UsageError('Both --input and --file are given; remove one of them.');
+    }
+    const call = this.file === undefined ? this.jsonCall(id) : await this.rawCall(id, this.file);
+    return this.ask({ ...call, timeoutMs: 0 }, id);
+  }
+
+  private jsonCall(id: string): Call {
+    const body = {
+      entry: this.entry,
+      id,
+      input: parseInput(this.input ?? 'null'),
+      deadlineMs: this.readDeadline(),
+      wait: this.wait,
+    };
+    return {
+      method: 'POST',
+      path: '/v1/requests',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+    };
+  }
+
+  private async rawCall(id: string, file: string): Promise<Call> {
+    const deadlineMs = this.readDeadline();
+    return {
+      method: 'POST',
+      path: `/v1/entries/${encodeURIComponent(this.entry)}/requests`,
+      headers: {
+        'content-type': this.contentType,
+        'request-id': id,
+        ...(deadlineMs !== undefined && { 'deadline-ms': String(deadlineMs) }),
+        ...(this.wait !== undefined && { wait: String(this.wait) }),
+      },
+      body: await this.readBytes(file),
+    };
+  }
+
+  private readDeadline(): number | undefined {
+    return this.deadlineMs === undefined
+      ? undefined
+      : this.readNumber('deadline-ms', this.deadlineMs);
+  }
+}
+
+/** Prints the status or the outcome of a request. */
+export class StatusCommand extends RequestCommand {
+  static override paths = [['status']];
+  static override usage = Command.Usage({
+    category: 'Requests',
+    description: 'Print the state of a request, or its outcome once it has ended.',
+  });
+
+  id = Option.String();
+  waitMs = Option.String('--wait-ms', DEFAULT_WAIT_MS, {
+    description: 'Longest wait for the end of the request',
+  });
+
+  override async perform(): Promise<ExitCode> {
+    const waitMs = this.readNumber('wait-ms', this.waitMs);
+    const path = `/v1/requests/${encodeURIComponent(this.id)}?waitMs=${String(waitMs)}`;
+    return this.ask({ method: 'GET', path, timeoutMs: waitMs + ANSWER_MARGIN_MS }, this.id);
+  }
+}
+
+function parseInput(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    throw new UsageError('--input is not JSON; quote strings, or use --file for other inputs.');
+  }
+}
+
+function describeLostAnswer(error: CallError, id: string): OutcomeReport {
+  if (error.kind === 'unreachable') {
+    return { exit: EXIT.unreachable, message: `No host was reached: ${error.detail}` };
+  }
+  const message = `${id} may have run, the answer was lost: ${error.detail}. Ask with: sapphirewing status ${id}`;
+  return { exit: EXIT.unknown, message };
+}
--- /dev/null
+++ b/src/cli/commands/tables.ts
@@ -0,0 +1,68 @@
+import { Command } from 'clipanion';
+import { HOST_COLUMNS, QUEUE_COLUMNS, TEAM_COLUMNS, WORKER_COLUMNS } from '../columns.js';
+import { EXIT, type ExitCode } from '../exit-code.js';
+import { formatTable, type Column } from '../table.js';
+import { HostCommand } from '../tool-command.js';
+
+abstract class TableCommand extends HostCommand {
+  protected async show<Row>(path: string, columns: readonly Column<Row>[]): Promise<ExitCode> {
+    const table = await this.connectOperator().table(path);
+    if (table.isErr()) return this.fail(table.error);
+    const { unreachable } = table.value;
+    const rows = table.value.rows as readonly Row[];
+    if (this.json) this.printJson({ rows, unreachable });
+    else for (const line of formatTable(columns, rows, this.colours())) this.print(line);
+    if (unreachable.length > 0) {
+      this.warn(`Rows of hosts that did not answer are missing: ${unreachable.join(', ')}`);
+    }
+    return EXIT.success;
+  }
+}
+
+export class QueueCommand extends TableCommand {
+  static override paths = [['queue']];
+  static override usage = Command.Usage({
+    category: 'Tables',
+    description: 'Print the requests that wait, per host and entry.',
+  });
+
+  override perform(): Promise<ExitCode> {
+    return this.show('queue', QUEUE_COLUMNS);
+  }
+}
+
+export class WorkersCommand extends TableCommand {
+  static override paths = [['workers']];
+  static override usage = Command.Usage({
+    category: 'Tables',
+    description: 'Print the workers, their holders and their free resources.',
+  });
+
+  override perform(): Promise<ExitCode> {
+    return this.show('workers', WORKER_COLUMNS);
+  }
+}
+
+export class TeamsCommand extends TableCommand {
+  static override paths = [['teams']];
+  static override usage = Command.Usage({
+    category: 'Tables',
+    description: 'Print what the teams use, their shares and their limits.',
+  });
+
+  override perform(): Promise<ExitCode> {
+    return this.show('teams', TEAM_COLUMNS);
+  }
+}
+
+export class HostsCommand extends TableCommand {
+  static override paths = [['hosts']];
+  static override usage = Command.Usage({
+    category: 'Tables',
+    description: 'Print the entry hosts and the configuration revision that each one runs.',
+  });
+
+  override perform(): Promise<ExitCode> {
+    return this.show('hosts', HOST_COLUMNS);
+  }
+}
--- /dev/null
+++ b/src/cli/commands/timeline.ts
@@ -0,0 +1,68 @@
+import { Command, Option, UsageError } from 'clipanion';
+import type { TimelineRow } from '../../operators/index.js';
+import { EXIT, type ExitCode } from '../exit-code.js';
+import { sanitize } from '../table.js';
+import { HostCommand } from '../tool-command.js';
+
+const UNIT_MS: Readonly<Record<string, number>> = { s: 1000, m: 60_000, h: 3_600_000 };
+
+/** Prints the merged timeline, one event a line. */
+export class TimelineCommand extends HostCommand {
+  static override paths = [['timeline']];
+  static override usage = Command.Usage({
+    description: 'Print the events of all reachable hosts in causal order, one a line.',
+  });
+
+  request = Option.String('--request', { description: 'Only events of this request' });
+  team = Option.String('--team', { description: 'Only events of this team' });
+  worker = Option.String('--worker', { description: 'Only events of this worker' });
+  kind = Option.String('--kind', { description: 'Only events of this kind' });
+  since = Option.String('--since', {
+    description: 'Only events since a time (2026-01-31T08:00Z) or within a span (90s, 5m, 2h)',
+  });
+
+  override async perform(): Promise<ExitCode> {
+    const { request, team, worker, kind } = this;
+    const since = this.since === undefined ? undefined : parseSince(this.since, Date.now());
+    const query = new URLSearchParams(
+      Object.entries({ request, team, worker, kind, since: since?.toString() }).flatMap(
+        ([name, value]): [string, string][] => (value === undefined ? [] : [[name, value]]),
+      ),
+    );
+    const path = `timeline?${query.toString()}`;
+    const table = await this.connectOperator().table(path);
+    if (table.isErr()) return this.fail(table.error);
+    for (const event of table.value.rows as readonly TimelineRow[]) {
+      this.print(this.json ? JSON.stringify(event) : formatEvent(event));
+    }
+    const { unreachable } = table.value;
+    if (unreachable.length > 0) {
+      this.warn(`Events of hosts that did not answer are missing: ${unreachable.join(', ')}`);
+    }
+    return EXIT.success;
+  }
+}
+
+/** The time that an option names, in milliseconds since the epoch. */
+export function parseSince(text: string, now: number): number {
+  const [, amount, unit = ''] = /^(\d{1,9})([smh])$/.exec(text) ?? [];
+  const unitMs = UNIT_MS[unit];
+  if (amount !== undefined && unitMs !== undefined)
+    return Math.max(0, now - Number(amount) * unitMs);
+  const time = Date.parse(text);
+  if (Number.isNaN(time)) {
+    throw new UsageError(`--since is "${text}"; write a time or a span such as 5m.`);
+  }
+  return time;
+}
+
+function formatEvent(event: TimelineRow): string {
+  const { at, host, kind, request, team, worker, detail } = event;
+  const named = Object.entries({ request, team, worker }).flatMap(([name, value]) =>
+    value === undefined ? [] : [`${name}=${value}`],
+  );
+  const time = `${new Date(at.ms).toISOString()}+${String(at.counter)}`;
+  return sanitize(
+    [time, host, kind, ...named, ...(detail === undefined ? [] : [detail])].join(' '),
+  );
+}
--- /dev/null
+++ b/src/cli/exit-code.ts
@@ -0,0 +1,25 @@
+/**
+ * Exit codes of the command-line tool and the failures that carry them.
+ */
+import type { Finding } from '../catalogue/index.js';
+
+export const EXIT = {
+  success: 0,
+  /** The file has findings, or the host refused the request. */
+  refused: 1,
+  usage: 2,
+  /** Another change came first. */
+  conflict: 3,
+  unreachable: 4,
+  /** A request was sent and its outcome is not known. */
+  unknown: 5,
+} as const;
+
+export type ExitCode = (typeof EXIT)[keyof typeof EXIT];
+
+/** Why a command did not succeed. */
+export interface Failure {
+  readonly exit: ExitCode;
+  readonly message: string;
+  readonly findings?: readonly Finding[];
+}
--- /dev/null
+++ b/src/cli/operator-client.ts
@@ -0,0 +1,94 @@
+/**
+ * The operators' interface as the commands use it.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import type { Finding } from '../catalogue/index.js';
+import type { RolloutRow, Table } from '../operators/index.js';
+import { EXIT, type Failure } from './exit-code.js';
+import type { Answer, HostClient } from './host-client.js';
+import { describeProblem, parseJson, readProblem } from './problem-document.js';
+
+const configurationSchema = z.object({
+  revision: z.number(),
+  changeId: z.string(),
+  text: z.string(),
+});
+
+const rolloutSchema = z.object({
+  hosts: z.array(z.object({ host: z.string(), revision: z.number(), reachable: z.boolean() })),
+});
+
+const appliedSchema = rolloutSchema.extend({ revision: z.number() });
+
+const tableSchema = z.object({ rows: z.array(z.unknown()), unreachable: z.array(z.string()) });
+
+export type ConfigurationInForce = z.output<typeof configurationSchema>;
+
+export interface ChangeRequest {
+  readonly text: string;
+  readonly baseRevision: number;
+  readonly changeId: string;
+}
+
+/** What one attempt to change the configuration led to; only `in-doubt` may have taken effect. */
+export type ChangeAnswer =
+  | { readonly kind: 'applied'; readonly revision: number; readonly hosts: readonly RolloutRow[] }
+  | { readonly kind: 'conflict'; readonly revision: number | undefined }
+  | { readonly kind: 'invalid'; readonly findings: readonly Finding[] }
+  | { readonly kind: 'refused' | 'unreachable'; readonly detail: string }
+  | { readonly kind: 'in-doubt'; readonly detail: string };
+
+export interface OperatorClient {
+  configuration(): Promise<Result<ConfigurationInForce, Failure>>;
+  change(change: ChangeRequest): Promise<ChangeAnswer>;
+  rollout(revision: number): Promise<Result<readonly RolloutRow[], Failure>>;
+  table(path: string): Promise<Result<Table<unknown>, Failure>>;
+}
+
+export function createOperatorClient(client: HostClient): OperatorClient {
+  async function read<T>(path: string, schema: z.ZodType<T>): Promise<Result<T, Failure>> {
+    const answer = await client.call({ method: 'GET', path: `/v1/operator/${path}` });
+    if (answer.isErr()) {
+      return err({ exit: EXIT.unreachable, message: `no host answered: ${answer.error.detail}` });
+    }
+    if (answer.value.status !== 200) {
+      return err({ exit: EXIT.refused, message: describeProblem(answer.value) });
+    }
+    const parsed = schema.safeParse(parseJson(answer.value));
+    if (parsed.success) return ok(parsed.data);
+    const message = `the answer to ${path} is not from an entry host; check --host`;
+    return err({ exit: EXIT.refused, message });
+  }
+
+  return {
+    configuration: () => read('configuration', configurationSchema),
+    rollout: async (revision) =>
+      (await read(`rollout?revision=${String(revision)}`, rolloutSchema)).map(({ hosts }) => hosts),
+    table: (path) => read(path, tableSchema),
+    change: async (change) => {
+      const answer = await client.call({
+        method: 'PUT',
+        path: '/v1/operator/configuration',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(change),
+      });
+      return answer.match(readChangeAnswer, ({ kind, detail }): ChangeAnswer => ({ kind, detail }));
+    },
+  };
+}
+
+function readChangeAnswer(answer: Answer): ChangeAnswer {
+  if (answer.status === 200) {
+    const applied = appliedSchema.safeParse(parseJson(answer));
+    if (applied.success) return { kind: 'applied', ...applied.data };
+    return { kind: 'in-doubt', detail: 'the answer is not from an entry host' };
+  }
+  const { kind, revision, findings = [] } = readProblem(answer);
+  const detail = describeProblem(answer);
+  if (answer.status === 409) return { kind: 'conflict', revision };
+  if (answer.status === 422) return { kind: 'invalid', findings };
+  // Only a host's own document is proof that a failed change was not applied.
+  if (answer.status < 500 || kind === 'unavailable') return { kind: 'refused', detail };
+  return { kind: 'in-doubt', detail };
+}
