--- a/src/cli/commands/apply.ts
+++ b/src/cli/commands/apply.ts
@@ -1,3 +1,6 @@
+/**
+ * The apply command.
+ */
 import { Command, Option } from 'clipanion';
 import { diffCatalogues, parseCatalogue, type Change } from '../../catalogue/index.js';
 import { ChangeCommand, describeChangeFailure } from '../change-command.js';
--- a/src/cli/commands/check.ts
+++ b/src/cli/commands/check.ts
@@ -1,3 +1,6 @@
+/**
+ * The check command, which needs no host.
+ */
 import { Command, Option } from 'clipanion';
 import {
   CATALOGUE_SECTIONS,
--- a/src/cli/commands/diff.ts
+++ b/src/cli/commands/diff.ts
@@ -1,3 +1,6 @@
+/**
+ * The diff command.
+ */
 import { Command, Option } from 'clipanion';
 import { diffCatalogues, parseCatalogue } from '../../catalogue/index.js';
 import { formatChange } from '../changes.js';
--- a/src/cli/commands/keys.ts
+++ b/src/cli/commands/keys.ts
@@ -1,3 +1,6 @@
+/**
+ * The commands that grant, withdraw and list keys.
+ */
 import { randomBytes } from 'node:crypto';
 import { writeFile } from 'node:fs/promises';
 import { setTimeout as sleep } from 'node:timers/promises';
--- a/src/cli/commands/requests.ts
+++ b/src/cli/commands/requests.ts
@@ -1,3 +1,6 @@
+/**
+ * The commands that submit requests and read their status.
+ */
 import { Command, Option, UsageError } from 'clipanion';
 import { isRequestId, mintRequestId } from '../../model/index.js';
 import { EXIT, type ExitCode } from '../exit-code.js';
--- a/src/cli/commands/tables.ts
+++ b/src/cli/commands/tables.ts
@@ -1,3 +1,6 @@
+/**
+ * The commands that print the operators' tables.
+ */
 import { Command } from 'clipanion';
 import { HOST_COLUMNS, QUEUE_COLUMNS, TEAM_COLUMNS, WORKER_COLUMNS } from '../columns.js';
 import { EXIT, type ExitCode } from '../exit-code.js';
--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -1,3 +1,6 @@
+/**
+ * The timeline command.
+ */
 import { Command, Option, UsageError } from 'clipanion';
 import type { TimelineRow } from '../../operators/index.js';
 import { EXIT, type ExitCode } from '../exit-code.js';
