Hold the configuration in force and tell whether its keys are current

Only reads of the configuration count as contact with the store, and heartbeats that may have waited in buffers during a pause of the process do not count.

--- /dev/null
+++ b/src/configuration/holder.ts
@@ -0,0 +1,177 @@
+/**
+ * Holds the operators' configuration in force on one host. One host per data centre watches the
+ * store; all hosts read it now and then, and whenever no recent read is known from any host.
+ */
+import { err, ok, ResultAsync } from 'neverthrow';
+import type { TimedMembership } from '../hosts/index.js';
+import type { Log } from '../log/index.js';
+import type { Configuration, Host } from '../model/index.js';
+import type { Store } from '../platform/index.js';
+import { applyChange, type ApplyError, type Compile, type ConfigurationChange } from './apply.js';
+import { areKeysCurrent, newestContactAgeMs, type KeyEvidence } from './key-evidence.js';
+import type { ConfigurationRecord } from './record.js';
+import { createStoreReader, type StoreReader } from './store-reader.js';
+
+/** The configuration in force on this host. */
+export interface ConfigurationHolder {
+  current(): Configuration | undefined;
+  /** The record in force, for peers that pull it. */
+  record(): ConfigurationRecord | undefined;
+  /** Takes a record of a peer or of the store; true if its revision was higher. */
+  adopt(record: ConfigurationRecord): boolean;
+  apply(change: ConfigurationChange): ResultAsync<Configuration, ApplyError>;
+  /** Whether the keys in force are known to be current; see section 6.3 of the design page. */
+  keysCurrent(): boolean;
+  /**
+   * Notes that the configuration was read from the store `ageMs` ago and had `revision`; by default
+   * the one in force. Other calls to the store do not count, because they do not show whether the
+   * configuration has changed.
+   */
+  noteStoreContact(ageMs: number, revision?: number): void;
+  /** Age of the newest read of the configuration, own or learnt, for heartbeats. */
+  storeContactAgeMs(): number;
+  /** Whether this host's last call to the store succeeded, for heartbeats. */
+  storeReachable(): boolean;
+  onChange(listener: (configuration: Configuration) => void): void;
+  /** Watches and polls until the signal is aborted. */
+  start(signal: AbortSignal): Promise<void>;
+}
+
+export interface ConfigurationHolderOptions {
+  readonly store: Store;
+  readonly membership: TimedMembership;
+  readonly host: Host;
+  readonly now: () => number;
+  readonly random?: () => number;
+  readonly compile: Compile;
+  /** Longest time for which a withdrawn key may still work on a host that is cut off. */
+  readonly keyStalenessMs?: number;
+  /** Every host reads the configuration this often, whatever it hears from others. */
+  readonly pollMs?: number;
+  readonly log: Log;
+  /** Sends a revision that this host has found in the store to every linked peer. */
+  readonly relay: (record: ConfigurationRecord) => void;
+}
+
+export const DEFAULT_KEY_STALENESS_MS = 5000;
+const DEFAULT_POLL_MS = 30_000;
+
+interface State {
+  current: Configuration | undefined;
+  /** Time of the newest read that showed no higher revision than the one in force. */
+  contactAt: number | undefined;
+  /** Highest revision whose text could not be compiled; it is reported once. */
+  unusable: number;
+  readonly listeners: ((configuration: Configuration) => void)[];
+}
+
+export function createConfigurationHolder(
+  options: ConfigurationHolderOptions,
+): ConfigurationHolder {
+  const { store, compile, now } = options;
+  const stalenessMs = options.keyStalenessMs ?? DEFAULT_KEY_STALENESS_MS;
+  const state: State = { current: undefined, contactAt: undefined, unusable: 0, listeners: [] };
+
+  function noteContact(at: number, revision: number): void {
+    if (revision > (state.current?.revision ?? 0)) return;
+    // After the clock stepped back, an earlier contact would seem to lie in the future.
+    const known = state.contactAt !== undefined && state.contactAt <= now();
+    state.contactAt = known ? Math.max(state.contactAt ?? at, at) : at;
+  }
+
+  /** The first revision after a start is not relayed, because peers have had it before. */
+  function adoptFromStore(record: ConfigurationRecord, readAt: number): void {
+    const isUpdate = state.current !== undefined;
+    if (adoptRecord(options, state, record) && isUpdate) options.relay(record);
+    noteContact(readAt, record.revision);
+  }
+
+  function collect(): KeyEvidence {
+    const contactAgeMs = state.contactAt === undefined ? Infinity : now() - state.contactAt;
+    const revision = state.current?.revision ?? 0;
+    const own = { contactAgeMs, reachable: reader.reachable(), revision };
+    return { stalenessMs, own, others: collectPeers(options, reader) };
+  }
+
+  const reader: StoreReader = createStoreReader({
+    ...options,
+    random: options.random ?? Math.random,
+    pollMs: options.pollMs ?? DEFAULT_POLL_MS,
+    stalenessMs,
+    contactAgeMs: () => newestContactAgeMs(collect()),
+    onRecord: adoptFromStore,
+  });
+
+  async function apply(change: ConfigurationChange) {
+    const startedAt = now();
+    const result = await applyChange(store, compile, change);
+    if (result.isErr()) return err(result.error);
+    const newest = toRecord(result.value.newest);
+    if (adoptRecord(options, state, newest)) options.relay(newest);
+    noteContact(startedAt, newest.revision);
+    return ok(result.value.configuration);
+  }
+
+  return {
+    current: () => state.current,
+    record: () => state.current && toRecord(state.current),
+    adopt: (record) => adoptRecord(options, state, record),
+    apply: (change) => new ResultAsync(apply(change)),
+    keysCurrent: () => areKeysCurrent(collect()),
+    noteStoreContact: (ageMs, revision = state.current?.revision ?? 0) => {
+      noteContact(now() - ageMs, revision);
+    },
+    storeContactAgeMs: () => newestContactAgeMs(collect()),
+    storeReachable: () => reader.reachable(),
+    onChange: (listener) => state.listeners.push(listener),
+    start: reader.run,
+  };
+}
+
+/** Only a higher revision is ever adopted, so an accepted configuration never reverts. */
+function adoptRecord(
+  { compile, log }: ConfigurationHolderOptions,
+  state: State,
+  record: ConfigurationRecord,
+): boolean {
+  const { revision, changeId, text } = record;
+  if (revision <= (state.current?.revision ?? 0)) return false;
+  const compiled = compile(text, revision, changeId);
+  if (compiled.isErr()) {
+    const problem = compiled.error[0]?.problem;
+    if (revision > state.unusable) {
+      log.error('Cannot use a revision of the configuration.', { revision, problem });
+    }
+    state.unusable = Math.max(state.unusable, revision);
+    return false;
+  }
+  state.current = compiled.value;
+  log.info('Adopted a revision of the configuration.', { revision, change: changeId });
+  for (const listener of state.listeners) listener(compiled.value);
+  return true;
+}
+
+/** What all other known hosts said last; hosts that only heartbeats tell of are included. */
+function collectPeers(
+  { membership, host: self }: ConfigurationHolderOptions,
+  reader: StoreReader,
+): KeyEvidence['others'] {
+  const ids = new Set([...membership.hosts().map((host) => host.id), ...membership.live()]);
+  ids.delete(self.id);
+  return [...ids].map((id) => {
+    const heartbeat = membership.heartbeat(id);
+    const heardAgeMs = membership.heartbeatAgeMs(id);
+    if (heartbeat === undefined || heardAgeMs === undefined) return undefined;
+    if (!reader.trustsMessagesOfAge(heardAgeMs)) return undefined;
+    return {
+      heardAgeMs,
+      contactAgeMs: heartbeat.storeContactAgeMs,
+      reachable: heartbeat.storeReachable,
+      revision: heartbeat.revision,
+    };
+  });
+}
+
+function toRecord({ revision, changeId, text }: ConfigurationRecord): ConfigurationRecord {
+  return { revision, changeId, text };
+}
--- /dev/null
+++ b/src/configuration/index.ts
@@ -0,0 +1,7 @@
+/**
+ * The operators' configuration in force.
+ */
+export * from './apply.js';
+export * from './holder.js';
+export * from './key-evidence.js';
+export * from './record.js';
