Admit each request id at most once at its home

A repeat by a caller, a takeover or a home that resumes from a pause must not run a booking twice, and a refusal must not deny a run.

createHomes decides about a first sight only after a copy host has acknowledged the id under the home's epoch. A takeover fences every live host and collects their records.

--- /dev/null
+++ b/src/requests/admission.ts
@@ -0,0 +1,133 @@
+/**
+ * The decision about one request id at its home.
+ */
+import { match } from 'ts-pattern';
+import {
+  mintedAt,
+  refuse,
+  unknownOutcome,
+  type Outcome,
+  type Refused,
+  type Unknown,
+} from '../model/index.js';
+import type { Bucket, Service } from './bucket.js';
+import type { Copies } from './copies.js';
+import type { HomesOptions } from './homes-options.js';
+import type { Admission, IdRecord } from './id-record.js';
+import type { IdEntry, LocalRequest } from './id-table.js';
+
+const STORE_RETRY_MS = 1000;
+
+type Decision = 'run' | Refused | Unknown;
+
+/** Answers an id that is in the table. */
+export async function answerKnown(entry: IdEntry, digest: string): Promise<Admission> {
+  const { record, local } = entry;
+  if (record.outcome === undefined && local === undefined) {
+    return unknownOutcome('The id was in flight at a former home; ask the team what became of it.');
+  }
+  if (record.digest !== digest) {
+    return refuse('id-conflict', 'The id was used for another request; mint a new id.');
+  }
+  if (local === undefined) return repeatOf(record);
+  const decision = await local.decision;
+  return decision === 'run' ? { kind: 'repeat', outcome: local.outcome } : decision;
+}
+
+function repeatOf(record: IdRecord): Admission {
+  if (record.outcome === undefined) return unknownOutcome('The outcome of the id is not known.');
+  return { kind: 'repeat', outcome: Promise.resolve(record.outcome) };
+}
+
+/** Answers an id that is not in the table and must not run; undefined if it may run. */
+export function judgeUnseen(
+  id: string,
+  service: Service,
+  options: HomesOptions,
+): Refused | Unknown | undefined {
+  const now = options.now();
+  const minted = mintedAt(id);
+  if (minted <= service.knownSince) {
+    return unknownOutcome('The id may have run at a former home that has died.');
+  }
+  // Not `id-too-old`: the id may have run and been forgotten, and a refusal would deny that.
+  if (now - minted > options.maxIdAgeMs + options.maxClockSkewMs) {
+    return unknownOutcome('The id is older than the ids that are remembered.');
+  }
+  if (minted - now > options.maxClockSkewMs) {
+    return refuse('id-in-future', 'The id was minted in the future; correct the clock.');
+  }
+  return undefined;
+}
+
+/** Puts the request in flight; the caller does this in the same turn as the look-up. */
+export function beginRequest(record: IdRecord, decide: (entry: IdEntry) => Promise<Decision>) {
+  let end: (outcome: Outcome) => void = () => undefined;
+  const outcome = new Promise<Outcome>((resolve) => {
+    end = resolve;
+  });
+  const entry: IdEntry = { record };
+  const decision = decide(entry);
+  const local: LocalRequest = { decision, outcome, end };
+  entry.local = local;
+  return { entry, decision };
+}
+
+/** Decides about a first sight: copied or recorded under an epoch that is still in force, or not run. */
+export async function decideFirstSight(
+  bucket: Bucket,
+  service: Service,
+  entry: IdEntry,
+  context: { readonly options: HomesOptions; readonly copies: Copies },
+): Promise<Decision> {
+  const { options, copies } = context;
+  const copied = await copies.copy(bucket, service.epoch, entry);
+  const decision = await match(copied)
+    .with('copied', (): Decision => 'run')
+    .with('fenced', (): Decision => movedHome())
+    .with('no-copy-host', () => recordInStore(bucket, service, entry, options))
+    .exhaustive();
+  const isHome = bucket.service === service;
+  const result = decision === 'run' && !isHome ? movedHome() : decision;
+  if (result !== 'run' && bucket.table.get(entry.record.team, entry.record.id) === entry) {
+    bucket.table.delete(entry);
+  }
+  return result;
+}
+
+async function recordInStore(
+  bucket: Bucket,
+  service: Service,
+  { record }: IdEntry,
+  options: HomesOptions,
+): Promise<Decision> {
+  const created = await options.createRecord(record.team, record.id);
+  if (created === 'exists') {
+    return unknownOutcome('The id was admitted before by a home that kept no copy.');
+  }
+  if (created === 'unavailable') return answerWithoutStore(options);
+  const confirmed = await options.confirmOwner(bucket.number, service.epoch);
+  if (confirmed === 'owner') return 'run';
+  if (confirmed === 'unavailable') return answerWithoutStore(options);
+  if (bucket.service === service) bucket.service = undefined;
+  return movedHome();
+}
+
+/**
+ * Without a copy host and without the store, a home cannot tell whether another host has taken the
+ * bucket over and run the id, unless there is no other host.
+ */
+function answerWithoutStore(options: HomesOptions): Refused | Unknown {
+  if (options.isOnlyHost()) {
+    return refuse(
+      'store-unavailable',
+      'No second host and no store can record the id; try again.',
+      STORE_RETRY_MS,
+    );
+  }
+  return unknownOutcome('No host and no store confirmed that the id is new; ask for its status.');
+}
+
+export function movedHome(): Unknown {
+  return unknownOutcome('This host is not the home of the id; an earlier attempt may have run.');
+}
--- /dev/null
+++ b/src/requests/request-table.ts
@@ -0,0 +1,99 @@
+/**
+ * State of the requests that this host coordinates or has answered recently. Requests that have not
+ * ended are bounded by the queues and the workers; ended ones are forgotten after a time, and the
+ * oldest of them earlier if there are too many.
+ */
+import type { Outcome, RequestStatus, WorkRequest } from '../model/index.js';
+
+export interface RequestTable {
+  /** Adds a request as queued; a request that is present already stays as it is. */
+  add(request: WorkRequest): void;
+  setState(team: string, id: string, state: 'queued' | 'running'): void;
+  /** The first outcome stays. */
+  end(team: string, id: string, outcome: Outcome): void;
+  get(team: string, id: string): RequestStatus | undefined;
+  /** Resolves when the request ends, or with its present status after the wait. */
+  wait(team: string, id: string, waitMs: number): Promise<RequestStatus | undefined>;
+}
+
+export interface RequestTableOptions {
+  readonly now: () => number;
+  /** How long an ended request can be asked for. */
+  readonly keepMs?: number;
+  /** Most ended requests that are kept. */
+  readonly maxEnded?: number;
+}
+
+const DEFAULT_KEEP_MS = 600_000;
+const DEFAULT_MAX_ENDED = 20_000;
+
+interface Row {
+  status: RequestStatus;
+  readonly waiting: Set<() => void>;
+}
+
+export function createRequestTable(options: RequestTableOptions): RequestTable {
+  const { now, keepMs = DEFAULT_KEEP_MS, maxEnded = DEFAULT_MAX_ENDED } = options;
+  const rows = new Map<string, Row>();
+  /** Times of the end by key, oldest first. */
+  const ended = new Map<string, number>();
+
+  function forgetOld(): void {
+    for (const [key, endedAt] of ended) {
+      if (ended.size <= maxEnded && now() - endedAt < keepMs) return;
+      ended.delete(key);
+      rows.delete(key);
+    }
+  }
+
+  function get(team: string, id: string): RequestStatus | undefined {
+    forgetOld();
+    return rows.get(keyOf(team, id))?.status;
+  }
+
+  return {
+    get,
+    add: ({ team, id, entry }) => {
+      const key = keyOf(team, id);
+      if (get(team, id) !== undefined) return;
+      rows.set(key, { status: { id, team, entry, state: 'queued' }, waiting: new Set() });
+    },
+    setState: (team, id, state) => {
+      const row = rows.get(keyOf(team, id));
+      if (row === undefined || row.status.state === 'ended') return;
+      row.status = { ...row.status, state };
+    },
+    end: (team, id, outcome) => {
+      const key = keyOf(team, id);
+      const row = rows.get(key);
+      if (row === undefined || row.status.state === 'ended') return;
+      row.status = { ...row.status, state: 'ended', outcome };
+      ended.set(key, now());
+      for (const wake of row.waiting) wake();
+      row.waiting.clear();
+      forgetOld();
+    },
+    wait: async (team, id, waitMs) => {
+      forgetOld();
+      const row = rows.get(keyOf(team, id));
+      if (row !== undefined && row.status.state !== 'ended') await waitForEnd(row, waitMs);
+      return row?.status;
+    },
+  };
+}
+
+async function waitForEnd(row: Row, waitMs: number): Promise<void> {
+  await new Promise<void>((resolve) => {
+    const wake = () => {
+      clearTimeout(timer);
+      row.waiting.delete(wake);
+      resolve();
+    };
+    const timer = setTimeout(wake, waitMs);
+    row.waiting.add(wake);
+  });
+}
+
+function keyOf(team: string, id: string): string {
+  return `${id}/${team}`;
+}
--- /dev/null
+++ b/test/requests/home-network.ts
@@ -0,0 +1,181 @@
+/**
+ * Three hosts with homes, joined by a network whose messages the test delivers or loses one by one.
+ * Hosts crash, pause and claim the one bucket in use at any time.
+ */
+import {
+  BUCKETS,
+  bucketOf,
+  createHomes,
+  type Homes,
+  type HomesOptions,
+} from '../../src/requests/index.js';
+
+export const TEAM = 'clubs';
+export const MAX_ID_AGE_MS = 20_000;
+export const SKEW_MS = 1000;
+const SUSPECT_AFTER_MS = 5000;
+/** A host distrusts its own knowledge before its peers suspect it. */
+const DISTRUST_AFTER_MS = 4000;
+const ID_TAIL_DIGITS = 12;
+
+/** The n-th id of bucket 0 that was minted at a time. */
+export function makeId(mintedAt: number, n: number): string {
+  const time = mintedAt.toString(16).padStart(12, '0');
+  let id = '';
+  for (let tail = n * BUCKETS * BUCKETS; id === '' || bucketOf(TEAM, id) !== 0; tail += 1) {
+    const digits = tail.toString(16).padStart(ID_TAIL_DIGITS, '0');
+    id = `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${digits}`;
+  }
+  return id;
+}
+
+export interface Node {
+  readonly name: string;
+  homes: Homes;
+  boot: number;
+  pausedAt: number | undefined;
+  /** Whether it hears its peers; false for a while after a long pause. */
+  hears: boolean;
+  /** Epoch of the bucket as last read. */
+  knownEpoch: number | undefined;
+}
+
+/** A message on its way; `deliver` returns false if the receiver is paused. */
+interface Message {
+  readonly deliver: () => boolean;
+  readonly lose: () => boolean;
+}
+
+export function createNetwork(names: readonly string[]) {
+  const network = {
+    now: 1_000_000_000,
+    storeUp: true,
+    claim: { host: '', epoch: 0 },
+    records: new Set<string>(),
+    messages: [] as Message[],
+    nodes: [] as Node[],
+    isSuspected: (node: Node) =>
+      node.pausedAt !== undefined && network.now - node.pausedAt >= SUSPECT_AFTER_MS,
+    /** Delivers or loses one of the waiting messages. */
+    move: (action: 'deliver' | 'lose', pick: number) => {
+      const message = network.messages[pick % network.messages.length];
+      if (message?.[action]() === true) {
+        network.messages = network.messages.filter((other) => other !== message);
+      }
+    },
+    /** Sends a caller's request to a host. */
+    post: (node: Node, handle: () => void) => {
+      const { boot } = node;
+      const deliver = () => {
+        if (node.pausedAt !== undefined) return false;
+        if (node.boot === boot) handle();
+        return true;
+      };
+      network.messages.push({ deliver, lose: () => true });
+    },
+    crash: (node: Node) => {
+      node.boot += 1;
+      node.pausedAt = undefined;
+      node.knownEpoch = undefined;
+      node.hears = true;
+      node.homes = createHomes(optionsOf(node));
+    },
+    resume: (node: Node) => {
+      const silentFor = network.now - (node.pausedAt ?? network.now);
+      node.pausedAt = undefined;
+      if (silentFor < DISTRUST_AFTER_MS) return;
+      node.hears = false;
+      node.knownEpoch = undefined;
+    },
+    readClaims: (node: Node) => {
+      if (network.storeUp) node.knownEpoch = network.claim.epoch;
+    },
+    /** Claims the bucket and takes it over; resolves with whether the host serves it. */
+    takeOver: async (node: Node): Promise<boolean> => {
+      if (!network.storeUp) return false;
+      network.claim = { host: node.name, epoch: network.claim.epoch + 1 };
+      network.readClaims(node);
+      return node.homes.takeOver(0, network.claim.epoch).then(
+        () => true,
+        () => false,
+      );
+    },
+  };
+
+  /** Calls a receiver; undefined if the request or the reply was lost or the receiver died. */
+  function call<T>(from: Node, to: Node | undefined, handle: () => T): Promise<T | undefined> {
+    const fromBoot = from.boot;
+    const toBoot = to?.boot;
+    return new Promise((resolve) => {
+      const reply = (value: T | undefined): Message => {
+        const answer = (received: T | undefined) => {
+          if (from.pausedAt !== undefined) return false;
+          if (from.boot === fromBoot) resolve(received);
+          return true;
+        };
+        return { deliver: () => answer(value), lose: () => answer(undefined) };
+      };
+      network.messages.push({
+        deliver: () => {
+          if (to?.pausedAt !== undefined) return false;
+          network.messages.push(reply(to?.boot === toBoot ? handle() : undefined));
+          return true;
+        },
+        // The caller gives up, and the request may still arrive.
+        lose: () => reply(undefined).deliver() && false,
+      });
+    });
+  }
+
+  function optionsOf(node: Node): HomesOptions {
+    const find = (name: string) => network.nodes.find((other) => other.name === name);
+    return {
+      host: node.name,
+      now: () => network.now,
+      maxIdAgeMs: MAX_ID_AGE_MS,
+      maxClockSkewMs: SKEW_MS,
+      copyLingerMs: 0,
+      copyHosts: () =>
+        network.nodes
+          .filter((other) => other !== node && node.hears && !network.isSuspected(other))
+          .map((other) => other.name),
+      sendRemember: (host, message) =>
+        call(node, find(host), () => find(host)?.homes.remember(message)),
+      sendFence: (host, message) => call(node, find(host), () => find(host)?.homes.fence(message)),
+      createRecord: async (team, id) => {
+        const key = `${team}/${id}`;
+        const create = () => {
+          if (!network.storeUp) return 'unavailable' as const;
+          if (network.records.has(key)) return 'exists' as const;
+          network.records.add(key);
+          return 'created' as const;
+        };
+        return (await call(node, undefined, create)) ?? 'unavailable';
+      },
+      confirmOwner: async (_bucket, epoch) => {
+        const confirm = () => {
+          if (!network.storeUp) return 'unavailable' as const;
+          const { claim } = network;
+          return claim.host === node.name && claim.epoch === epoch ? 'owner' : 'fenced';
+        };
+        return (await call(node, undefined, confirm)) ?? 'unavailable';
+      },
+      epochOf: () => node.knownEpoch,
+      isOnlyHost: () => names.length === 1,
+    };
+  }
+
+  for (const name of names) {
+    const node = { name, boot: 0, pausedAt: undefined, hears: true, knownEpoch: 0 };
+    network.nodes.push(Object.assign(node, { homes: undefined as unknown as Homes }));
+  }
+  for (const node of network.nodes) node.homes = createHomes(optionsOf(node));
+  return network;
+}
+
+export type Network = ReturnType<typeof createNetwork>;
+
+/** Lets all continuations run that wait for no message. */
+export function runPending(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- /dev/null
+++ b/test/requests/homes.test.ts
@@ -0,0 +1,282 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { refuse, type Outcome } from '../../src/model/index.js';
+import { BUCKETS, locateHome, type Admission } from '../../src/requests/index.js';
+import {
+  MAX_ID_AGE_MS,
+  SKEW_MS,
+  TEAM,
+  createNetwork,
+  makeId,
+  runPending,
+  type Network,
+  type Node,
+} from './home-network.js';
+
+function doneWith(text: string): Outcome {
+  return {
+    kind: 'done',
+    status: 200,
+    contentType: 'text/plain',
+    body: Buffer.from(text),
+    worker: 'w',
+  };
+}
+
+/** Delivers all messages until a promise has settled. */
+async function deliverAll<T>(network: Network, promise: Promise<T>): Promise<T> {
+  for (let round = 0; round < 20; round += 1) {
+    await runPending();
+    network.move('deliver', 0);
+  }
+  return promise;
+}
+
+/** Three hosts of which `a` has served the bucket for longer than the clock skew. */
+async function startNetwork(names: readonly string[] = ['a', 'b', 'c']) {
+  const network = createNetwork(names);
+  const nodes = network.nodes as [Node, Node, Node];
+  await deliverAll(network, network.takeOver(nodes[0]));
+  network.now += SKEW_MS + 1;
+  const admit = (node: Node, id: string, digest = 'd'): Promise<Admission> =>
+    deliverAll(network, node.homes.admit(TEAM, id, digest));
+  return { network, nodes, admit };
+}
+
+function kindOf(admission: Admission): string {
+  if (admission === 'run') return 'run';
+  return admission.kind === 'refused' ? admission.reason : admission.kind;
+}
+
+describe('createHomes', () => {
+  it('answers repeats in flight and after the end with the one outcome', async () => {
+    const { network, nodes, admit } = await startNetwork();
+    const id = makeId(network.now, 1);
+    const racing = await deliverAll(
+      network,
+      Promise.all([nodes[0].homes.admit(TEAM, id, 'd'), nodes[0].homes.admit(TEAM, id, 'd')]),
+    );
+    expect(racing.map(kindOf)).to.deep.equal(['run', 'repeat']);
+    nodes[0].homes.complete(TEAM, id, doneWith('first'));
+    const late = await admit(nodes[0], id);
+    for (const repeat of [racing[1], late]) {
+      if (repeat === 'run' || repeat.kind !== 'repeat') throw new Error('expected a repeat');
+      expect(await repeat.outcome).to.deep.equal(doneWith('first'));
+    }
+    expect(kindOf(await admit(nodes[0], id, 'other'))).to.equal('id-conflict');
+  });
+
+  const takeovers = [
+    { name: 'an id that was in flight', completes: false, copied: true, answer: 'unknown' },
+    { name: 'an id that had ended', completes: true, copied: true, answer: 'repeat' },
+    { name: 'an id that no copy host knows', completes: false, copied: false, answer: 'unknown' },
+  ];
+  for (const { name, completes, copied, answer } of takeovers) {
+    it(`does not run ${name} again after a takeover`, async () => {
+      const { network, nodes, admit } = await startNetwork();
+      const [a, b, c] = nodes;
+      const id = makeId(network.now + SKEW_MS, 1);
+      expect(await admit(a, id)).to.equal('run');
+      if (completes) {
+        a.homes.complete(TEAM, id, doneWith('first'));
+        await deliverAll(network, a.homes.flush());
+      }
+      if (!copied) network.crash(b);
+      network.crash(a);
+      await deliverAll(network, network.takeOver(c));
+      expect(kindOf(await admit(c, id))).to.equal(answer);
+      network.now += SKEW_MS + 1;
+      expect(await admit(c, makeId(network.now, 2))).to.equal('run');
+    });
+  }
+
+  it('stops a paused home that resumes, whether or not it hears a copy host', async () => {
+    for (const hears of [true, false]) {
+      const { network, nodes, admit } = await startNetwork();
+      const [a, b] = nodes;
+      a.pausedAt = network.now;
+      network.now += 60_000;
+      await deliverAll(network, network.takeOver(b));
+      network.now += SKEW_MS + 1;
+      const id = makeId(network.now, 1);
+      expect(await admit(b, id)).to.equal('run');
+      network.resume(a);
+      a.hears = hears;
+      expect(kindOf(await admit(a, id))).to.equal('unknown');
+      a.hears = true;
+      expect(kindOf(await admit(a, makeId(network.now, 2)))).to.equal('unknown');
+    }
+  });
+
+  it('does not serve before every live host has acknowledged the fence', async () => {
+    const { network, nodes, admit } = await startNetwork();
+    const taking = network.takeOver(nodes[1]);
+    await runPending();
+    network.move('lose', 0);
+    expect(await deliverAll(network, taking)).to.equal(false);
+    expect(kindOf(await admit(nodes[1], makeId(network.now, 1)))).to.equal('unknown');
+  });
+
+  const alone = [
+    { hosts: ['a', 'b'], store: true, answer: 'run' },
+    { hosts: ['a', 'b'], store: false, answer: 'unknown' },
+    { hosts: ['a'], store: true, answer: 'run' },
+    { hosts: ['a'], store: false, answer: 'store-unavailable' },
+  ];
+  for (const { hosts, store, answer } of alone) {
+    const state = store ? 'up' : 'down';
+    it(`without a live copy host of ${String(hosts.length)} and with the store ${state} answers ${answer}`, async () => {
+      const { network, nodes, admit } = await startNetwork(hosts);
+      nodes[0].hears = false;
+      network.storeUp = store;
+      const id = makeId(network.now, 1);
+      expect(kindOf(await admit(nodes[0], id))).to.equal(answer);
+      network.storeUp = true;
+      // A refused id did not run, so that the caller may send it again.
+      const again = { run: 'repeat', unknown: 'run', 'store-unavailable': 'run' }[answer];
+      expect(kindOf(await admit(nodes[0], id))).to.equal(again);
+    });
+  }
+
+  it('bounds its memory by the age of ids and never admits a forgotten one', async () => {
+    const { network, nodes, admit } = await startNetwork();
+    const id = makeId(network.now, 1);
+    await admit(nodes[0], id);
+    for (let n = 0; n < 60; n += 1) {
+      network.now += 1000;
+      await admit(nodes[0], makeId(network.now, n));
+    }
+    const most = (MAX_ID_AGE_MS + SKEW_MS) / 1000 + 2;
+    expect(nodes[0].homes.size()).to.be.at.most(most);
+    expect(kindOf(await admit(nodes[0], id))).to.equal('unknown');
+    expect(kindOf(await admit(nodes[0], makeId(network.now + 2 * SKEW_MS, 1)))).to.equal(
+      'id-in-future',
+    );
+  });
+
+  it('keeps no copy under a lower epoch than the claims show', async () => {
+    const { nodes } = await startNetwork();
+    nodes[1].knownEpoch = 7;
+    const message = { bucket: 0, epoch: 1, records: [] };
+    expect(nodes[1].homes.remember(message)).to.deep.equal({ kind: 'fenced', epoch: 7 });
+    nodes[2].knownEpoch = undefined;
+    expect(nodes[2].homes.remember(message)).to.deep.equal({ kind: 'not-ready' });
+  });
+
+  it('runs an id at most once and refuses none that ran, whatever fails', async () => {
+    const kinds = ['crash', 'pause', 'resume', 'claim', 'read', 'hear', 'lose', 'store'] as const;
+    const common = ['offer', 'offer', 'repeat', 'complete', 'wait'] as const;
+    const event = fc.record({
+      kind: fc.oneof(
+        { weight: 6, arbitrary: fc.constantFrom('deliver' as const, 'deliver-all' as const) },
+        { weight: 16, arbitrary: fc.constantFrom(...common) },
+        { weight: 3, arbitrary: fc.constantFrom(...kinds) },
+      ),
+      node: fc.nat(2),
+      pick: fc.nat(40),
+    });
+    const seen: Record<string, number> = {};
+    const property = fc.asyncProperty(
+      fc.array(event, { minLength: 150, maxLength: 300 }),
+      async (events) => {
+        const { network, nodes } = await startNetwork();
+        const ids = [makeId(network.now, 0)];
+        const ran = new Map<
+          string,
+          { digest: string; outcome?: Outcome; node: Node; boot: number }
+        >();
+        const violations: string[] = [];
+        const admit = async (node: Node, id: string, digest: string) => {
+          const { boot } = node;
+          const admission = await node.homes.admit(TEAM, id, digest);
+          if (node.boot !== boot) return;
+          const kind = kindOf(admission);
+          seen[kind] = (seen[kind] ?? 0) + 1;
+          if (admission === 'run') {
+            if (ran.has(id)) violations.push(`${id} ran twice`);
+            ran.set(id, { digest, node, boot });
+          } else if (admission.kind === 'refused') {
+            if (ran.get(id)?.digest === digest) violations.push(`${id} ran and was refused`);
+          } else if (admission.kind === 'repeat') {
+            const outcome = await admission.outcome;
+            const known = ran.get(id);
+            if (outcome.kind === 'done' && outcome !== known?.outcome) {
+              violations.push(`${id} got another answer`);
+            }
+          }
+        };
+        const act = {
+          deliver: (pick: number) => {
+            network.move('deliver', pick);
+          },
+          'deliver-all': () => {
+            for (let n = 0; n < 20; n += 1) network.move('deliver', n % 3);
+          },
+          lose: (pick: number) => {
+            network.move('lose', pick);
+          },
+          wait: (pick: number) => (network.now += pick * 60),
+          store: (pick: number) => (network.storeUp = pick % 3 !== 0),
+          // A new id, sent to every host, of which paused ones receive it when they resume.
+          offer: (pick: number) => {
+            const id = makeId(network.now - 300 + pick * 30, ids.length);
+            ids.push(id);
+            const digest = pick % 8 === 0 ? 'd2' : 'd1';
+            for (const node of nodes) network.post(node, () => void admit(node, id, digest));
+          },
+          repeat: (pick: number, node: Node) => {
+            const id = ids[Math.max(0, ids.length - 1 - (pick % 4))];
+            const digest = pick % 3 === 0 ? 'd2' : 'd1';
+            if (id !== undefined) network.post(node, () => void admit(node, id, digest));
+          },
+          complete: (pick: number) => {
+            const [id, run] = [...ran][pick % Math.max(1, ran.size)] ?? [];
+            if (id === undefined || run === undefined || run.outcome !== undefined) return;
+            if (run.node.boot !== run.boot || run.node.pausedAt !== undefined) return;
+            run.outcome = pick % 5 === 0 ? refuse('no-capacity', 'full') : doneWith(id);
+            run.node.homes.complete(TEAM, id, run.outcome);
+          },
+          crash: (_: number, node: Node) => {
+            network.crash(node);
+          },
+          pause: (_: number, node: Node) => (node.pausedAt ??= network.now),
+          resume: (_: number, node: Node) => {
+            network.resume(node);
+          },
+          claim: (_: number, node: Node) => {
+            if (node.pausedAt === undefined) void network.takeOver(node);
+          },
+          read: (_: number, node: Node) => {
+            if (node.pausedAt === undefined) network.readClaims(node);
+          },
+          hear: (_: number, node: Node) => (node.hears = true),
+        };
+        for (const { kind, node, pick } of events) {
+          act[kind](pick, nodes[node] ?? nodes[0]);
+          await runPending();
+        }
+        expect(violations).to.deep.equal([]);
+      },
+    );
+    await fc.assert(property, { seed: 43, numRuns: 300 });
+    for (const kind of ['run', 'repeat', 'unknown', 'id-conflict']) {
+      expect(seen[kind], `the model reaches ${kind}`).to.be.greaterThan(100);
+    }
+  });
+});
+
+describe('locateHome', () => {
+  it('does not depend on the order of data centres, so that all hosts agree', () => {
+    const counts = new Map<string, number>();
+    for (let n = 0; n < 900; n += 1) {
+      const id = makeId(1_000_000 + n, n);
+      const place = locateHome(TEAM, id, ['x', 'y', 'z']);
+      expect(locateHome(TEAM, id, ['z', 'x', 'y'])).to.deep.equal(place);
+      expect(place.bucket).to.be.within(0, BUCKETS - 1);
+      counts.set(place.dataCentre, (counts.get(place.dataCentre) ?? 0) + 1);
+      const fewer = locateHome(TEAM, id, ['x', 'y']);
+      if (place.dataCentre !== 'z') expect(fewer).to.deep.equal(place);
+    }
+    expect(Math.min(...counts.values())).to.be.greaterThan(200);
+  });
+});
