--- /dev/null
+++ b/test/journal/flaky-store.ts
@@ -0,0 +1,51 @@
+/**
+ * A store for one client whose calls fail one by one as the test says.
+ */
+import { errAsync, type ResultAsync } from 'neverthrow';
+import type { Store, StoreError } from '../../src/platform/index.js';
+
+/**
+ * `down`: the call has no effect. `lost`: a write takes effect and its answer is lost. `dropped`: a
+ * write has no effect and is in doubt. `late`: a write is in doubt and takes effect, if its version
+ * still holds, before the next call.
+ */
+export type Fate = 'up' | 'down' | 'lost' | 'dropped' | 'late';
+
+export const FATES: readonly Fate[] = ['up', 'down', 'lost', 'dropped', 'late'];
+
+export interface FlakyStore extends Store {
+  /** Fates of the next calls; `up` after them. */
+  fates: Fate[];
+}
+
+export function createFlakyStore(store: Store): FlakyStore {
+  let late: (() => void)[] = [];
+
+  function inDoubt<T>(): ResultAsync<T, StoreError> {
+    return errAsync({ kind: 'in-doubt', detail: 'the answer was lost' });
+  }
+
+  function call<T>(isWrite: boolean, act: () => ResultAsync<T, StoreError>) {
+    for (const write of late) write();
+    late = [];
+    const fate = flaky.fates.shift() ?? 'up';
+    if (fate === 'up') return act();
+    if (fate === 'down' || !isWrite) {
+      return errAsync<T, StoreError>({ kind: 'unavailable', detail: 'the store is down' });
+    }
+    if (fate === 'late') late.push(() => void act());
+    return fate === 'lost' ? act().andThen(() => inDoubt<T>()) : inDoubt<T>();
+  }
+
+  const flaky: FlakyStore = {
+    fates: [],
+    get: (key) => call(false, () => store.get(key)),
+    list: (prefix) => call(false, () => store.list(prefix)),
+    compareAndSwap: (key, version, value) =>
+      call(true, () => store.compareAndSwap(key, version, value)),
+    remove: (key, version) => call(true, () => store.remove(key, version)),
+    watch: (key, version, signal) => call(false, () => store.watch(key, version, signal)),
+    calls: () => store.calls(),
+  };
+  return flaky;
+}
--- /dev/null
+++ b/test/journal/journal.test.ts
@@ -0,0 +1,376 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { createJournal, type Journal, type JournalOptions } from '../../src/journal/index.js';
+import { NO_RESOURCES, type Outcome, type WorkRequest } from '../../src/model/index.js';
+import { createMemoryStore, type Store } from '../../src/platform/index.js';
+import { FATES, createFlakyStore, type Fate } from './flaky-store.js';
+
+const TEAM = 'tanners';
+const DONE: Outcome = {
+  kind: 'done',
+  status: 200,
+  contentType: 'application/octet-stream',
+  body: Uint8Array.of(0, 255, 128),
+  worker: 'w',
+};
+const NEVER = () => false;
+const ALWAYS = () => true;
+
+function jobOf(id: string, input = Uint8Array.of(0, 200, 255)): WorkRequest {
+  return {
+    id,
+    callerId: false,
+    team: TEAM,
+    entry: 'pattern',
+    class: 'batch',
+    idempotent: true,
+    size: NO_RESOURCES,
+    tasks: 1,
+    input,
+    contentType: 'application/octet-stream',
+    submittedAt: 1,
+    startBefore: 2,
+    maxRunMs: 3,
+    maxAttempts: 4,
+    hops: ['a'],
+  };
+}
+
+function startOf(attempt = 1, index = 0) {
+  return { index, worker: 'w', bootId: 'b', attempt };
+}
+
+function open(store: Store, owner: string, options: Partial<JournalOptions> = {}): Journal {
+  return createJournal({
+    store,
+    dataCentre: 'dc',
+    owner,
+    now: () => 0,
+    lingerMs: 0,
+    lazyMs: 60_000,
+    retries: { attempts: 4, delayMs: 0 },
+    ...options,
+  });
+}
+
+interface RawSegment {
+  readonly owner: string;
+  readonly jobs: readonly { readonly request: { readonly id: string }; readonly state: string }[];
+}
+
+async function readRaw(store: Store): Promise<RawSegment[]> {
+  const values = (await store.list('jobs/'))._unsafeUnwrap();
+  return [...values.values()].map(({ value }) => (JSON.parse(value) as { data: RawSegment }).data);
+}
+
+async function acceptAll(journal: Journal, ids: readonly string[]): Promise<string[]> {
+  const results = await Promise.all(ids.map((id) => journal.accept(jobOf(id))));
+  return results.map((result) => (result.isOk() ? 'ok' : result.error.kind));
+}
+
+function idsOf(jobs: readonly { readonly request: WorkRequest }[]): string[] {
+  return jobs.map(({ request }) => request.id);
+}
+
+function numbered(count: number): string[] {
+  return Array.from({ length: count }, (_, n) => `job-${String(n)}`);
+}
+
+describe('createJournal', () => {
+  it('writes jobs of one turn together and keeps values within their limits', async () => {
+    const store = createMemoryStore();
+    const journal = open(store, 'a/1');
+    await acceptAll(journal, numbered(40));
+    expect(store.calls()).to.equal(1);
+    await acceptAll(journal, numbered(100));
+    const sizes = (await readRaw(store)).map(({ jobs }) => jobs.length);
+    expect(sizes).to.deep.equal([64, 36]);
+    const big = new Uint8Array(300_000);
+    for (const id of ['x', 'y', 'z']) await journal.accept(jobOf(id, big));
+    for (const { value } of (await store.list('jobs/'))._unsafeUnwrap().values()) {
+      expect(Buffer.byteLength(value)).to.be.at.most(900_000);
+    }
+    const tooLarge = await journal.accept(jobOf('huge', new Uint8Array(700_000)));
+    expect(tooLarge._unsafeUnwrapErr().detail).to.contain('lower maxInputBytes of pattern');
+  });
+
+  it('hands a job with its bytes, starts and end to the adopting host', async () => {
+    const store = createMemoryStore();
+    const journal = open(store, 'a/1');
+    await acceptAll(journal, ['queued', 'running', 'ended']);
+    await journal.started(TEAM, 'running', startOf(1));
+    await journal.started(TEAM, 'running', startOf(2));
+    journal.ended(TEAM, 'ended', DONE);
+    await journal.flush();
+    const peer = open(store, 'b/1');
+    const adopted = (await peer.adopt((owner) => owner === 'a/1'))._unsafeUnwrap();
+    expect(adopted).to.deep.equal([
+      {
+        request: { ...jobOf('queued'), input: Buffer.from([0, 200, 255]) },
+        state: 'queued',
+        tasks: [],
+      },
+      {
+        request: { ...jobOf('running'), input: Buffer.from([0, 200, 255]) },
+        state: 'running',
+        tasks: [startOf(2)],
+      },
+    ]);
+    const ended = (await peer.find(TEAM, 'ended'))._unsafeUnwrap();
+    expect(ended?.outcome).to.deep.equal({ ...DONE, body: Buffer.from([0, 255, 128]) });
+    expect(ended?.request.input.byteLength).to.equal(0);
+    const other = (await open(store, 'c/1').find(TEAM, 'queued'))._unsafeUnwrap();
+    expect(other?.state).to.equal('queued');
+  });
+
+  const faults: { name: string; fates: Fate[]; answer: string; kept: boolean }[] = [
+    { name: 'the store is down', fates: ['down'], answer: 'unavailable', kept: false },
+    { name: 'the answer is lost', fates: ['lost'], answer: 'ok', kept: true },
+    { name: 'the write is lost', fates: ['dropped'], answer: 'ok', kept: true },
+    { name: 'the write is late', fates: ['late'], answer: 'ok', kept: true },
+    { name: 'the read-back fails once', fates: ['lost', 'down'], answer: 'ok', kept: true },
+    {
+      name: 'the store goes away after the write',
+      fates: ['lost', ...Array<Fate>(8).fill('down')],
+      answer: 'in-doubt',
+      kept: true,
+    },
+    {
+      name: 'the store goes away before the write',
+      fates: ['dropped', ...Array<Fate>(8).fill('down')],
+      answer: 'in-doubt',
+      kept: false,
+    },
+  ];
+  for (const { name, fates, answer, kept } of faults) {
+    it(`answers ${answer} to a job when ${name}, and never refuses one that is kept`, async () => {
+      const memory = createMemoryStore();
+      const store = createFlakyStore(memory);
+      const journal = open(store, 'a/1');
+      store.fates = [...fates];
+      expect(await acceptAll(journal, ['job'])).to.deep.equal([answer]);
+      const held = (await readRaw(memory)).flatMap(({ jobs }) => jobs);
+      expect(held.length > 0).to.equal(kept);
+      store.fates = [];
+      await journal.flush();
+      const after = (await readRaw(memory)).flatMap(({ jobs }) => jobs);
+      expect(after.length > 0, 'kept once the store is back').to.equal(answer === 'ok');
+      expect(await acceptAll(journal, ['job'])).to.deep.equal(['ok']);
+    });
+  }
+
+  it('does not refuse or duplicate a job in doubt when it is accepted again', async () => {
+    const memory = createMemoryStore();
+    const store = createFlakyStore(memory);
+    const journal = open(store, 'a/1');
+    store.fates = ['lost', ...Array<Fate>(4).fill('down')];
+    expect(await acceptAll(journal, ['job'])).to.deep.equal(['in-doubt']);
+    store.fates = ['down'];
+    const [, again] = await Promise.all([journal.flush(), acceptAll(journal, ['job'])]);
+    expect(again).to.deep.equal(['in-doubt']);
+    expect(await acceptAll(journal, ['job'])).to.deep.equal(['ok']);
+    const held = (await readRaw(memory)).flatMap(({ jobs }) => jobs);
+    expect(held).to.have.length(1);
+  });
+
+  it('lets exactly one of several hosts adopt a value', async () => {
+    const store = createMemoryStore();
+    await acceptAll(open(store, 'a/1'), numbered(3));
+    const peers = ['b/1', 'c/1'].map((owner) => open(store, owner));
+    const adopted = await Promise.all(peers.map((peer) => peer.adopt((owner) => owner === 'a/1')));
+    const counts = adopted.map((result) => result._unsafeUnwrap().length);
+    expect(counts.sort()).to.deep.equal([0, 3]);
+  });
+
+  it('does not overwrite what an owner that is not dead adds during an adoption', async () => {
+    const memory = createMemoryStore();
+    const a = open(memory, 'a/1');
+    await acceptAll(a, ['first']);
+    const slow: Store = {
+      ...memory,
+      compareAndSwap: (key, version, value) =>
+        a.accept(jobOf('second')).andThen(() => memory.compareAndSwap(key, version, value)),
+    };
+    const adopted = await open(slow, 'b/1').adopt(ALWAYS);
+    expect(adopted._unsafeUnwrap()).to.deep.equal([]);
+    const [segment] = await readRaw(memory);
+    expect(segment?.owner).to.equal('a/1');
+    expect(segment?.jobs).to.have.length(2);
+  });
+
+  it('tells a paused owner that its jobs were adopted, before it starts one', async () => {
+    const store = createMemoryStore();
+    const lost: string[] = [];
+    const a = open(store, 'a/1', { onLost: (jobs) => lost.push(...idsOf(jobs)) });
+    await acceptAll(a, ['job']);
+    await open(store, 'b/1').adopt(ALWAYS);
+    const started = await a.started(TEAM, 'job', startOf());
+    expect(started._unsafeUnwrapErr().kind).to.equal('conflict');
+    expect(lost).to.deep.equal(['job']);
+    expect(a.jobs()).to.deep.equal([]);
+  });
+
+  it('finds a value again that it adopted by a write whose answer was lost', async () => {
+    const memory = createMemoryStore();
+    await acceptAll(open(memory, 'a/1'), ['job']);
+    const store = createFlakyStore(memory);
+    const b = open(store, 'b/1');
+    store.fates = ['up', 'lost', ...Array<Fate>(7).fill('down')];
+    expect((await b.adopt((owner) => owner === 'a/1'))._unsafeUnwrap()).to.deep.equal([]);
+    store.fates = [];
+    expect(idsOf((await b.adopt(NEVER))._unsafeUnwrap())).to.deep.equal(['job']);
+  });
+
+  it('gives its records to the named peer and accepts no more', async () => {
+    const store = createMemoryStore();
+    const [a, b, c] = [open(store, 'a/1'), open(store, 'b/1'), open(store, 'c/1')];
+    await acceptAll(a, ['job']);
+    expect(idsOf((await a.release('b/1'))._unsafeUnwrap())).to.deep.equal(['job']);
+    expect(await acceptAll(a, ['late'])).to.deep.equal(['unavailable']);
+    expect((await c.adopt(NEVER))._unsafeUnwrap()).to.deep.equal([]);
+    expect(idsOf((await b.adopt(NEVER))._unsafeUnwrap())).to.deep.equal(['job']);
+    expect((await a.started(TEAM, 'job', startOf())).isErr()).to.equal(true);
+  });
+
+  it('removes ended jobs after the retention and writes nothing while nothing changes', async () => {
+    const store = createMemoryStore();
+    let now = 0;
+    const journal = open(store, 'a/1', { now: () => now, retentionMs: 1000, maxJobs: 20 });
+    const ids = numbered(40);
+    await acceptAll(journal, ids);
+    for (const id of ids.slice(1)) journal.ended(TEAM, id, DONE);
+    await journal.flush();
+    const before = store.calls();
+    now = 999;
+    await journal.sweep();
+    await journal.flush();
+    expect(store.calls()).to.equal(before);
+    now = 1000;
+    await journal.sweep();
+    await journal.flush();
+    const left = await readRaw(store);
+    expect(left.map(({ jobs }) => jobs.map(({ request }) => request.id))).to.deep.equal([[ids[0]]]);
+  });
+
+  it('keeps the end of a job whose answer does not fit into the record', async () => {
+    const store = createMemoryStore();
+    const journal = open(store, 'a/1');
+    await acceptAll(journal, ['job']);
+    journal.ended(TEAM, 'job', { ...DONE, body: new Uint8Array(1_000_000) });
+    await journal.flush();
+    const found = (await open(store, 'b/1').find(TEAM, 'job'))._unsafeUnwrap();
+    expect(found?.outcome?.kind).to.equal('unknown');
+  });
+
+  it('loses no accepted job, keeps no refused one and gives none two owners', async function () {
+    this.timeout(60_000);
+    const fate = fc.oneof(
+      { weight: 3, arbitrary: fc.constant('up' as const) },
+      { weight: 2, arbitrary: fc.constantFrom(...FATES) },
+    );
+    const doubt = fc
+      .constantFrom<Fate>('lost', 'dropped', 'late')
+      .map((first): Fate[] => [first, ...Array<Fate>(4).fill('down')]);
+    const step = fc.record({
+      kind: fc.oneof(
+        { weight: 4, arbitrary: fc.constantFrom('accept', 'start', 'end') },
+        { weight: 2, arbitrary: fc.constantFrom('adopt', 'crash', 'release', 'usurp', 'repeat') },
+      ),
+      node: fc.nat(2),
+      pick: fc.nat(20),
+      fates: fc.oneof(fc.array(fate, { maxLength: 6 }), doubt),
+    });
+    const counts = { ok: 0, unavailable: 0, 'in-doubt': 0, conflict: 0, adopted: 0 };
+    const property = fc.asyncProperty(
+      fc.array(step, { minLength: 20, maxLength: 50 }),
+      async (steps) => {
+        const memory = createMemoryStore();
+        const accepted = new Set<string>();
+        const refused = new Set<string>();
+        const ended = new Set<string>();
+        const violations: string[] = [];
+        let boots = 0;
+        const boot = (name: string) => {
+          const store = createFlakyStore(memory);
+          boots += 1;
+          const owner = `${name}/${String(boots)}`;
+          return { name, owner, store, journal: open(store, owner, { maxJobs: 3 }) };
+        };
+        const nodes = ['a', 'b', 'c'].map(boot);
+        type Member = ReturnType<typeof boot>;
+        const accept = async ({ journal }: Member, id: string) => {
+          const result = await journal.accept(jobOf(id));
+          const kind = result.isOk() ? 'ok' : result.error.kind;
+          counts[kind] += 1;
+          if (kind === 'ok') accepted.add(id);
+          else if (kind !== 'in-doubt' && !accepted.has(id)) refused.add(id);
+        };
+        const start = async ({ journal, owner }: Member, pick: number) => {
+          const jobs = journal.jobs().filter(({ state }) => state !== 'ended');
+          const id = jobs[pick % Math.max(1, jobs.length)]?.request.id;
+          if (id === undefined) return;
+          const result = await journal.started(TEAM, id, startOf(pick));
+          if (result.isErr()) return;
+          const holders = (await readRaw(memory)).filter(({ jobs: held }) =>
+            held.some(({ request }) => request.id === id),
+          );
+          const owners = holders.map((segment) => segment.owner);
+          if (owners.join() !== owner)
+            violations.push(`${id} started by ${owner}, held by ${owners.join()}`);
+        };
+        const adopt = async ({ journal }: Member, isDead: (owner: string) => boolean) => {
+          const result = await journal.adopt(isDead);
+          if (result.isOk()) counts.adopted += result.value.length;
+        };
+        const isDead = (owner: string) => nodes.every((node) => node.owner !== owner);
+        let work: Promise<void>[] = [];
+        for (const [n, { kind, node, pick, fates }] of steps.entries()) {
+          const member = nodes[node];
+          if (member === undefined) throw new Error('no such node');
+          member.store.fates.push(...fates);
+          if (kind === 'accept') work.push(accept(member, `job-${String(n)}`));
+          else if (kind === 'repeat') {
+            const id = [...refused][pick % Math.max(1, refused.size)];
+            if (id !== undefined && refused.delete(id)) work.push(accept(member, id));
+          } else if (kind === 'start') work.push(start(member, pick));
+          else if (kind === 'end') {
+            const id = [...accepted][pick % Math.max(1, accepted.size)];
+            if (id === undefined) continue;
+            if (idsOf(member.journal.jobs()).includes(id)) ended.add(id);
+            member.journal.ended(TEAM, id, DONE);
+          } else if (kind === 'adopt') work.push(adopt(member, isDead));
+          else if (kind === 'usurp') work.push(adopt(member, (owner) => owner.startsWith('a/')));
+          else if (work.length === 0) {
+            const next = boot(member.name);
+            nodes[node] = next;
+            if (kind === 'release') await member.journal.release(next.owner);
+          }
+          if (work.length < 2) continue;
+          await Promise.all(work);
+          work = [];
+        }
+        await Promise.all(work);
+        for (const { store } of nodes) store.fates = [];
+        for (const { journal } of nodes) await journal.flush();
+        const survivor = boot('survivor');
+        (await survivor.journal.adopt(ALWAYS))._unsafeUnwrap();
+        await survivor.journal.flush();
+        const kept = idsOf(survivor.journal.jobs());
+        expect(violations.join()).to.equal('');
+        expect(kept).to.include.members([...accepted], 'accepted jobs are kept');
+        expect(
+          [...refused].filter((id) => kept.includes(id)),
+          'refused and kept',
+        ).to.deep.equal([]);
+        const held = (await readRaw(memory)).flatMap(({ jobs }) =>
+          jobs.map(({ request }) => request.id),
+        );
+        expect(held.length, 'a job in two values').to.equal(new Set(held).size);
+      },
+    );
+    await fc.assert(property, { seed: 47, numRuns: 150 });
+    for (const [kind, count] of Object.entries(counts)) {
+      if (kind !== 'conflict') expect(count, kind).to.be.greaterThan(50);
+    }
+  });
+});
