--- a/src/configuration/store-reader.ts
+++ b/src/configuration/store-reader.ts
@@ -70,8 +70,10 @@
   }
 
   function isReadDue(): boolean {
-    if (now() < nextReadAt) return false;
-    if (now() - lastReadAt >= pollAfterMs) return true;
+    // A time before the last read means that the clock has stepped back.
+    if (now() < nextReadAt && now() >= lastReadAt) return false;
+    // A host that has lost the store keeps trying, because others rely on what it reports.
+    if (!reachable || now() - lastReadAt >= pollAfterMs) return true;
     const part = isWatcher() ? WATCHER_READ_AGE : OTHER_READ_AGE;
     return options.contactAgeMs() >= part * stalenessMs;
   }
@@ -153,7 +155,8 @@
 
   return {
     reachable: () => reachable,
-    trustsMessagesOfAge: (ageMs) => now() - ageMs >= distrustUntil,
+    trustsMessagesOfAge: (ageMs) =>
+      now() - ageMs >= distrustUntil || now() < distrustUntil - PAUSE * stalenessMs,
     run: async (signal) => {
       // A watch that waits in the store ends with the signal, not with its own timeout.
       signal.addEventListener('abort', () => watching?.abort(), { once: true });
--- a/src/hosts/membership.ts
+++ b/src/hosts/membership.ts
@@ -24,7 +24,7 @@
 
 interface Heard {
   readonly heartbeat: Heartbeat;
-  readonly at: number;
+  at: number;
 }
 
 interface View {
@@ -44,9 +44,16 @@
     heard: new Map(),
   };
 
-  function isFresh(host: string): boolean {
+  function ageOf(host: string): number | undefined {
     const heard = view.heard.get(host);
-    return heard !== undefined && now() - heard.at <= suspectAfterMs;
+    if (heard === undefined) return undefined;
+    // After the clock stepped back, a dead host would otherwise seem alive until it caught up.
+    heard.at = Math.min(heard.at, now());
+    return now() - heard.at;
+  }
+
+  function isFresh(host: string): boolean {
+    return (ageOf(host) ?? Infinity) <= suspectAfterMs;
   }
 
   function isLeaving(host: string): boolean {
@@ -77,10 +84,7 @@
         .filter((host) => dataCentre === undefined || dataCentreOf(host) === dataCentre)
         .sort(),
     heartbeat: (host) => view.heard.get(host)?.heartbeat,
-    heartbeatAgeMs: (host) => {
-      const heard = view.heard.get(host);
-      return heard && now() - heard.at;
-    },
+    heartbeatAgeMs: ageOf,
     hosts: () => [...view.known.values()],
     dataCentres: () => {
       const machines = [...view.known.values(), ...view.fleet.workers];
--- a/src/links/links.ts
+++ b/src/links/links.ts
@@ -2,6 +2,7 @@
  * Assembles the links of one entry host: listener, peer tasks and open connections.
  */
 import { err, errAsync, ResultAsync } from 'neverthrow';
+import type { Log } from '../log/index.js';
 import type { Host } from '../model/index.js';
 import { createHybridClock } from '../timeline/index.js';
 import type { ConnectionContext, Dispatch } from './connection.js';
@@ -23,17 +24,20 @@
 type Handlers = Map<string, (body: unknown, from: string) => unknown>;
 
 /** Starts the listener; rejects if the address cannot be bound. */
-export async function createLinks<M extends MessageMap>(options: LinksOptions): Promise<Links<M>> {
+export async function createLinks<M extends MessageMap<M>>(
+  options: LinksOptions,
+): Promise<Links<M>> {
   const handlers: Handlers = new Map();
   const context = createContext(options, handlers);
   const registry = createRegistry(context, options.onChange ?? (() => undefined));
+  const reportDial = createDialReport(options.log);
   const listener = await startListener(options, context, registry);
   const tasks = createPeerTasks({
     self: context.self.host,
     registry,
     timing: context.timing,
     random: options.random ?? Math.random,
-    dial: (host, signal) => dialPeer(options, context, registry, { host, signal }),
+    dial: (host, signal) => dialPeer(options, context, registry, { host, signal, reportDial }),
   });
   let closing: Promise<unknown> | undefined;
 
@@ -86,18 +90,40 @@
   });
 }
 
+interface Dial {
+  readonly host: Host;
+  readonly signal: AbortSignal;
+  readonly reportDial: ReportDial;
+}
+
 async function dialPeer(
   options: LinksOptions,
   context: ConnectionContext,
   registry: Registry,
-  { host, signal }: { readonly host: Host; readonly signal: AbortSignal },
+  { host, signal, reportDial }: Dial,
 ): Promise<void> {
-  const { secret, tls, log } = options;
+  const { secret, tls } = options;
   const { handshakeMs } = context.timing;
   const result = isBlocked(context, host.id)
     ? err('blocked by a test hook')
     : await dial(host, { self: context.self, secret, tls, handshakeMs, signal }, registry.open);
-  if (result.isErr()) log.debug('Failed to dial.', { peer: host.id, error: result.error });
+  reportDial(host.id, result.isErr() ? result.error : undefined);
+}
+
+type ReportDial = (host: string, error: string | undefined) => void;
+
+/** Warns when the error of a peer changes; the same error at every dial would fill the log. */
+function createDialReport(log: Log): ReportDial {
+  const errors = new Map<string, string>();
+  return (peer, error) => {
+    if (error === undefined) {
+      errors.delete(peer);
+      return;
+    }
+    if (errors.get(peer) === error) log.debug('Failed to dial.', { peer, error });
+    else log.warn('Failed to dial; keeps trying.', { peer, error });
+    errors.set(peer, error);
+  };
 }
 
 /** A handshake needs both directions. */
--- a/src/links/registry.ts
+++ b/src/links/registry.ts
@@ -54,6 +54,7 @@
     void connection.ended.then(() => {
       finish(connection);
     });
+    context.log.info('Opened a link.', { peer: host, boot: bootId, dialler: socket.dialler });
     previous?.terminate('a newer link replaces it');
     const restarted = previous !== undefined && previous.peer.bootId !== bootId;
     if (restarted) onChange(host, false);
@@ -66,6 +67,7 @@
     const { host } = connection.peer;
     if (connections.get(host) !== connection) return;
     connections.delete(host);
+    context.log.info('A link ended.', { peer: host });
     onChange(host, false);
   }
 
--- a/src/links/types.ts
+++ b/src/links/types.ts
@@ -15,14 +15,23 @@
   readonly detail: string;
 }
 
-/** Message kinds with their bodies and replies; the entry module names them. */
-export type MessageMap = Record<string, { body: unknown; reply: unknown }>;
+/** Body and reply of one message kind. */
+export interface Exchange {
+  body: unknown;
+  reply: unknown;
+}
+
+/**
+ * Message kinds with their bodies and replies; the entry module names them. The constraint refers to
+ * the map itself, because an interface without an index signature is no `Record<string, Exchange>`.
+ */
+export type MessageMap<M> = Record<keyof M, Exchange>;
 
 /** Handles a message of a peer; a handler that throws rejects the request. */
 export type MessageHandler<Body, Reply> = (body: Body, from: string) => Promise<Reply> | Reply;
 
 /** The links of one entry host. */
-export interface Links<M extends MessageMap> {
+export interface Links<M extends MessageMap<M>> {
   /** Dials these hosts from now on; hosts that are no longer named are not dialled any more. */
   setPeers(hosts: readonly Host[]): void;
   /** Ids of the hosts with an open link, whichever side dialled. */
--- a/test/hosts/hosts.test.ts
+++ b/test/hosts/hosts.test.ts
@@ -126,10 +126,20 @@
     wall += 1;
     expect(membership.live()).to.deep.equal(['a']);
     expect(membership.heartbeatAgeMs('b')).to.equal(101);
+    wall = 500;
     membership.observe(beat('b'));
     expect(membership.live()).to.deep.equal(['a', 'b']);
   });
 
+  it('suspects a host within the timeout although the clock stepped back', () => {
+    const membership = create();
+    membership.observe(beat('b'));
+    wall = 500;
+    expect(membership.live()).to.deep.equal(['a', 'b']);
+    wall += 101;
+    expect(membership.live()).to.deep.equal(['a']);
+  });
+
   const leavers: readonly (readonly [string, (m: ReturnType<typeof create>) => void, string[]])[] =
     [
       [
