--- a/test/links/links.test.ts
+++ b/test/links/links.test.ts
@@ -147,6 +147,13 @@
       expect(a.changes).to.deep.equal(['+b', '-b', '+b']);
     });
 
+    it('replaces a link that it dialled when the restarted peer dials first', async () => {
+      const [a, b] = await cluster.startPair();
+      cluster.dialRaw(a, { host: 'b', bootId: 'b2' });
+      await b.until('a', false);
+      expect(a.changes).to.deep.equal(['+b', '-b', '+b']);
+    });
+
     it('replaces the link of a peer that returns with a new boot id', async () => {
       const node = await cluster.start('b');
       const old = cluster.dialRaw(node, { host: 'x', bootId: 'x1' });
