--- /dev/null
+++ b/src/bin/sapphirewing-entry.ts
@@ -0,0 +1,56 @@
+#!/usr/bin/env node
+/**
+ * The daemon of an entry host: reads its settings, serves, and shuts down gracefully on SIGTERM or
+ * SIGINT. A second signal ends it at once.
+ */
+import { readFile } from 'node:fs/promises';
+import { parseArgs } from 'node:util';
+import { startEntryHost, type EntryHost } from '../entry/index.js';
+import { loadSettings, type Settings } from '../settings/index.js';
+
+const USAGE = 'Usage: sapphirewing-entry --settings FILE';
+const EXIT_FINDINGS = 1;
+const EXIT_USAGE = 2;
+
+const { values } = parseArgs({
+  options: { settings: { type: 'string' }, help: { type: 'boolean', default: false } },
+});
+
+if (values.help) {
+  process.stdout.write(`${USAGE}\n`);
+} else if (values.settings === undefined) {
+  process.stderr.write(`${USAGE}\n`);
+  process.exitCode = EXIT_USAGE;
+} else {
+  await run(values.settings);
+}
+
+async function run(file: string): Promise<void> {
+  const settings = await readSettings(file);
+  if (settings === undefined) return;
+  const entry = await startEntryHost(settings);
+  const { url, linkUrl } = entry.host;
+  process.stdout.write(`listening ${url} ${linkUrl}\n`);
+  endOnSignal(entry);
+}
+
+async function readSettings(file: string): Promise<Settings | undefined> {
+  const settings = loadSettings(await readFile(file, 'utf8'), file);
+  if (settings.isOk()) return settings.value;
+  for (const { line, column, problem, fix } of settings.error) {
+    process.stderr.write(`${file}:${String(line)}:${String(column)}: ${problem}; ${fix}\n`);
+  }
+  process.exitCode = EXIT_FINDINGS;
+  return undefined;
+}
+
+function endOnSignal(entry: EntryHost): void {
+  let leaving = false;
+  const end = () => {
+    if (leaving) process.exit(EXIT_FINDINGS);
+    leaving = true;
+    void entry.drain().then(() => process.exit(0));
+  };
+  process.on('SIGTERM', end);
+  process.on('SIGINT', end);
+}
--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -3,7 +3,8 @@
  * compare-and-swap. Claims do not expire: while the store is away, every owner goes on. Safety does
  * not depend on this module's view of time, because workers and copy hosts refuse lower epochs.
  */
-import { updateRecord } from '../platform/index.js';
+import type { ResultAsync } from 'neverthrow';
+import { decodeRecord, updateRecord, type StoreError } from '../platform/index.js';
 import {
   EMPTY_RECORD,
   decodeClaims,
@@ -13,12 +14,21 @@
   type ClaimRecord,
 } from './claim.js';
 import { decideClaims, releaseClaims, settleClaims, type Owner } from './decide-claims.js';
+import { createContact } from './contact.js';
 import { createLiveness } from './liveness.js';
 import type { ClaimsOptions } from './options.js';
 import { createOwnership, describeError } from './ownership.js';
 
 /** This host's part in the claims of its data centre. */
 export interface Claims {
+  /** Reads the claim from the store. */
+  readOwner(subject: string): ResultAsync<Claim | undefined, StoreError>;
+  /**
+   * Epoch of the claim as last read, 0 if there is none. Undefined if this host has not read the
+   * claims since it started, was paused or was out of contact with store and peers: another host may
+   * then have raised the epoch without this one hearing of it.
+   */
+  epochOf(subject: string): number | undefined;
   /** Claims of this host whose `onGain` listeners have finished. */
   owned(): readonly Claim[];
   /** The claim last read, which is of a former owner while nobody has claimed the subject anew. */
@@ -53,7 +63,9 @@
   const self: Owner = { host: options.host.id, bootId: options.bootId };
   const ownership = createOwnership(self, options.log);
   const liveness = createLiveness(options, self);
+  const contact = createContact(options);
   const update = createRecordUpdater(options, (current) => {
+    contact.noteRead();
     liveness.observe(ownership.record(), current);
   });
   let lastStep: Promise<void> = Promise.resolve();
@@ -68,6 +80,7 @@
   }
 
   async function reconcile(): Promise<void> {
+    contact.noteStep();
     await change((current) => {
       if (!liveness.isInformed()) return undefined;
       return decideClaims(current, {
@@ -89,12 +102,26 @@
     reconcile,
     release: (subjects) => change((current) => releaseClaims(current, self, subjects)),
     settle: (subjects) => change((current) => settleClaims(current, self, subjects)),
+    readOwner: (subject) =>
+      options.store.get(recordKey(options)).map((found) => {
+        if (found === undefined) return undefined;
+        return decodeClaims(decodeRecord(found.value, parseClaims)).claims.get(subject);
+      }),
+    epochOf: (subject) => {
+      const record = ownership.record();
+      if (record === undefined || !contact.isCurrent()) return undefined;
+      return record.claims.get(subject)?.epoch ?? 0;
+    },
     all: () => [...(ownership.record()?.claims.values() ?? [])],
     onGain: ownership.onGain,
     onLoss: ownership.onLoss,
   };
 }
 
+function recordKey({ host }: ClaimsOptions): string {
+  return `claims/${host.dataCentre}`;
+}
+
 /** Reads and writes the record; undefined if that failed. Logs the begin and the end of an outage. */
 function createRecordUpdater(options: ClaimsOptions, observe: (current: ClaimRecord) => void) {
   let isAway = false;
@@ -112,7 +139,7 @@
   return async (edit: (current: ClaimRecord) => ClaimRecord | undefined) => {
     try {
       const result = await updateRecord(options.store, {
-        key: `claims/${options.host.dataCentre}`,
+        key: recordKey(options),
         parse: parseClaims,
         change: (stored) => {
           const current = stored === undefined ? EMPTY_RECORD : decodeClaims(stored);
--- /dev/null
+++ b/src/entry/caller-backend.ts
@@ -0,0 +1,54 @@
+/**
+ * What this host does for callers, in terms of its parts.
+ */
+import type { CallerBackend } from '../callers/index.js';
+import { unknownOutcome, type Outcome, type RequestStatus } from '../model/index.js';
+import type { Parts } from './parts.js';
+
+export function createCallerBackend(parts: Parts): CallerBackend {
+  const { configuration, membership, links, table, forwarding, host } = parts;
+
+  async function status(
+    team: string,
+    id: string,
+    waitMs: number,
+  ): Promise<RequestStatus | 'not-found' | Outcome> {
+    const here = await table.wait(team, id, waitMs);
+    if (here !== undefined) return here;
+    const elsewhere = await forwarding.findStatus(team, id, waitMs);
+    if (elsewhere !== undefined) return elsewhere;
+    const recorded = await parts.journal.find(team, id);
+    if (recorded.isOk() && recorded.value !== undefined) return describeRecord(recorded.value);
+    return everyHostAnswers() && recorded.isOk() ? 'not-found' : unreachable(id);
+  }
+
+  function everyHostAnswers(): boolean {
+    const linked = new Set([host.id, ...links.connected()]);
+    return membership.hosts().every(({ id }) => linked.has(id));
+  }
+
+  return {
+    status,
+    configuration: () => configuration.current(),
+    keysCurrent: () => configuration.keysCurrent(),
+    accepting: () => !parts.phase.leaving,
+    submit: (request) => parts.service.submit(request),
+    cancel: (team, id) => parts.canceller.cancel(team, id),
+  };
+}
+
+type Recorded = Pick<RequestStatus, 'state'> & {
+  readonly request: Pick<RequestStatus, 'id' | 'team' | 'entry'>;
+  readonly outcome?: Outcome;
+};
+
+function describeRecord({ request, state, outcome }: Recorded): RequestStatus {
+  const { id, team, entry } = request;
+  return { id, team, entry, state, ...(outcome !== undefined && { outcome }) };
+}
+
+function unreachable(id: string): Outcome {
+  return unknownOutcome(
+    `Some hosts cannot be reached and none of the others knows request ${id}; ask again later.`,
+  );
+}
--- /dev/null
+++ b/src/entry/entry-host.ts
@@ -0,0 +1,113 @@
+/**
+ * One entry host: its HTTP interface, its parts and its life from start to graceful shutdown.
+ */
+import { setMaxListeners } from 'node:events';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { serve } from '@hono/node-server';
+import { Hono } from 'hono';
+import { createCallerApp } from '../callers/index.js';
+import type { Host } from '../model/index.js';
+import { createOperatorApp } from '../operators/index.js';
+import type { Settings } from '../settings/index.js';
+import { createCallerBackend } from './caller-backend.js';
+import { createFaultApp } from './fault-app.js';
+import { createFoundation } from './foundation.js';
+import { startLoops } from './loops.js';
+import { createOperatorBackend } from './operator-backend.js';
+import { createParts, type Parts } from './parts.js';
+import { registerPeerHandlers } from './peer-handlers.js';
+import { drainHost } from './shutdown.js';
+
+/** A running entry host. */
+export interface EntryHost {
+  /** The host as it should appear in the host list. */
+  readonly host: Host;
+  /** Finishes and hands over all work; no caller is cut off. */
+  drain(): Promise<void>;
+  /** Ends at once. */
+  close(): Promise<void>;
+}
+
+const STARTING_STATUS = 503;
+
+/** Starts an entry host; it serves once the promise resolves. */
+export async function startEntryHost(settings: Settings): Promise<EntryHost> {
+  const interfaces: { app?: Hono } = {};
+  const server = await listen(
+    settings,
+    (request) => interfaces.app?.fetch(request) ?? new Response(null, { status: STARTING_STATUS }),
+  );
+  const { port } = server.address() as AddressInfo;
+  const parts = createParts(await createFoundation(settings, port));
+  const stopLoops = new AbortController();
+  // Every loop and every waiting task listens to these signals.
+  setMaxListeners(0, stopLoops.signal, parts.abort.signal);
+  registerPeerHandlers(parts);
+  startLoops(parts, stopLoops.signal);
+  interfaces.app = createApp(parts);
+  parts.log.info('Serves.', { url: parts.host.url, link: parts.host.linkUrl });
+
+  async function close(): Promise<void> {
+    parts.abort.abort();
+    stopLoops.abort();
+    parts.dispatcher.close();
+    server.closeAllConnections();
+    server.close();
+    await Promise.all([parts.links.close(), parts.holdings.close(), parts.metrics.close()]);
+  }
+
+  return {
+    host: parts.host,
+    drain: async () => {
+      await drainHost(parts);
+      await endConnections(server);
+      await close();
+    },
+    close,
+  };
+}
+
+async function listen(
+  { listen: { address, port } }: Settings,
+  fetch: (request: Request) => Response | Promise<Response>,
+): Promise<Server> {
+  return new Promise((resolve, reject) => {
+    const server = serve({ fetch, hostname: address, port }, () => {
+      resolve(server as Server);
+    });
+    server.once('error', reject);
+  });
+}
+
+function createApp(parts: Parts): Hono {
+  const app = new Hono();
+  const { settings, now } = parts;
+  app.use(async (context, next) => {
+    await next();
+    // Callers on kept connections move to another host while this one leaves.
+    if (parts.phase.leaving) context.header('connection', 'close');
+  });
+  if (settings.faultInjection) app.route('/', createFaultApp(parts));
+  app.route(
+    '/',
+    createOperatorApp({
+      backend: createOperatorBackend(parts),
+      bootstrapKeyHash: settings.operators.bootstrapKeyHash,
+    }),
+  );
+  const backend = createCallerBackend(parts);
+  app.route('/', createCallerApp({ backend, limits: settings.limits, now }));
+  return app;
+}
+
+/** Stops listening and waits until every answer has been sent. */
+async function endConnections(server: Server): Promise<void> {
+  const closed = new Promise<void>((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+  });
+  server.closeIdleConnections();
+  await closed;
+}
--- /dev/null
+++ b/src/entry/forwarding.ts
@@ -0,0 +1,120 @@
+/**
+ * Sends requests to other entry hosts and follows what became of them. A request that may have
+ * reached the peer is never sent again.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Links } from '../links/index.js';
+import {
+  refuse,
+  unknownOutcome,
+  type Outcome,
+  type RequestStatus,
+  type WorkRequest,
+} from '../model/index.js';
+import type { Timeline } from '../timeline/index.js';
+import type { ForwardMessage, PeerMessages } from './messages.js';
+
+/** Added to the longest time that a forwarded request can take before its reply counts as lost. */
+const REPLY_MARGIN_MS = 15_000;
+const FOLLOW_WAIT_MS = 5000;
+const FOLLOW_TIMEOUT_MS = 10_000;
+const RETRY_MS = 500;
+const STATUS_TIMEOUT_MS = 2000;
+const ADOPTION_TRIES = 20;
+
+/** What a peer made of a request; `not-sent` states that the peer certainly did not get it. */
+export type Forwarded =
+  | { readonly kind: 'not-sent' }
+  | { readonly kind: 'outcome'; readonly outcome: Outcome }
+  | { readonly kind: 'accepted'; readonly host: string };
+
+export interface Forwarding {
+  forward(host: string, message: ForwardMessage): Promise<Forwarded>;
+  /** Asks the host that accepted a job until the job has ended. */
+  follow(host: string, team: string, id: string): Promise<Outcome>;
+  /** Follows a job that this host handed over, wherever it is adopted. */
+  followAnywhere(team: string, id: string): Promise<Outcome>;
+  /** The state of a request at any linked host that knows it. */
+  findStatus(team: string, id: string, waitMs: number): Promise<RequestStatus | undefined>;
+}
+
+export function createForwarding(options: {
+  readonly links: Links<PeerMessages>;
+  readonly timeline: Timeline;
+  readonly now: () => number;
+  readonly signal: AbortSignal;
+}): Forwarding {
+  const { links, timeline, now, signal } = options;
+
+  async function forward(host: string, message: ForwardMessage): Promise<Forwarded> {
+    const { id, team } = message.request;
+    timeline.record({ kind: 'forwarded', request: id, team, detail: `${message.stage} ${host}` });
+    const timeoutMs = longestReply(message.request, now());
+    const reply = await links.request(host, 'forward', message, { timeoutMs });
+    if (reply.isOk()) return reply.value;
+    if (reply.error.kind === 'not-connected') return { kind: 'not-sent' };
+    const detail = `Host ${host} had the request and did not answer: ${reply.error.detail}`;
+    return { kind: 'outcome', outcome: unknownOutcome(detail) };
+  }
+
+  async function follow(host: string, team: string, id: string): Promise<Outcome> {
+    while (!signal.aborted) {
+      const reply = await links.request(
+        host,
+        'status',
+        { team, id, waitMs: FOLLOW_WAIT_MS },
+        { timeoutMs: FOLLOW_TIMEOUT_MS },
+      );
+      if (reply.isErr()) break;
+      if (reply.value === null) break;
+      if (reply.value.outcome !== undefined) return reply.value.outcome;
+    }
+    return unknownOutcome(`The job was accepted by host ${host}; ask for its status.`);
+  }
+
+  async function findStatus(
+    team: string,
+    id: string,
+    waitMs: number,
+  ): Promise<RequestStatus | undefined> {
+    const replies = await Promise.all(
+      links.connected().map(async (peer) => {
+        const reply = await links.request(
+          peer,
+          'status',
+          { team, id, waitMs },
+          { timeoutMs: waitMs + STATUS_TIMEOUT_MS },
+        );
+        return reply.unwrapOr(null);
+      }),
+    );
+    const known = replies.filter((reply) => reply !== null);
+    return known.find(({ outcome }) => outcome !== undefined) ?? known[0];
+  }
+
+  async function followAnywhere(team: string, id: string): Promise<Outcome> {
+    for (let tries = 0; tries < ADOPTION_TRIES; tries += 1) {
+      const status = await findStatus(team, id, FOLLOW_WAIT_MS);
+      if (status?.outcome !== undefined) return status.outcome;
+      await delay(RETRY_MS, undefined, { ref: false });
+    }
+    return unknownOutcome('Another host continues the job; ask for its status.');
+  }
+
+  return { forward, follow, followAnywhere, findStatus };
+}
+
+/** Jobs are answered with a receipt; only interactive requests are answered when they end. */
+function longestReply(request: WorkRequest, now: number): number {
+  if (request.class !== 'interactive') return REPLY_MARGIN_MS;
+  return Math.max(0, request.startBefore - now) + request.maxRunMs + REPLY_MARGIN_MS;
+}
+
+/** The refusal when no host can take a request. */
+export function refuseNoCapacity(): Outcome {
+  return refuse(
+    'no-capacity',
+    'No host with workers can be reached at present; try again.',
+    RETRY_MS,
+  );
+}
--- /dev/null
+++ b/src/entry/gangs.ts
@@ -0,0 +1,181 @@
+/**
+ * Gangs: all tasks start together or none does. Room is reserved on the holders of the data centre
+ * in ascending order of host id, so that two coordinators cannot block each other.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Links } from '../links/index.js';
+import {
+  refuse,
+  unknownOutcome,
+  type Host,
+  type Outcome,
+  type Refused,
+  type WorkRequest,
+} from '../model/index.js';
+import type { Membership } from '../hosts/index.js';
+import type { Scheduler } from '../scheduling/index.js';
+import type { TaskOutcome } from '../workers/index.js';
+import { combine } from './combine.js';
+import type { PeerMessages, ReservedTask, ReserveMessage } from './messages.js';
+import type { Reservations } from './reservations.js';
+import type { TaskLookup } from './task-lookup.js';
+
+const RESERVATION_MS = 10_000;
+const RESERVE_TIMEOUT_MS = 2000;
+const RETRY_MIN_MS = 100;
+/** Retries are spread so that competing gangs do not reserve in step. */
+const RETRY_SPREAD_MS = 200;
+/** A partial reservation is kept this long while running work ends, then given back. */
+const HOLD_MS = 2000;
+const HOLD_POLL_MS = 50;
+const RUN_MARGIN_MS = 60_000;
+
+/** A task and the host that keeps room for it. */
+export interface GangTask extends ReservedTask {
+  readonly host: string;
+  readonly index: number;
+}
+
+export interface Gangs {
+  /** Runs a gang once. `recordStarts` must succeed before any task is sent. */
+  run(
+    request: WorkRequest,
+    recordStarts: (tasks: readonly GangTask[]) => Promise<boolean>,
+  ): Promise<Outcome>;
+}
+
+interface GangOptions {
+  readonly host: Host;
+  readonly membership: Membership;
+  readonly links: Links<PeerMessages>;
+  readonly scheduler: Scheduler;
+  readonly reservations: Reservations;
+  /** Tasks that a team may still start here. */
+  readonly spare: (team: string) => number;
+  readonly now: () => number;
+  readonly random: () => number;
+  /** Finds out what became of a task whose host did not answer. */
+  readonly lookup: TaskLookup;
+  /** Whether the request was cancelled in the meantime. */
+  readonly isCancelled: (request: WorkRequest) => boolean;
+  readonly signal: AbortSignal;
+}
+
+export function createGangs(options: GangOptions): Gangs {
+  const { host, membership, links, scheduler, reservations, now, random, signal } = options;
+
+  async function run(
+    request: WorkRequest,
+    recordStarts: (tasks: readonly GangTask[]) => Promise<boolean>,
+  ): Promise<Outcome> {
+    const queued = scheduler.enqueue(request);
+    if (queued.isErr()) return queued.error;
+    const tasks = await waitForRoom(request, recordStarts);
+    scheduler.cancel(request.team, request.id);
+    if ('kind' in tasks) return tasks;
+    return combine(await Promise.all(tasks.map((task) => runOne(task, request))));
+  }
+
+  /** Reserves room for all tasks once the gang is first in the queue. */
+  async function waitForRoom(
+    request: WorkRequest,
+    recordStarts: (tasks: readonly GangTask[]) => Promise<boolean>,
+  ): Promise<readonly GangTask[] | Refused> {
+    while (!signal.aborted) {
+      const stop = reasonToStop(request);
+      if (stop !== undefined) return stop;
+      if (isNext(request)) {
+        const tasks = await reserveAll(request);
+        if (tasks.length === request.tasks && (await recordStarts(tasks))) return tasks;
+        releaseAll(tasks);
+      }
+      await pause(RETRY_MIN_MS + random() * RETRY_SPREAD_MS);
+    }
+    return refuse('shutting-down', 'This host is leaving; another host continues the job.');
+  }
+
+  /** A gang whose team has used up its allotment does not hold up the others. */
+  function isNext({ id }: WorkRequest): boolean {
+    const first = scheduler.waitingGang();
+    return first === undefined || first.id === id || options.spare(first.team) < 1;
+  }
+
+  function reasonToStop(request: WorkRequest): Refused | undefined {
+    if (options.isCancelled(request)) {
+      return refuse('cancelled', 'The job was cancelled before it started.');
+    }
+    if (now() < request.startBefore) return undefined;
+    return refuse(
+      'deadline-passed',
+      `There was no moment with room for all ${String(request.tasks)} tasks before the deadline.`,
+    );
+  }
+
+  /** Reserves what is free and waits a bounded time for the rest. */
+  async function reserveAll(request: WorkRequest): Promise<readonly GangTask[]> {
+    const tasks: GangTask[] = [];
+    const giveUpAt = Math.min(now() + HOLD_MS, request.startBefore);
+    for (;;) {
+      for (const holder of [...membership.live(host.dataCentre)].sort()) {
+        const missing = request.tasks - tasks.length;
+        if (missing > 0) tasks.push(...(await reserveAt(holder, request, missing, tasks.length)));
+      }
+      const complete = tasks.length === request.tasks;
+      if (complete || tasks.length === 0 || now() >= giveUpAt || signal.aborted) return tasks;
+      await pause(HOLD_POLL_MS);
+    }
+  }
+
+  async function reserveAt(
+    holder: string,
+    request: WorkRequest,
+    count: number,
+    firstTask: number,
+  ): Promise<readonly GangTask[]> {
+    const message: ReserveMessage = { request, count, firstTask, expiresInMs: RESERVATION_MS };
+    const reserved =
+      holder === host.id ? reservations.reserve(message) : await reserveAtPeer(holder, message);
+    return reserved.map((task, offset) => ({ ...task, host: holder, index: firstTask + offset }));
+  }
+
+  /** A reservation whose answer was lost expires at the peer. */
+  async function reserveAtPeer(
+    peer: string,
+    message: ReserveMessage,
+  ): Promise<readonly ReservedTask[]> {
+    const reply = await links.request(peer, 'reserve', message, { timeoutMs: RESERVE_TIMEOUT_MS });
+    return reply.isOk() ? reply.value.tasks : [];
+  }
+
+  async function runOne(task: GangTask, request: WorkRequest): Promise<TaskOutcome> {
+    if (task.host === host.id) return reservations.run(task.task, request);
+    const reply = await links.request(
+      task.host,
+      'run-reserved',
+      { task: task.task, request },
+      { timeoutMs: request.maxRunMs + RUN_MARGIN_MS },
+    );
+    if (reply.isOk()) return reply.value;
+    if (reply.error.kind === 'not-connected') {
+      return refuse('worker-refused', `Host ${task.host} could not be reached.`);
+    }
+    const start = { ...task, attempt: request.attempt ?? 0 };
+    const fate = await options.lookup.findFate(request, start);
+    if (fate.kind === 'done' || fate.kind === 'failed') return fate;
+    const detail = `Host ${task.host} did not report the end of task ${task.task}.`;
+    return fate.kind === 'lost' ? unknownOutcome(detail) : refuse('worker-refused', detail);
+  }
+
+  function releaseAll(tasks: readonly GangTask[]): void {
+    for (const { host: holder, task } of tasks) {
+      if (holder === host.id) reservations.release([task]);
+      else void links.request(holder, 'release', { tasks: [task] });
+    }
+  }
+
+  async function pause(ms: number): Promise<void> {
+    await delay(ms, undefined, { ref: false, signal }).catch(() => undefined);
+  }
+
+  return { run };
+}
--- /dev/null
+++ b/src/entry/holdings.ts
@@ -0,0 +1,178 @@
+/**
+ * The workers that this host holds. A worker is held only after its epoch was raised, so that a
+ * paused former holder can start nothing, and after the tasks found on it were charged here.
+ */
+import type { Claim } from '../claims/index.js';
+import type { Log } from '../log/index.js';
+import type { Worker } from '../model/index.js';
+import {
+  createLedger,
+  createWorkerClient,
+  type Ledger,
+  type RunningTask,
+  type WorkerClient,
+} from '../workers/index.js';
+
+/** Added to a lease before its tasks count as ended, to cover delays of the network and timers. */
+const LEASE_MARGIN_MS = 2000;
+
+/** A worker that this host holds. */
+export interface HeldWorker {
+  readonly worker: Worker;
+  readonly client: WorkerClient;
+  readonly ledger: Ledger;
+  readonly epoch: number;
+  /** Boot id of the worker when it last answered. */
+  readonly bootId: string;
+  /** Whether the worker itself says that it is leaving. */
+  readonly leaving: boolean;
+  /** Whether the last report arrived; leases are renewed only then. */
+  readonly reachable: boolean;
+  /** Time of the last attempt to renew leases or to start a task. */
+  readonly lastRenewalAt: number;
+}
+
+export interface Holdings {
+  /** Takes over a claimed worker. Rejects if the worker cannot be fenced or its tasks not charged. */
+  gain(claim: Claim): Promise<void>;
+  lose(worker: string): void;
+  get(worker: string): HeldWorker | undefined;
+  all(): readonly HeldWorker[];
+  /** Workers that may take new tasks. */
+  ledgers(): readonly Ledger[];
+  /** Reads the report of every worker and renews the leases of its tasks. */
+  refresh(): Promise<void>;
+  /** Whether every lease on the worker must have expired. */
+  leasesExpired(worker: string): boolean;
+  noteStart(worker: string): void;
+  close(): Promise<void>;
+}
+
+interface HoldingsOptions {
+  readonly findWorker: (id: string) => Worker | undefined;
+  /** Charges tasks of former owners to this host's allotments. */
+  readonly adopt: (claim: Claim, tasks: readonly RunningTask[]) => Promise<readonly RunningTask[]>;
+  /** Called with the tasks that were found running, to follow them to their end. */
+  readonly onAdopted: (held: HeldWorker, tasks: readonly RunningTask[]) => void;
+  /** Called with tasks that ended because their worker restarted. */
+  readonly onRestart: (held: HeldWorker, tasks: readonly RunningTask[]) => void;
+  readonly onChange: () => void;
+  readonly owner: string;
+  readonly leaseMs: number;
+  readonly now: () => number;
+  readonly log: Log;
+}
+
+type MutableHeld = { -readonly [K in keyof HeldWorker]: HeldWorker[K] };
+
+export function createHoldings(options: HoldingsOptions): Holdings {
+  const { leaseMs, now, log } = options;
+  const held = new Map<string, MutableHeld>();
+
+  async function gain(claim: Claim): Promise<void> {
+    const id = workerOf(claim);
+    const worker = options.findWorker(id);
+    if (worker === undefined) throw new Error(`Worker ${id} is not in the host list.`);
+    const client = createWorkerClient({ worker });
+    const snapshot = await client.raiseEpoch(claim.epoch, options.owner);
+    if (snapshot.isErr()) {
+      await client.close();
+      throw new Error(`Worker ${id} did not take epoch: ${snapshot.error.detail}`);
+    }
+    const { running, bootId } = snapshot.value;
+    const tasks = await options.adopt(claim, running);
+    const ledger = createLedger({ worker });
+    ledger.adopt(tasks);
+    const entry: MutableHeld = {
+      worker,
+      client,
+      ledger,
+      epoch: claim.epoch,
+      bootId,
+      leaving: false,
+      reachable: true,
+      lastRenewalAt: now(),
+    };
+    await held.get(id)?.client.close();
+    held.set(id, entry);
+    log.info('Holds a worker.', { worker: id, epoch: claim.epoch, running: running.length });
+    options.onAdopted(entry, tasks);
+    options.onChange();
+  }
+
+  function lose(id: string): void {
+    const entry = held.get(id);
+    if (entry === undefined) return;
+    held.delete(id);
+    log.info('No longer holds a worker.', { worker: id });
+    options.onChange();
+    void entry.client.close();
+  }
+
+  async function refreshOne(entry: MutableHeld): Promise<void> {
+    const report = await entry.client.report();
+    const wasUsable = isUsable(entry, options.findWorker);
+    entry.reachable = report.isOk();
+    if (report.isOk()) {
+      if (report.value.bootId !== entry.bootId) handleRestart(entry, report.value.bootId);
+      entry.leaving = report.value.leaving;
+      entry.ledger.applyReport(report.value);
+      entry.lastRenewalAt = now();
+      await entry.client.renew(entry.epoch, leaseMs);
+    }
+    if (wasUsable !== isUsable(entry, options.findWorker)) options.onChange();
+  }
+
+  /** A restarted worker runs nothing, and it has forgotten the epoch, which is raised again. */
+  function handleRestart(entry: MutableHeld, bootId: string): void {
+    log.warn('A worker restarted.', { worker: entry.worker.id });
+    const ended = entry.ledger.running();
+    entry.bootId = bootId;
+    void entry.client.raiseEpoch(entry.epoch, options.owner);
+    options.onRestart(entry, ended);
+  }
+
+  return {
+    gain,
+    lose,
+    get: (id) => held.get(id),
+    all: () => [...held.values()],
+    ledgers: () =>
+      [...held.values()]
+        .filter((entry) => isUsable(entry, options.findWorker))
+        .map(({ ledger }) => ledger),
+    refresh: async () => {
+      await Promise.all([...held.values()].map(refreshOne));
+    },
+    leasesExpired: (id) => {
+      const entry = held.get(id);
+      return entry !== undefined && now() > entry.lastRenewalAt + leaseMs + LEASE_MARGIN_MS;
+    },
+    noteStart: (id) => {
+      const entry = held.get(id);
+      if (entry !== undefined) entry.lastRenewalAt = now();
+    },
+    close: async () => {
+      await Promise.all([...held.values()].map(({ client }) => client.close()));
+      held.clear();
+    },
+  };
+}
+
+/** The subject of a claim on a worker. */
+export function workerSubject(worker: string): string {
+  return `worker:${worker}`;
+}
+
+export function workerOf(claim: Claim): string {
+  return claim.subject.slice(workerSubject('').length);
+}
+
+export function isWorkerClaim(claim: Claim): boolean {
+  return claim.subject.startsWith(workerSubject(''));
+}
+
+function isUsable(entry: HeldWorker, findWorker: (id: string) => Worker | undefined): boolean {
+  const listed = findWorker(entry.worker.id);
+  return entry.reachable && !entry.leaving && listed?.state === 'live';
+}
--- /dev/null
+++ b/src/entry/interactive.ts
@@ -0,0 +1,80 @@
+/**
+ * Interactive requests: routed to a host with room, queued there, answered while the caller waits.
+ */
+import type { Host, Outcome, RefusalReason, WorkRequest } from '../model/index.js';
+import type { Dispatcher } from './dispatcher.js';
+import { refuseNoCapacity, type Forwarding } from './forwarding.js';
+import type { Router } from './routing.js';
+
+/** Peers that may prove unreachable before the request is refused. */
+const MAX_PEERS_TRIED = 4;
+
+/** Refusals of one host that another host may not share. */
+const LOCAL_REASONS: ReadonlySet<RefusalReason> = new Set([
+  'queue-full',
+  'no-capacity',
+  'shutting-down',
+  'worker-refused',
+]);
+
+export interface Interactive {
+  /** Runs a request here or on another host. */
+  run(request: WorkRequest): Promise<Outcome>;
+  /** Sends a request that was queued here to another host. */
+  move(request: WorkRequest): Promise<Outcome>;
+  /** Requests that are queued, running or forwarded. */
+  active(): number;
+}
+
+export function createInteractive(options: {
+  readonly host: Host;
+  readonly router: Router;
+  readonly dispatcher: Dispatcher;
+  readonly forwarding: Forwarding;
+}): Interactive {
+  const { host, router, dispatcher, forwarding } = options;
+  let active = 0;
+
+  async function run(request: WorkRequest): Promise<Outcome> {
+    const excluded = new Set<string>();
+    let refusal = refuseNoCapacity();
+    for (let tried = 0; tried < MAX_PEERS_TRIED; tried += 1) {
+      const route = router.route(request, excluded);
+      if (route.kind === 'local') return dispatcher.run(request);
+      if (route.kind === 'none') return refusal;
+      const outcome = await forwardTo(route.host, request);
+      if (outcome !== undefined && !isLocalRefusal(outcome)) return outcome;
+      refusal = outcome ?? refusal;
+      excluded.add(route.host);
+    }
+    return refusal;
+  }
+
+  /** Undefined if the peer certainly did not get the request. */
+  async function forwardTo(peer: string, request: WorkRequest): Promise<Outcome | undefined> {
+    router.noteForwarded(peer);
+    const forwarded = await forwarding.forward(peer, {
+      stage: 'place',
+      request: { ...request, hops: [...request.hops, host.id] },
+    });
+    router.noteReply(peer);
+    if (forwarded.kind === 'not-sent') return undefined;
+    if (forwarded.kind === 'outcome') return forwarded.outcome;
+    return forwarding.follow(forwarded.host, request.team, request.id);
+  }
+
+  async function counted(request: WorkRequest): Promise<Outcome> {
+    active += 1;
+    try {
+      return await run(request);
+    } finally {
+      active -= 1;
+    }
+  }
+
+  return { run: counted, move: run, active: () => active };
+}
+
+function isLocalRefusal(outcome: Outcome): boolean {
+  return outcome.kind === 'refused' && LOCAL_REASONS.has(outcome.reason);
+}
--- /dev/null
+++ b/src/entry/loops.ts
@@ -0,0 +1,147 @@
+/**
+ * The periodic work of an entry host. Each loop runs one step at a time, and a failing step is
+ * logged and repeated at the next interval.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Claim } from '../claims/index.js';
+import { choosePeers } from '../hosts/index.js';
+import { isWorkerClaim, workerOf } from './holdings.js';
+import type { Parts } from './parts.js';
+import { bucketSubject } from './request-service.js';
+
+const FLEET_INTERVAL_MS = 2000;
+/** Used until the host list names other hosts. */
+const FIRST_FLEET_INTERVAL_MS = 100;
+const CLAIMS_INTERVAL_MS = 1000;
+const ALLOTMENTS_INTERVAL_MS = 500;
+const ADOPTION_INTERVAL_MS = 2000;
+/** Renewals per lease; two may be lost before a lease expires. */
+const RENEWALS_PER_LEASE = 3;
+
+/** Starts all loops; they end when the signal is aborted. */
+export function startLoops(parts: Parts, signal: AbortSignal): void {
+  const { settings, holdings, allotments, settlement, claims } = parts;
+  const { heartbeatMs, leaseMs } = settings.timers;
+  const repeat = (name: string, intervalMs: number, step: () => Promise<unknown>) => {
+    void runLoop(parts, { name, intervalMs, step, signal });
+  };
+  listenToClaims(parts);
+  listenToConfiguration(parts);
+  void parts.configuration.start(signal);
+  repeat('heartbeats', heartbeatMs, () => {
+    parts.sendHeartbeats();
+    return Promise.resolve();
+  });
+  repeat('fleet', FLEET_INTERVAL_MS, async () => {
+    await refreshFleet(parts);
+    while (!signal.aborted && parts.membership.hosts().length < 2 && !mayClaim(parts)) {
+      await delay(FIRST_FLEET_INTERVAL_MS);
+      await refreshFleet(parts);
+    }
+  });
+  repeat('claims', CLAIMS_INTERVAL_MS, async () => {
+    if (!mayClaim(parts)) return;
+    await claims.reconcile();
+    await settlement.settleClaims();
+  });
+  repeat('allotments', ALLOTMENTS_INTERVAL_MS, async () => {
+    await allotments.rebalance();
+    parts.dispatcher.pump();
+  });
+  repeat('leases', leaseMs / RENEWALS_PER_LEASE, () => holdings.refresh());
+  repeat('orphans', leaseMs / RENEWALS_PER_LEASE, () => renewOrphans(parts));
+  repeat('adoption', ADOPTION_INTERVAL_MS, () => adoptJobs(parts));
+}
+
+interface Loop {
+  readonly name: string;
+  readonly intervalMs: number;
+  readonly step: () => Promise<unknown>;
+  readonly signal: AbortSignal;
+}
+
+async function runLoop(parts: Parts, { name, intervalMs, step, signal }: Loop): Promise<void> {
+  while (!signal.aborted) {
+    try {
+      await step();
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      parts.log.error('A periodic step failed.', { step: name, reason });
+    }
+    await delay(intervalMs, undefined, { ref: false, signal }).catch(() => undefined);
+  }
+}
+
+/**
+ * A host that knows no peers would take every claim of its data centre from them, so it waits for
+ * the host list. Without the list it starts after the suspicion timeout.
+ */
+function mayClaim({ membership, startedAt, settings, now }: Parts): boolean {
+  return membership.hosts().length > 1 || now() - startedAt >= settings.timers.suspectAfterMs;
+}
+
+function listenToClaims({ claims, holdings, homes }: Parts): void {
+  claims.onGain(async (claim) => {
+    if (isWorkerClaim(claim)) await holdings.gain(claim);
+    else await homes.takeOver(bucketOf(claim.subject), claim.epoch, formerHostOf(claim));
+  });
+  claims.onLoss((claim) => {
+    if (isWorkerClaim(claim)) holdings.lose(workerOf(claim));
+    else homes.stop(bucketOf(claim.subject), claim.epoch);
+  });
+}
+
+function bucketOf(subject: string): number {
+  return Number(subject.slice(bucketSubject(0).length - 1));
+}
+
+function listenToConfiguration(parts: Parts): void {
+  const { configuration, allotments, log, timeline } = parts;
+  configuration.onChange(({ teams, revision }) => {
+    allotments.setLimits(teams, revision);
+    log.info('Runs a new configuration.', { revision });
+    timeline.record({ kind: 'configuration', detail: `revision ${String(revision)}` });
+    parts.sendHeartbeats();
+  });
+}
+
+function formerHostOf({ from }: Claim): string | undefined {
+  return from?.at(-1)?.split('/')[0];
+}
+
+async function refreshFleet(parts: Parts): Promise<void> {
+  const { hostList, membership, host, links } = parts;
+  const fleet = await hostList.fetch();
+  if (fleet.isOk()) {
+    membership.setFleet(fleet.value);
+    parts.scheduler.setLedgers(parts.holdings.ledgers());
+  }
+  links.setPeers(choosePeers(host, membership.hosts()));
+}
+
+/** Tasks of a dead holder keep their leases until another host can take its workers over. */
+async function renewOrphans(parts: Parts): Promise<void> {
+  const { claims, membership, host } = parts;
+  const live = new Set(membership.live(host.dataCentre));
+  const [first] = [...live].sort();
+  if (first !== host.id) return;
+  const orphans = claims
+    .all()
+    .filter((claim) => isWorkerClaim(claim) && !live.has(claim.host))
+    .filter((claim) => claim.host !== host.id);
+  for (const claim of orphans) {
+    const worker = parts.fleetWorker(workerOf(claim));
+    if (worker === undefined) continue;
+    await parts.renewLeases(worker, claim.epoch);
+  }
+}
+
+async function adoptJobs({ journal, membership, jobs, abort }: Parts): Promise<void> {
+  if (abort.signal.aborted) return;
+  const adopted = await journal.adopt((owner) => {
+    const [host = '', bootId] = owner.split('/');
+    return !membership.live().includes(host) || membership.heartbeat(host)?.bootId !== bootId;
+  });
+  if (adopted.isOk()) jobs.resume(adopted.value);
+  await journal.sweep();
+}
--- /dev/null
+++ b/src/entry/messages.ts
@@ -0,0 +1,87 @@
+/**
+ * The messages between entry hosts.
+ */
+import type { ConfigurationRecord } from '../configuration/index.js';
+import type { Heartbeat } from '../hosts/index.js';
+import type { Cancellation, Outcome, RequestStatus, TaskId, WorkRequest } from '../model/index.js';
+import type {
+  FenceMessage,
+  FenceReply,
+  RememberMessage,
+  RememberReply,
+} from '../requests/index.js';
+import type { TimelineEvent, TimelineFilter } from '../timeline/index.js';
+import type { NeverSeen, TaskOutcome } from '../workers/index.js';
+
+/** `home`: the receiver finds the home of the id; `place`: the receiver queues the request. */
+export interface ForwardMessage {
+  readonly stage: 'home' | 'place';
+  readonly request: WorkRequest;
+}
+
+/** An accepted job is followed at the host that accepted it. */
+export type ForwardReply =
+  | { readonly kind: 'outcome'; readonly outcome: Outcome }
+  | { readonly kind: 'accepted'; readonly host: string };
+
+export interface RequestMessage {
+  readonly team: string;
+  readonly id: string;
+}
+
+export interface StatusMessage extends RequestMessage {
+  readonly waitMs: number;
+}
+
+export interface ReserveMessage {
+  readonly request: WorkRequest;
+  readonly count: number;
+  /** Index of the first task that the reservation is for. */
+  readonly firstTask: number;
+  readonly expiresInMs: number;
+}
+
+/** One task that a holder keeps room for. */
+export interface ReservedTask {
+  readonly task: TaskId;
+  readonly worker: string;
+  readonly bootId: string;
+}
+
+export interface ReserveReply {
+  readonly tasks: readonly ReservedTask[];
+}
+
+export interface RunReservedMessage {
+  readonly task: TaskId;
+  readonly request: WorkRequest;
+}
+
+export interface JoinMessage {
+  readonly worker: string;
+  readonly task: TaskId;
+}
+
+/** `not-held`: the receiver does not hold the worker at present. */
+export type JoinReply = TaskOutcome | NeverSeen | { readonly kind: 'not-held' };
+
+/** Rows that the operators' interface collects from every host. */
+export type OperatorTable = 'queue' | 'workers' | 'hosts';
+
+/** Every message kind with its body and reply. */
+export interface PeerMessages {
+  heartbeat: { body: Heartbeat; reply: null };
+  forward: { body: ForwardMessage; reply: ForwardReply };
+  status: { body: StatusMessage; reply: RequestStatus | null };
+  cancel: { body: RequestMessage; reply: Cancellation };
+  remember: { body: RememberMessage; reply: RememberReply };
+  fence: { body: FenceMessage; reply: FenceReply };
+  configuration: { body: ConfigurationRecord; reply: null };
+  'pull-configuration': { body: null; reply: ConfigurationRecord | null };
+  join: { body: JoinMessage; reply: JoinReply };
+  reserve: { body: ReserveMessage; reply: ReserveReply };
+  'run-reserved': { body: RunReservedMessage; reply: TaskOutcome };
+  release: { body: { readonly tasks: readonly TaskId[] }; reply: null };
+  timeline: { body: TimelineFilter; reply: readonly TimelineEvent[] };
+  operator: { body: { readonly table: OperatorTable }; reply: readonly unknown[] };
+}
--- /dev/null
+++ b/src/entry/operator-rows.ts
@@ -0,0 +1,58 @@
+/**
+ * This host's rows of the operators' tables.
+ */
+import { match } from 'ts-pattern';
+import type { HostRow, QueueRow, WorkerRow } from '../operators/index.js';
+import type { HeldWorker } from './holdings.js';
+import type { OperatorTable } from './messages.js';
+import type { Parts } from './parts.js';
+
+/** The rows that only this host knows. */
+export function collectRows(parts: Parts, table: OperatorTable): readonly unknown[] {
+  return match(table)
+    .with('queue', () => collectQueue(parts))
+    .with('workers', () => parts.holdings.all().map((held) => describeWorker(parts, held)))
+    .with('hosts', () => [describeHost(parts)])
+    .exhaustive();
+}
+
+function collectQueue({ host, scheduler }: Parts): readonly QueueRow[] {
+  return scheduler.queued().map((row) => ({ host: host.id, dataCentre: host.dataCentre, ...row }));
+}
+
+function describeWorker({ host, health, fleetWorker }: Parts, held: HeldWorker): WorkerRow {
+  const { worker, ledger, epoch } = held;
+  const leaving = held.leaving || fleetWorker(worker.id)?.state !== 'live';
+  return {
+    worker: worker.id,
+    dataCentre: worker.dataCentre,
+    rack: worker.rack,
+    holder: host.id,
+    epoch,
+    state: held.reachable ? (leaving ? 'leaving' : 'live') : 'unreachable',
+    health: health.state(worker.id),
+    running: ledger.running().length,
+    slots: worker.slots,
+    free: ledger.free(),
+    capacity: worker.capacity,
+  };
+}
+
+function describeHost(parts: Parts): HostRow {
+  const { host, phase, configuration, holdings } = parts;
+  const beat = parts.describeHeartbeat();
+  const queued = Object.values(beat.load.queued).reduce((sum, count) => sum + count, 0);
+  return {
+    host: host.id,
+    dataCentre: host.dataCentre,
+    url: host.url,
+    state: phase.leaving ? 'leaving' : 'live',
+    revision: beat.revision,
+    keysCurrent: configuration.keysCurrent(),
+    storeReachable: beat.storeReachable,
+    storeContactAgeMs: beat.storeContactAgeMs,
+    workers: holdings.all().length,
+    queued,
+    waitMs: beat.load.waitMs,
+  };
+}
--- /dev/null
+++ b/src/entry/peer-handlers.ts
@@ -0,0 +1,53 @@
+/**
+ * Answers the messages of other entry hosts.
+ */
+import type { Heartbeat } from '../hosts/index.js';
+import type { JoinMessage, JoinReply } from './messages.js';
+import { collectRows } from './operator-rows.js';
+import type { Parts } from './parts.js';
+
+export function registerPeerHandlers(parts: Parts): void {
+  const { links, configuration, table, canceller, homes, reservations, timeline } = parts;
+  links.handle('heartbeat', (beat) => {
+    receiveHeartbeat(parts, beat);
+    return null;
+  });
+  links.handle('forward', (message) => parts.service.receive(message));
+  links.handle('status', async ({ team, id, waitMs }) => {
+    return (await table.wait(team, id, waitMs)) ?? null;
+  });
+  links.handle('cancel', ({ team, id }) => canceller.cancelHere(team, id));
+  links.handle('remember', (message) => homes.remember(message));
+  links.handle('fence', (message) => homes.fence(message));
+  links.handle('configuration', (record) => {
+    configuration.adopt(record);
+    return null;
+  });
+  links.handle('pull-configuration', () => configuration.record() ?? null);
+  links.handle('join', (message) => joinTask(parts, message));
+  links.handle('reserve', (message) => ({
+    tasks: parts.phase.leaving ? [] : reservations.reserve(message),
+  }));
+  links.handle('run-reserved', ({ task, request }) => reservations.run(task, request));
+  links.handle('release', ({ tasks }) => {
+    reservations.release(tasks);
+    return null;
+  });
+  links.handle('timeline', (filter) => timeline.query(filter));
+  links.handle('operator', ({ table: name }) => collectRows(parts, name));
+}
+
+function receiveHeartbeat(parts: Parts, beat: Heartbeat): void {
+  const { configuration, membership, links } = parts;
+  membership.observe(beat);
+  const revision = configuration.current()?.revision ?? 0;
+  if (beat.revision <= revision) return;
+  void links.request(beat.host, 'pull-configuration', null).map((record) => {
+    if (record !== null) configuration.adopt(record);
+    return undefined;
+  });
+}
+
+async function joinTask(parts: Parts, { worker, task }: JoinMessage): Promise<JoinReply> {
+  return (await parts.runner.join(worker, task)) ?? { kind: 'not-held' };
+}
--- /dev/null
+++ b/src/entry/reservations.ts
@@ -0,0 +1,78 @@
+/**
+ * Room that this host keeps on its workers for tasks that another host, or its own gang
+ * coordinator, is about to start. A reservation that is not used in time is given back.
+ */
+import { refuse, type TaskId, type WorkRequest } from '../model/index.js';
+import type { Scheduler } from '../scheduling/index.js';
+import type { TaskOutcome } from '../workers/index.js';
+import type { Holdings } from './holdings.js';
+import type { ReservedTask, ReserveMessage } from './messages.js';
+import type { PlacedTask, TaskRunner } from './task-runner.js';
+
+export interface Reservations {
+  /** Keeps room for up to `count` tasks. */
+  reserve(message: ReserveMessage): readonly ReservedTask[];
+  /** Starts a reserved task and waits for its outcome. */
+  run(task: TaskId, request: WorkRequest): Promise<TaskOutcome>;
+  release(tasks: readonly TaskId[]): void;
+}
+
+interface Reservation {
+  readonly placed: PlacedTask;
+  readonly expiry: NodeJS.Timeout;
+}
+
+export function createReservations(options: {
+  readonly scheduler: Scheduler;
+  readonly runner: TaskRunner;
+  readonly holdings: Holdings;
+  readonly onReleased: () => void;
+}): Reservations {
+  const { scheduler, runner, holdings } = options;
+  const reserved = new Map<TaskId, Reservation>();
+
+  function reserve({
+    request,
+    count,
+    firstTask,
+    expiresInMs,
+  }: ReserveMessage): readonly ReservedTask[] {
+    return scheduler.reserve(request, count, firstTask).map(({ task, index, worker }) => {
+      const expiry = setTimeout(() => {
+        release([task]);
+      }, expiresInMs);
+      expiry.unref();
+      reserved.set(task, { placed: { request, index, worker }, expiry });
+      return { task, worker, bootId: holdings.get(worker)?.bootId ?? '' };
+    });
+  }
+
+  async function run(task: TaskId, request: WorkRequest): Promise<TaskOutcome> {
+    const reservation = take(task);
+    if (reservation === undefined) {
+      return refuse('worker-refused', `The reservation of task ${task} has expired.`);
+    }
+    // The coordinator may have refreshed the request since it reserved the room.
+    const { outcome } = await runner.run({ ...reservation.placed, request });
+    options.onReleased();
+    return outcome;
+  }
+
+  function release(tasks: readonly TaskId[]): void {
+    for (const task of tasks) {
+      const reservation = take(task);
+      if (reservation !== undefined) scheduler.finished(task, reservation.placed.worker);
+    }
+    options.onReleased();
+  }
+
+  function take(task: TaskId): Reservation | undefined {
+    const reservation = reserved.get(task);
+    if (reservation === undefined) return undefined;
+    clearTimeout(reservation.expiry);
+    reserved.delete(task);
+    return reservation;
+  }
+
+  return { reserve, run, release };
+}
--- /dev/null
+++ b/src/entry/shutdown.ts
@@ -0,0 +1,69 @@
+/**
+ * Graceful shutdown: the host takes no new work, moves what is queued, finishes what callers wait
+ * for, and hands its workers, id buckets, jobs and allotments to its peers.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Parts } from './parts.js';
+
+const POLL_MS = 50;
+/** Peers claim released subjects in their next step, which comes once a second. */
+const SUCCESSOR_WAIT_MS = 5000;
+/** A successor fences the former home right after its claim. */
+const FENCE_WAIT_MS = 500;
+/** Longest wait for running interactive requests; their longest run time is usually shorter. */
+const MAX_DRAIN_MS = 60_000;
+
+/** Prepares the host for its end; callers' connections stay open until it resolves. */
+export async function drainHost(parts: Parts): Promise<void> {
+  const { log, phase, settings, membership, dispatcher, interactive } = parts;
+  log.info('Leaving.');
+  phase.leaving = true;
+  membership.leave();
+  parts.sendHeartbeats();
+  dispatcher.drain((request) => interactive.move(request));
+  await delay(settings.timers.drainGraceMs);
+  await waitUntil(() => interactive.active() === 0, MAX_DRAIN_MS);
+  await handOver(parts);
+  log.info('Left.');
+}
+
+/**
+ * Jobs go first: the host that adopts one looks its tasks up on their workers, which answer once
+ * they have their new holders.
+ */
+async function handOver(parts: Parts): Promise<void> {
+  const { journal, homes, claims, allotments, abort } = parts;
+  abort.abort();
+  const successor = findSuccessor(parts);
+  if (successor !== undefined) await journal.release(successor);
+  await journal.flush();
+  await homes.flush();
+  await claims.release(claims.owned().map(({ subject }) => subject));
+  await waitForSuccessors(parts);
+  await allotments.drain();
+}
+
+/** Jobs go to one peer; without a peer they are adopted once this host counts as dead. */
+function findSuccessor({ membership, host }: Parts): string | undefined {
+  const peers = membership.live(host.dataCentre).filter((id) => id !== host.id);
+  const beat = peers.map((id) => membership.heartbeat(id)).find((found) => found !== undefined);
+  return beat && `${beat.host}/${beat.bootId}`;
+}
+
+/** Successors fence this host and read its request ids, so it answers until they have claimed. */
+async function waitForSuccessors({ claims, host, membership }: Parts): Promise<void> {
+  if (membership.live(host.dataCentre).length === 0) return;
+  await waitUntil(async () => {
+    await claims.reconcile();
+    return claims.all().every((claim) => claim.host !== host.id);
+  }, SUCCESSOR_WAIT_MS);
+  await delay(FENCE_WAIT_MS);
+}
+
+async function waitUntil(
+  condition: () => boolean | Promise<boolean>,
+  timeoutMs: number,
+): Promise<void> {
+  const giveUpAt = Date.now() + timeoutMs;
+  while (!(await condition()) && Date.now() < giveUpAt) await delay(POLL_MS);
+}
--- /dev/null
+++ b/src/entry/task-lookup.ts
@@ -0,0 +1,126 @@
+/**
+ * Finds out what became of the tasks of an adopted job, so that none is started a second time while
+ * the first run may still be going on.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import { match } from 'ts-pattern';
+import type { Claims } from '../claims/index.js';
+import type { Membership } from '../hosts/index.js';
+import type { JobRecord } from '../journal/index.js';
+import type { Links } from '../links/index.js';
+import {
+  taskIdOf,
+  unknownOutcome,
+  type Host,
+  type Outcome,
+  type WorkRequest,
+} from '../model/index.js';
+import type { Done } from '../model/index.js';
+import type { Failed } from '../workers/index.js';
+import { answerFailure } from './dispatcher.js';
+import { combine } from './combine.js';
+import { workerSubject } from './holdings.js';
+import type { JoinReply, PeerMessages } from './messages.js';
+import type { TaskRunner } from './task-runner.js';
+
+const LOOKUP_RETRY_MS = 500;
+const JOIN_TIMEOUT_MS = 60 * 60 * 1000;
+
+/** What to do with an adopted job. */
+export type Found =
+  | { readonly kind: 'run'; readonly request: WorkRequest }
+  | { readonly kind: 'outcome'; readonly outcome: Outcome };
+
+export interface TaskLookup {
+  findOutcome(record: JobRecord): Promise<Found>;
+  /** Waits until it is certain what became of one started task. */
+  findFate(request: WorkRequest, start: RecordedStart): Promise<Fate>;
+}
+
+export type RecordedStart = JobRecord['tasks'][number];
+
+/** `not-started`: certainly never ran; `lost`: certainly ended, and nobody knows how. */
+export type Fate = Done | Failed | { readonly kind: 'not-started' } | { readonly kind: 'lost' };
+
+interface LookupOptions {
+  readonly host: Host;
+  readonly claims: Claims;
+  readonly membership: Membership;
+  readonly links: Links<PeerMessages>;
+  readonly runner: TaskRunner;
+  readonly leaseMs: number;
+  readonly now: () => number;
+  readonly signal: AbortSignal;
+}
+
+export function createTaskLookup(options: LookupOptions): TaskLookup {
+  const { host, claims, membership, links, runner, signal, now } = options;
+
+  async function findOutcome(record: JobRecord): Promise<Found> {
+    const { request } = record;
+    const attempt = Math.max(-1, ...record.tasks.map((start) => start.attempt));
+    const starts = record.tasks.filter((start) => start.attempt === attempt);
+    if (starts.length === 0) return { kind: 'run', request };
+    const fates = await Promise.all(starts.map((start) => findFate(request, start)));
+    return conclude({ ...request, attempt }, fates);
+  }
+
+  async function findFate(request: WorkRequest, start: RecordedStart): Promise<Fate> {
+    const task = taskIdOf({ ...request, attempt: start.attempt }, start.index);
+    let missingSince: number | undefined;
+    while (!signal.aborted) {
+      const reply = await askHolder(start.worker, task);
+      if (reply.kind === 'done' || reply.kind === 'failed') return reply;
+      if (reply.kind === 'never-seen') {
+        return { kind: reply.bootId === start.bootId ? 'not-started' : 'lost' };
+      }
+      const listed = membership
+        .workers(host.dataCentre)
+        .some((worker) => worker.id === start.worker);
+      missingSince = listed ? undefined : (missingSince ?? now());
+      if (missingSince !== undefined && now() > missingSince + options.leaseMs) {
+        return { kind: 'lost' };
+      }
+      await delay(LOOKUP_RETRY_MS, undefined, { ref: false, signal }).catch(() => undefined);
+    }
+    return { kind: 'lost' };
+  }
+
+  async function askHolder(worker: string, task: string): Promise<JoinReply> {
+    const holder = claims.ownerOf(workerSubject(worker))?.host;
+    if (holder === undefined) return { kind: 'not-held' };
+    if (holder === host.id) return (await runner.join(worker, task)) ?? { kind: 'not-held' };
+    const reply = await links.request(
+      holder,
+      'join',
+      { worker, task },
+      { timeoutMs: JOIN_TIMEOUT_MS },
+    );
+    return reply.isOk() ? reply.value : { kind: 'not-held' };
+  }
+
+  return { findOutcome, findFate };
+}
+
+function conclude(request: WorkRequest, fates: readonly Fate[]): Found {
+  const again: Found = {
+    kind: 'run',
+    request: { ...request, attempt: (request.attempt ?? 0) + 1 },
+  };
+  if (fates.every((fate) => fate.kind === 'not-started')) return again;
+  const answers = fates.filter((fate) => fate.kind === 'done' || fate.kind === 'failed');
+  if (answers.length === fates.length) return { kind: 'outcome', outcome: toOutcome(answers) };
+  // Every task has ended, so an idempotent job may start over.
+  if (request.idempotent) return again;
+  const detail = 'A worker restarted while it ran the job; the job may have run.';
+  return { kind: 'outcome', outcome: unknownOutcome(detail) };
+}
+
+function toOutcome(answers: readonly (Done | Failed)[]): Outcome {
+  const [first] = answers;
+  if (first === undefined || answers.length > 1) return combine(answers);
+  return match(first)
+    .with({ kind: 'failed' }, answerFailure)
+    .with({ kind: 'done' }, (done): Outcome => done)
+    .exhaustive();
+}
--- /dev/null
+++ b/src/entry/task-runner.ts
@@ -0,0 +1,169 @@
+/**
+ * Runs placed tasks on held workers. A start whose answer did not arrive is followed by asking the
+ * worker; the task's resources stay charged until it has certainly ended.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import {
+  taskIdOf,
+  refuse,
+  unknownOutcome,
+  type TaskId,
+  type Unknown,
+  type WorkRequest,
+} from '../model/index.js';
+import type { Timeline } from '../timeline/index.js';
+import type { Health, NeverSeen, RunningTask, TaskOutcome } from '../workers/index.js';
+import type { HeldWorker, Holdings } from './holdings.js';
+
+const JOIN_RETRY_MS = 250;
+
+/** A task whose resources and allotment are charged. */
+export interface PlacedTask {
+  readonly request: WorkRequest;
+  readonly index: number;
+  readonly worker: string;
+}
+
+/** How a task ended; `ended` is false if it may still be running. */
+export interface Settlement {
+  readonly outcome: TaskOutcome;
+  readonly ended: boolean;
+}
+
+export interface TaskRunner {
+  run(placed: PlacedTask): Promise<Settlement>;
+  /** Waits for the end of a task that was found on a held worker, then releases its charge. */
+  follow(held: HeldWorker, task: RunningTask): Promise<void>;
+  /** The outcome of a task on a held worker, or undefined if the worker is not held here. */
+  join(worker: string, task: TaskId): Promise<TaskOutcome | NeverSeen | undefined>;
+  running(): number;
+}
+
+interface RunnerOptions {
+  readonly holdings: Holdings;
+  readonly health: Health;
+  readonly timeline: Timeline;
+  readonly release: (task: TaskId, worker: string) => void;
+  readonly owner: string;
+  readonly leaseMs: number;
+  readonly signal: AbortSignal;
+}
+
+export function createTaskRunner(options: RunnerOptions): TaskRunner {
+  const { holdings, health, timeline, signal } = options;
+  let running = 0;
+
+  async function run(placed: PlacedTask): Promise<Settlement> {
+    running += 1;
+    try {
+      return await startAndSettle(placed);
+    } finally {
+      running -= 1;
+    }
+  }
+
+  async function startAndSettle(placed: PlacedTask): Promise<Settlement> {
+    const task = taskIdOf(placed.request, placed.index);
+    const held = holdings.get(placed.worker);
+    if (held === undefined) {
+      options.release(task, placed.worker);
+      const detail = `Worker ${placed.worker} moved to another host before the start.`;
+      return { outcome: refuse('worker-refused', detail), ended: true };
+    }
+    const started = recordEvent(placed, 'task-started', `epoch ${String(held.epoch)}`);
+    holdings.noteStart(placed.worker);
+    const outcome = await held.client.start(describeStart(placed, held, options));
+    const settlement =
+      outcome.kind === 'unknown'
+        ? await resolveDoubt(held, task, outcome)
+        : { outcome, ended: true };
+    finish(placed, held, settlement, started);
+    return settlement;
+  }
+
+  function finish(
+    placed: PlacedTask,
+    held: HeldWorker,
+    { outcome, ended }: Settlement,
+    startedAt: number,
+  ): void {
+    const { request, worker } = placed;
+    const task = taskIdOf(request, placed.index);
+    if (outcome.kind === 'done') health.record(worker, request.entry, true);
+    if (outcome.kind === 'failed') health.record(worker, request.entry, false);
+    if (ended) options.release(task, worker);
+    else void releaseWhenExpired(held, task);
+    const elapsed = `${String(Date.now() - startedAt)} ms`;
+    recordEvent(placed, `task-${outcome.kind}`, 'detail' in outcome ? outcome.detail : elapsed);
+  }
+
+  /** Asks the worker until the task's end is certain or the worker does not know the task. */
+  async function resolveDoubt(held: HeldWorker, task: TaskId, doubt: Unknown): Promise<Settlement> {
+    while (!signal.aborted) {
+      const joined = await held.client.join(task);
+      if (joined.kind === 'done' || joined.kind === 'failed') {
+        return { outcome: joined, ended: true };
+      }
+      // The start may still be on its way to a worker that has not seen the task.
+      if (joined.kind === 'never-seen') {
+        return { outcome: doubt, ended: joined.bootId !== held.bootId };
+      }
+      if (holdings.leasesExpired(held.worker.id)) return { outcome: doubt, ended: true };
+      if (holdings.get(held.worker.id) !== held) return { outcome: doubt, ended: false };
+      await pause(JOIN_RETRY_MS);
+    }
+    return { outcome: doubt, ended: false };
+  }
+
+  async function releaseWhenExpired(held: HeldWorker, task: TaskId): Promise<void> {
+    await pause(options.leaseMs);
+    while (!signal.aborted && holdings.get(held.worker.id) === held) {
+      const joined = await held.client.join(task);
+      if (joined.kind !== 'unknown' || holdings.leasesExpired(held.worker.id)) break;
+      await pause(JOIN_RETRY_MS);
+    }
+    options.release(task, held.worker.id);
+  }
+
+  async function follow(held: HeldWorker, task: RunningTask): Promise<void> {
+    const doubt = unknownOutcome(`Worker ${held.worker.id} did not answer.`);
+    await resolveDoubt(held, task.id, doubt);
+    if (holdings.get(held.worker.id) === held) options.release(task.id, held.worker.id);
+  }
+
+  async function pause(ms: number): Promise<void> {
+    await delay(ms, undefined, { ref: false, signal }).catch(() => undefined);
+  }
+
+  function recordEvent({ request, worker }: PlacedTask, kind: string, detail: string): number {
+    timeline.record({ kind, request: request.id, team: request.team, worker, detail });
+    return Date.now();
+  }
+
+  return {
+    run,
+    follow,
+    join: async (worker, task) => holdings.get(worker)?.client.join(task),
+    running: () => running,
+  };
+}
+
+function describeStart(
+  { request, index }: PlacedTask,
+  held: HeldWorker,
+  { owner, leaseMs }: RunnerOptions,
+) {
+  return {
+    id: taskIdOf(request, index),
+    team: request.team,
+    entry: request.entry,
+    class: request.class,
+    size: request.size,
+    chargedTo: owner,
+    epoch: held.epoch,
+    leaseMs,
+    maxRunMs: request.maxRunMs,
+    input: request.input,
+    contentType: request.contentType,
+  };
+}
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -10,7 +10,7 @@
   type Refused,
   type Unknown,
 } from '../model/index.js';
-import type { Bucket, Service } from './bucket.js';
+import { endService, type Bucket, type Service } from './bucket.js';
 import type { Copies } from './copies.js';
 import type { HomesOptions } from './homes-options.js';
 import type { Admission, IdRecord } from './id-record.js';
@@ -109,7 +109,7 @@
   const confirmed = await options.confirmOwner(bucket.number, service.epoch);
   if (confirmed === 'owner') return 'run';
   if (confirmed === 'unavailable') return answerWithoutStore(options);
-  if (bucket.service === service) bucket.service = undefined;
+  if (bucket.service === service) endService(bucket);
   return movedHome();
 }
 
--- a/src/requests/bucket.ts
+++ b/src/requests/bucket.ts
@@ -5,15 +5,11 @@
  */
 import { unknownOutcome } from '../model/index.js';
 import type { HomesOptions } from './homes-options.js';
-import type { IdRecord } from './id-record.js';
+import type { IdRecord, Served } from './id-record.js';
 import { createIdTable, type IdTable } from './id-table.js';
 
 /** This host's time as the home of a bucket under one epoch. */
-export interface Service {
-  readonly epoch: number;
-  /** Ids minted up to this time may have run at a former home. */
-  readonly knownSince: number;
-}
+export type Service = Served;
 
 export interface Bucket {
   readonly number: number;
@@ -22,6 +18,8 @@
   epoch: number;
   /** Present while this host is the home. */
   service?: Service | undefined;
+  /** The last time as home that has ended; the table holds every id that it admitted. */
+  lastService?: Service | undefined;
 }
 
 /** Digest of an id whose copies disagree: one of them was refused before it ran. */
@@ -39,9 +37,13 @@
 /** Notes an epoch; a home under a lower one stops serving. */
 export function raiseEpoch(bucket: Bucket, epoch: number): void {
   bucket.epoch = Math.max(bucket.epoch, epoch);
-  if (bucket.service !== undefined && bucket.service.epoch < bucket.epoch) {
-    bucket.service = undefined;
-  }
+  if (bucket.service !== undefined && bucket.service.epoch < bucket.epoch) endService(bucket);
+}
+
+/** Stops being the home. */
+export function endService(bucket: Bucket): void {
+  bucket.lastService = bucket.service ?? bucket.lastService;
+  bucket.service = undefined;
 }
 
 /** Keeps a copy that the present home sends. */
--- a/src/requests/homes.ts
+++ b/src/requests/homes.ts
@@ -12,7 +12,14 @@
   judgeUnseen,
   movedHome,
 } from './admission.js';
-import { createBucket, keepCopy, mergeRecord, raiseEpoch, type Bucket } from './bucket.js';
+import {
+  createBucket,
+  endService,
+  keepCopy,
+  mergeRecord,
+  raiseEpoch,
+  type Bucket,
+} from './bucket.js';
 import { createCopies, listRecords, type Copies } from './copies.js';
 import type { HomesOptions } from './homes-options.js';
 import type {
@@ -21,9 +28,12 @@
   FenceReply,
   RememberMessage,
   RememberReply,
+  Served,
 } from './id-record.js';
 import { BUCKETS, bucketOf } from './locate-home.js';
 
+const FIRST_EPOCH = 1;
+
 /** The homes on one host, and the copies that it keeps for other homes. */
 export interface Homes {
   /** Makes the admission decision for a request id at its home, before anything is sent. */
@@ -32,9 +42,10 @@
   complete(team: string, id: string, outcome: Outcome): void;
   /**
    * Becomes the home of a bucket. Rejects if a live host did not acknowledge the fence or if there
-   * is a later home; the caller tries again while it holds the claim.
+   * is a later home; the caller tries again while it holds the claim. If the former home answers,
+   * even while it leaves, this host knows every id that the former home admitted.
    */
-  takeOver(bucket: number, epoch: number): Promise<void>;
+  takeOver(bucket: number, epoch: number, formerHome?: string): Promise<void>;
   /** Stops serving a bucket whose claim was lost. */
   stop(bucket: number, epoch: number): void;
   /** On the host that keeps the copy. */
@@ -64,10 +75,11 @@
       delete entry.local;
       copies.queueOutcome(bucket, entry);
     },
-    takeOver: (number, epoch) => takeOver(bucketAt(buckets, number), epoch, options),
+    takeOver: (number, epoch, formerHome) =>
+      takeOver(bucketAt(buckets, number), { epoch, formerHome }, options),
     stop: (number, epoch) => {
       const bucket = bucketAt(buckets, number);
-      if (bucket.service !== undefined && bucket.service.epoch <= epoch) bucket.service = undefined;
+      if (bucket.service !== undefined && bucket.service.epoch <= epoch) endService(bucket);
     },
     remember: (message) => remember(bucketAt(buckets, message.bucket), message, options),
     fence: (message) => fence(bucketAt(buckets, message.bucket), message),
@@ -104,17 +116,41 @@
   return decision;
 }
 
-async function takeOver(bucket: Bucket, epoch: number, options: HomesOptions): Promise<void> {
+interface Takeover {
+  readonly epoch: number;
+  readonly formerHome: string | undefined;
+}
+
+async function takeOver(
+  bucket: Bucket,
+  { epoch, formerHome }: Takeover,
+  options: HomesOptions,
+): Promise<void> {
   if (bucket.service?.epoch === epoch) return;
   raiseEpoch(bucket, epoch);
-  await Promise.all(
-    options.copyHosts(bucket.number).map((host) => fenceHost(bucket, epoch, host, options)),
+  const hosts = new Set(options.copyHosts(bucket.number));
+  if (formerHome !== undefined && formerHome !== options.host) hosts.add(formerHome);
+  const served = await Promise.all(
+    [...hosts].map((host) => fenceHost(bucket, epoch, host, options)),
   );
   if (bucket.epoch > epoch) {
     throw new Error(`bucket ${String(bucket.number)} has a home with a higher epoch`);
   }
-  // The former home may have admitted ids until the last host was fenced.
-  bucket.service = { epoch, knownSince: options.now() + options.maxClockSkewMs };
+  const knownSince = findKnownSince(epoch, [bucket.lastService, ...served]);
+  // A former home that did not answer may have admitted ids until the last host was fenced.
+  bucket.service = { epoch, knownSince: knownSince ?? options.now() + options.maxClockSkewMs };
+}
+
+/**
+ * Epochs rise by one with each owner, so the home of the epoch before is the former one, and all
+ * that it admitted was merged with its reply. Before the first epoch nothing was admitted.
+ */
+function findKnownSince(
+  epoch: number,
+  served: readonly (Served | undefined)[],
+): number | undefined {
+  if (epoch === FIRST_EPOCH) return 0;
+  return served.find((service) => service?.epoch === epoch - 1)?.knownSince;
 }
 
 async function fenceHost(
@@ -122,14 +158,17 @@
   epoch: number,
   host: string,
   options: HomesOptions,
-): Promise<void> {
+): Promise<Served | undefined> {
   const reply = await options.sendFence(host, { bucket: bucket.number, epoch });
   if (reply !== undefined) {
     raiseEpoch(bucket, reply.epoch);
     for (const record of reply.records) mergeRecord(bucket, record);
-  } else if (options.copyHosts(bucket.number).includes(host)) {
+    return reply.served;
+  }
+  if (options.copyHosts(bucket.number).includes(host)) {
     throw new Error(`${host} is live and did not acknowledge the fence`);
   }
+  return undefined;
 }
 
 function remember(bucket: Bucket, message: RememberMessage, options: HomesOptions): RememberReply {
@@ -145,5 +184,6 @@
 function fence(bucket: Bucket, message: FenceMessage): FenceReply {
   if (message.epoch < bucket.epoch) return { epoch: bucket.epoch, records: [] };
   raiseEpoch(bucket, message.epoch);
-  return { epoch: bucket.epoch, records: listRecords(bucket) };
+  const served = bucket.lastService;
+  return { epoch: bucket.epoch, records: listRecords(bucket), ...(served && { served }) };
 }
--- a/src/requests/id-record.ts
+++ b/src/requests/id-record.ts
@@ -39,6 +39,15 @@
 export interface FenceReply {
   readonly epoch: number;
   readonly records: readonly IdRecord[];
+  /** The host's last time as home of the bucket; `records` holds every id that it admitted. */
+  readonly served?: Served;
+}
+
+/** A host's time as home of a bucket. */
+export interface Served {
+  readonly epoch: number;
+  /** Ids minted up to this time may have run at an earlier home. */
+  readonly knownSince: number;
 }
 
 /** A request that was admitted before; `outcome` resolves when it ends. */
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -25,6 +25,7 @@
 import { createPool, type Slot } from './pool.js';
 import { createQueues, type Item, type ItemQueue } from './queue.js';
 import { createShapes } from './shapes.js';
+import { listQueued } from './queued-work.js';
 import { createUrgency } from './urgency.js';
 import { createUsage } from './usage.js';
 
@@ -61,6 +62,17 @@
    */
   reserve(request: WorkRequest, count: number, firstTask?: number): readonly Decision[];
   load(): LoadSummary;
+  /** Queued requests by catalogue entry. */
+  queued(): readonly QueuedWork[];
+}
+
+/** Queued requests of one team and catalogue entry. */
+export interface QueuedWork {
+  readonly team: string;
+  readonly entry: string;
+  readonly class: WorkClass;
+  readonly queued: number;
+  readonly oldestWaitMs: number;
 }
 
 export interface SchedulerOptions {
@@ -366,6 +378,7 @@
     drain: () => [...expired.splice(0), ...takeAll(queues.takeAll())],
     waitingGang,
     reserve,
+    queued: () => listQueued(queues, now()),
     load: () => summarize({ ...options, pool, queues, usage }),
   };
 }
--- a/src/settings/rules.ts
+++ b/src/settings/rules.ts
@@ -8,12 +8,24 @@
 export function checkSettingsRules(source: SourceDocument): readonly Finding[] {
   const root = membersOf(source.value);
   return [
+    ...checkDataCentres(source, root),
     ...checkTimers(source, root.timers),
     ...checkLinks(source, membersOf(root.links)),
     ...checkPeers(source, root.peers),
   ];
 }
 
+function checkDataCentres(
+  source: SourceDocument,
+  root: Readonly<Record<string, unknown>>,
+): readonly Finding[] {
+  const own = membersOf(root.host).dataCentre;
+  const all: unknown = root.dataCentres;
+  if (!Array.isArray(all) || typeof own !== 'string' || all.includes(own)) return [];
+  const problem = `the list lacks the data centre "${own}" of this host`;
+  return [source.findingAt(['dataCentres'], problem, `add "${own}" or correct host.dataCentre`)];
+}
+
 function checkTimers(source: SourceDocument, raw: unknown): readonly Finding[] {
   const parsed = timersSchema.safeParse(raw ?? {});
   if (!parsed.success) return [];
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -13,6 +13,7 @@
 const FILE_FIX = 'write the path of a PEM file';
 const HASH_FIX = 'write the SHA-256 of the secret as 64 lower-case hexadecimal digits';
 const WEIGHT_FIX = 'write a weight of at least 0';
+const DATA_CENTRES_FIX = 'list the names of all data centres of the deployment';
 const URGENT_FIX = 'write a fraction from 0 to 1';
 
 const address = z.union([z.ipv4(), z.ipv6()], ADDRESS_FIX);
@@ -87,6 +88,7 @@
 export const settingsSchema = mapping({
   host: hostSchema,
   listen: mapping({ address: address.default('0.0.0.0'), port }),
+  dataCentres: z.array(nameField, DATA_CENTRES_FIX).min(1, DATA_CENTRES_FIX),
   advertise: url(HTTP),
   links: linksSchema,
   store: url(HTTP),
@@ -100,5 +102,6 @@
   timers: timersSchema.prefault({}),
   scheduling: schedulingSchema.prefault({}),
   limits: limitsSchema.prefault({}),
+  faultInjection: z.boolean('write true or false').default(false),
   operators: operatorsSchema.prefault({}),
 });
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -62,6 +62,11 @@
   readonly host: { readonly id: string; readonly dataCentre: string };
   /** Listener for callers and operators. */
   readonly listen: ListenAddress;
+  /**
+   * All data centres of the deployment, the same on every host: the home of a request id is found
+   * from this list. Changing it needs a pause of at least the greatest age of ids.
+   */
+  readonly dataCentres: readonly string[];
   /** The URL under which callers, operators and peers reach the listener. */
   readonly advertise: string;
   readonly links: LinkSettings;
@@ -79,6 +84,8 @@
   readonly timers: Timers;
   readonly scheduling: SchedulingSettings;
   readonly limits: Limits;
+  /** Whether link faults can be switched on over HTTP; for tests only. */
+  readonly faultInjection: boolean;
   readonly operators: {
     /** Hash of an operator key that is accepted while no operator key is in force. */
     readonly bootstrapKeyHash?: string | undefined;
--- /dev/null
+++ b/stand-ins/cell.ts
@@ -0,0 +1,205 @@
+/**
+ * Starts a whole cell as separate processes on the loopback interface: the stand-ins of the
+ * platform, workers, and entry daemons in several data centres.
+ */
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
+import { stringify } from 'yaml';
+import { hashSecret } from '../src/catalogue/index.js';
+import {
+  command,
+  startHostList,
+  startKeyValue,
+  startProcess,
+  startWorkerProcess,
+  type RunningProcess,
+  type StartedWorker,
+  type WorkersProcess,
+} from './control.js';
+import { createOperator, type Operator } from './operator.js';
+
+/** One data centre of a cell. */
+export interface DataCentreSpec {
+  readonly name: string;
+  readonly hosts: number;
+  /** Workers as the worker stand-in takes them, without their data centre. */
+  readonly workers: readonly object[];
+}
+
+export interface CellOptions {
+  readonly dataCentres: readonly DataCentreSpec[];
+  readonly catalogue: string;
+  /** Settings that replace the defaults, for example `timers`. */
+  readonly settings?: object;
+  readonly readyTimeoutMs?: number;
+}
+
+/** A running entry daemon. */
+export interface EntryProcess extends RunningProcess {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly linkUrl: string;
+}
+
+export interface Cell {
+  readonly keyValue: RunningProcess;
+  readonly hostList: RunningProcess;
+  readonly workers: WorkersProcess;
+  /** Running daemons, in the order of their ids. */
+  readonly hosts: EntryProcess[];
+  readonly operator: Operator;
+  /** Starts a daemon under an id that is new or whose process has ended. */
+  startHost(id: string, dataCentre: string): Promise<EntryProcess>;
+  /** Publishes the present hosts and workers in the host list. */
+  publishFleet(changes?: FleetChanges): Promise<void>;
+  /** Waits until every host runs the configuration and every live worker is held. */
+  ready(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+export interface FleetChanges {
+  /** Ids of workers that the host list shows as leaving. */
+  readonly leaving?: readonly string[];
+  /** Ids of workers that the host list lacks. */
+  readonly without?: readonly string[];
+}
+
+const ENTRY_SCRIPT = fileURLToPath(new URL('../src/bin/sapphirewing-entry.js', import.meta.url));
+/** Accepted as the bootstrap key, and in force if the catalogue holds its hash. */
+export const OPERATOR_KEY = 'operator-key-of-the-cell';
+const LINK_SECRET = 'a-secret-between-the-hosts-of-the-cell';
+const READY_TIMEOUT_MS = 20_000;
+const READY_POLL_MS = 50;
+const HTTP_OK = 200;
+
+export async function startCell(options: CellOptions): Promise<Cell> {
+  const folder = await mkdtemp(join(tmpdir(), 'sapphirewing-'));
+  const [keyValue, hostList, workers] = await Promise.all([
+    startKeyValue(),
+    startHostList(),
+    startWorkerProcess(
+      options.dataCentres.flatMap(({ name, workers: specs }) =>
+        specs.map((spec) => ({ ...spec, dataCentre: name })),
+      ),
+    ),
+  ]);
+  const hosts: EntryProcess[] = [];
+
+  async function startHost(id: string, dataCentre: string): Promise<EntryProcess> {
+    const file = join(folder, `${id}.yaml`);
+    const settings = describeSettings({ id, dataCentre, keyValue, hostList, options });
+    await writeFile(file, stringify(settings));
+    const started = await startProcess({ script: ENTRY_SCRIPT, args: ['--settings', file] });
+    const linkUrl = /^listening \S+ (?<link>\S+)/m.exec(started.output())?.groups?.link ?? '';
+    const entry = { ...started, id, dataCentre, linkUrl };
+    const place = hosts.findIndex((host) => host.id === id);
+    if (place < 0) hosts.push(entry);
+    else hosts[place] = entry;
+    return entry;
+  }
+
+  async function publishFleet({ leaving = [], without = [] }: FleetChanges = {}): Promise<void> {
+    await command(hostList.url, 'PUT', '/control/fleet?immediate=true', {
+      hosts: hosts.map(({ id, dataCentre, url, linkUrl }) => {
+        return { id, dataCentre, url, linkUrl, state: 'live' };
+      }),
+      workers: workers.workers
+        .filter(({ id }) => !without.includes(id))
+        .map((worker) => ({ ...worker, state: leaving.includes(worker.id) ? 'leaving' : 'live' })),
+    });
+  }
+
+  const operator = createOperator(() => hosts, OPERATOR_KEY);
+  const cell: Cell = {
+    keyValue,
+    hostList,
+    workers,
+    hosts,
+    operator,
+    startHost,
+    publishFleet,
+    ready: () =>
+      waitUntilReady(operator, hosts, workers.workers, options.readyTimeoutMs ?? READY_TIMEOUT_MS),
+    stop: async () => {
+      await Promise.all(hosts.map((host) => host.stop('SIGKILL')));
+      await Promise.all([keyValue, hostList, workers].map((standIn) => standIn.stop('SIGKILL')));
+      await rm(folder, { recursive: true, force: true });
+    },
+  };
+  try {
+    await startHosts(cell, options);
+    return cell;
+  } catch (error) {
+    await cell.stop();
+    throw error;
+  }
+}
+
+async function startHosts(cell: Cell, options: CellOptions): Promise<void> {
+  await Promise.all(
+    options.dataCentres.flatMap(({ name, hosts }) =>
+      Array.from({ length: hosts }, (_, index) =>
+        cell.startHost(`${name}-host-${String(index + 1)}`, name),
+      ),
+    ),
+  );
+  cell.hosts.sort((left, right) => left.id.localeCompare(right.id));
+  await cell.publishFleet();
+  const applied = await cell.operator.apply(options.catalogue);
+  if (applied.status !== HTTP_OK) {
+    throw new Error(`The catalogue was not applied: ${applied.detail}`);
+  }
+  await cell.ready();
+}
+
+interface HostPlan {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly keyValue: RunningProcess;
+  readonly hostList: RunningProcess;
+  readonly options: CellOptions;
+}
+
+function describeSettings({ id, dataCentre, keyValue, hostList, options }: HostPlan): object {
+  return {
+    host: { id, dataCentre },
+    dataCentres: options.dataCentres.map(({ name }) => name),
+    listen: { address: '127.0.0.1', port: 0 },
+    advertise: 'http://127.0.0.1:0',
+    links: {
+      address: '127.0.0.1',
+      port: 0,
+      advertise: 'ws://127.0.0.1:0',
+      secret: LINK_SECRET,
+    },
+    store: keyValue.url,
+    hostList: hostList.url,
+    log: { level: 'warn' },
+    operators: { bootstrapKeyHash: hashSecret(OPERATOR_KEY) },
+    ...options.settings,
+  };
+}
+
+/** Ready means: held by a live host, and seen as such by every host. */
+async function waitUntilReady(
+  operator: Operator,
+  hosts: readonly EntryProcess[],
+  workers: readonly StartedWorker[],
+  timeoutMs: number,
+): Promise<void> {
+  const giveUpAt = Date.now() + timeoutMs;
+  let state = '';
+  while (Date.now() < giveUpAt) {
+    const [hostRows, workerRows] = await Promise.all([operator.hosts(), operator.workers()]);
+    const current = hostRows.filter((row) => row.revision > 0 && row.keysCurrent).length;
+    state = `${String(current)} of ${String(hosts.length)} hosts and ${String(workerRows.length)} of ${String(workers.length)} workers are ready`;
+    if (current === hosts.length && workerRows.length >= workers.length) return;
+    await delay(READY_POLL_MS);
+  }
+  throw new Error(
+    `The cell is not ready: ${state}.\n${hosts.map((host) => host.output()).join('')}`,
+  );
+}
--- a/test/settings/settings.test.ts
+++ b/test/settings/settings.test.ts
@@ -7,6 +7,7 @@
 links: { port: 0, advertise: 'ws://127.0.0.1:7001', secret: sixteen-letters-x }
 store: http://127.0.0.1:7002
 hostList: http://127.0.0.1:7003
+dataCentres: [dc1, dc2]
 `;
 
 function findingsOf(text: string): readonly string[] {
@@ -47,8 +48,8 @@
       '1:1 "dataCentre" is missing',
       '1:17 unknown field "datacenter"',
       '5:8 "store" is "ftp://127.0.0.1:7002"',
-      '7:58 "leaseMs" is 0.5',
-      '9:37 "url" is "x"',
+      '8:58 "leaseMs" is 0.5',
+      '10:37 "url" is "x"',
     ]);
   });
 
@@ -61,17 +62,17 @@
     [
       'a lease that ends before peers renew it',
       'timers: { leaseMs: 5000 }',
-      /^7:20 leases of a dead/,
+      /^8:20 leases of a dead/,
     ],
     [
       'a suspicion timeout within one heartbeat',
       'timers: { heartbeatMs: 5000 }',
-      /^7:1 live peers/,
+      /^8:1 live peers/,
     ],
     [
       'a peer that is listed twice',
       'peers:\n  - { id: p1, dataCentre: dc1, url: http://p1, linkUrl: ws://p1 }\n  - { id: p1, dataCentre: dc2, url: http://p2, linkUrl: ws://p2 }',
-      /^9:11 duplicate peer "p1"/,
+      /^10:11 duplicate peer "p1"/,
     ],
   ] as const;
   for (const [mistake, line, expected] of contradictions) {
@@ -82,6 +83,12 @@
     });
   }
 
+  it('report a list of data centres without the own one, which would move every home', () => {
+    expect(findingsOf(VALID.replace('[dc1, dc2]', '[dc2]'))).to.deep.equal([
+      '7:14 the list lacks the data centre "dc1" of this host',
+    ]);
+  });
+
   it('report links whose URL promises TLS without a certificate', () => {
     expect(findingsOf(VALID.replace('ws:', 'wss:'))[0]).to.match(
       /^4:30 the advertised URL uses TLS/,
