Split the callers' interface, use the policy weights, and meter outcomes

An id that is too old is now answered unknown. Volatile entries are dropped: their starts could not be recorded during an outage, so a host that takes such a job over could not tell whether it runs.

--- /dev/null
+++ b/src/callers/authorization.ts
@@ -0,0 +1,142 @@
+/**
+ * Decides who may submit what: the key that came with a submission, the team that it stands for, and
+ * the checks that need no queue.
+ */
+import type { Context } from 'hono';
+import { findKey } from '../catalogue/index.js';
+import {
+  mintedAt,
+  refuse,
+  unknownOutcome,
+  type CatalogueEntry,
+  type Configuration,
+  type Refused,
+  type Unknown,
+} from '../model/index.js';
+import type { CallerBackend, CallerLimits, CallerOptions } from './backend.js';
+import type { Submission } from './submission.js';
+
+const KEYS_RETRY_MS = 1000;
+const SHUTDOWN_RETRY_MS = 1000;
+
+/** The entry that a submission names and the team that the work is charged to. */
+export interface Authorized {
+  readonly entry: CatalogueEntry;
+  readonly team: string;
+}
+
+/** Checks everything that can be decided before the request enters a queue. */
+export function checkSubmission(
+  options: CallerOptions,
+  context: Context,
+  submission: Submission,
+): Authorized | Refused | Unknown {
+  const { backend, limits } = options;
+  const configuration = backend.configuration();
+  if (!backend.accepting()) {
+    return refuse(
+      'shutting-down',
+      'This host is leaving; send the request to another one.',
+      SHUTDOWN_RETRY_MS,
+    );
+  }
+  if (configuration === undefined) {
+    return refuse(
+      'keys-not-current',
+      'This host has no configuration yet; try again.',
+      KEYS_RETRY_MS,
+    );
+  }
+  const entry = configuration.entries.get(submission.entry);
+  if (entry === undefined) {
+    return refuse(
+      'unknown-entry',
+      `The catalogue has no entry "${submission.entry}"; correct the name.`,
+    );
+  }
+  const team = authorize(backend, configuration, entry, bearerOf(context));
+  if (typeof team !== 'string') return team;
+  if (submission.input.byteLength > entry.maxInputBytes) return tooLarge(entry.maxInputBytes);
+  return checkId(submission.id, options.now(), limits) ?? { entry, team };
+}
+
+/** The team that the work is charged to, or why the key does not allow the work. */
+function authorize(
+  backend: CallerBackend,
+  configuration: Configuration,
+  entry: CatalogueEntry,
+  secret: string | undefined,
+): string | Refused {
+  if (entry.open) return entry.owner;
+  const key = identify(backend, configuration, secret);
+  if ('kind' in key) return key;
+  if (key.team === entry.owner) return key.team;
+  return refuse(
+    'wrong-team',
+    `The key belongs to team "${key.team}" and the entry "${entry.name}" to another team; use a key of the owner.`,
+  );
+}
+
+function identify(
+  backend: CallerBackend,
+  configuration: Configuration,
+  secret: string | undefined,
+): { readonly team: string } | Refused {
+  if (secret === undefined) {
+    return refuse('not-authorized', 'Send the key of a team as "Authorization: Bearer <key>".');
+  }
+  if (!backend.keysCurrent()) {
+    return refuse(
+      'keys-not-current',
+      'This host cannot tell whether keys were withdrawn; try another host or try again.',
+      KEYS_RETRY_MS,
+    );
+  }
+  const key = findKey(configuration, secret);
+  if (key?.role !== 'submitter') {
+    return refuse('not-authorized', 'The key is not in force; ask an operator for a new one.');
+  }
+  return key;
+}
+
+/** An id that is too old may have run and been forgotten, so that is not a refusal. */
+function checkId(
+  id: string | undefined,
+  now: number,
+  { maxIdAgeMs, maxClockSkewMs }: CallerLimits,
+): Refused | Unknown | undefined {
+  if (id === undefined) return undefined;
+  const age = now - mintedAt(id);
+  if (age > maxIdAgeMs) {
+    return unknownOutcome(
+      `The id is older than ${String(maxIdAgeMs)} ms, so a repeat can no longer be told from a new request. This submission did not run; mint a new id if no earlier one did.`,
+    );
+  }
+  if (age < -maxClockSkewMs) {
+    return refuse(
+      'id-in-future',
+      `The id was minted more than ${String(maxClockSkewMs)} ms in the future; correct the clock.`,
+    );
+  }
+  return undefined;
+}
+
+/** Requests of open entries belong to the owner of the entry, whose key reads them. */
+export function identifyCaller(options: CallerOptions, context: Context): string | Refused {
+  const configuration = options.backend.configuration();
+  if (configuration === undefined) {
+    return refuse('keys-not-current', 'This host has no configuration yet.', KEYS_RETRY_MS);
+  }
+  const key = identify(options.backend, configuration, bearerOf(context));
+  return 'kind' in key ? key : key.team;
+}
+
+export function tooLarge(limit: number): Refused {
+  return refuse('too-large', `The input is larger than ${String(limit)} bytes; send less.`);
+}
+
+/** The secret that a request presents as its bearer token. */
+export function bearerOf(context: Context): string | undefined {
+  const header = context.req.header('authorization');
+  return header?.startsWith('Bearer ') === true ? header.slice('Bearer '.length) : undefined;
+}
--- /dev/null
+++ b/src/callers/backend.ts
@@ -0,0 +1,43 @@
+/**
+ * What an entry host does for its callers.
+ */
+import type {
+  Cancellation,
+  Configuration,
+  Outcome,
+  RequestStatus,
+  WorkRequest,
+} from '../model/index.js';
+
+/** What became of a submission: accepted for later, or an outcome. */
+export type SubmissionResult =
+  | { readonly kind: 'accepted'; readonly outcome: Promise<Outcome> }
+  | { readonly kind: 'outcome'; readonly outcome: Outcome };
+
+/** What the entry host does for its callers. */
+export interface CallerBackend {
+  configuration(): Configuration | undefined;
+  /** Whether the keys in force are known to be current. */
+  keysCurrent(): boolean;
+  /** Whether the host takes new work. */
+  accepting(): boolean;
+  submit(request: WorkRequest): Promise<SubmissionResult>;
+  status(team: string, id: string, waitMs: number): Promise<RequestStatus | 'not-found' | Outcome>;
+  cancel(team: string, id: string): Promise<Cancellation | Outcome>;
+}
+
+/** Limits of the callers' interface, from the settings. */
+export interface CallerLimits {
+  /** Largest request body of any entry, in bytes. */
+  readonly maxBodyBytes: number;
+  /** Oldest accepted request id, in milliseconds. */
+  readonly maxIdAgeMs: number;
+  /** How far a caller's clock may be ahead, in milliseconds. */
+  readonly maxClockSkewMs: number;
+}
+
+export interface CallerOptions {
+  readonly backend: CallerBackend;
+  readonly limits: CallerLimits;
+  readonly now: () => number;
+}
--- a/src/callers/problem.ts
+++ b/src/callers/problem.ts
@@ -12,7 +12,6 @@
   'wrong-team': 403,
   'unknown-entry': 404,
   'id-conflict': 409,
-  'id-too-old': 410,
   cancelled: 410,
   'too-large': 413,
   'id-in-future': 422,
@@ -60,7 +59,7 @@
   const { reason, detail, retryAfterMs } = refused;
   return createProblem({
     status: REFUSAL_STATUS[reason],
-    title: 'The request was refused and did not run',
+    title: 'The submission was refused and did not run',
     detail,
     headers:
       retryAfterMs === undefined
--- a/src/catalogue/schema.ts
+++ b/src/catalogue/schema.ts
@@ -63,7 +63,6 @@
   maxQueued: wholeNumber('requests', 1).default(DEFAULT_MAX_QUEUED),
   maxAttempts: wholeNumber('starts', 1).optional(),
   open: booleanField.default(false),
-  volatile: booleanField.default(false),
 });
 
 export const teamSchema = mapping({
@@ -93,7 +92,6 @@
     maxQueued: entry.maxQueued,
     maxAttempts: entry.maxAttempts ?? (entry.idempotent ? IDEMPOTENT_ATTEMPTS : 1),
     open: entry.open,
-    volatile: entry.volatile,
   };
 }
 
--- a/src/entry/loops.ts
+++ b/src/entry/loops.ts
@@ -6,6 +6,7 @@
 import type { Claim } from '../claims/index.js';
 import { choosePeers } from '../hosts/index.js';
 import { isWorkerClaim, workerOf } from './holdings.js';
+import { meterHost } from './metering.js';
 import type { Parts } from './parts.js';
 import { bucketSubject } from './request-service.js';
 
@@ -30,6 +31,7 @@
   void parts.configuration.start(signal);
   repeat('heartbeats', heartbeatMs, () => {
     parts.sendHeartbeats();
+    meterHost(parts);
     return Promise.resolve();
   });
   repeat('fleet', FLEET_INTERVAL_MS, async () => {
--- a/src/entry/parts.ts
+++ b/src/entry/parts.ts
@@ -18,7 +18,7 @@
   type Homes,
   type RequestTable,
 } from '../requests/index.js';
-import { createScheduler, type Scheduler } from '../scheduling/index.js';
+import { choosePolicy, createScheduler, type Scheduler } from '../scheduling/index.js';
 import { createAllotments, type Allotments } from '../teams/index.js';
 import { createHealth, createWorkerClient, type Health } from '../workers/index.js';
 import { createCanceller, type Canceller } from './cancellation.js';
@@ -220,6 +220,8 @@
     maxQueued: (entry) =>
       configuration.current()?.entries.get(entry)?.maxQueued ?? DEFAULT_MAX_QUEUED,
     urgentShare: settings.scheduling.urgentShare,
+    agingMs: settings.scheduling.maxWaitBoostMs,
+    ...choosePolicy(settings.scheduling.weights),
   });
   return scheduler;
 }
@@ -320,6 +322,7 @@
     table,
     timeline,
     connected,
+    metrics: foundation.metrics,
     now,
   });
   const canceller = createCanceller({ dispatcher, jobs, holdings, table, links, cancelled });
--- a/src/entry/request-service.ts
+++ b/src/entry/request-service.ts
@@ -7,6 +7,7 @@
 import type { SubmissionResult } from '../callers/index.js';
 import type { Claims } from '../claims/index.js';
 import type { Membership } from '../hosts/index.js';
+import type { Metrics } from '../metrics/index.js';
 import {
   refuse,
   unknownOutcome,
@@ -21,6 +22,7 @@
 import type { Forwarding } from './forwarding.js';
 import type { Interactive } from './interactive.js';
 import type { Jobs } from './jobs.js';
+import { meterOutcome } from './metering.js';
 import type { ForwardMessage, ForwardReply } from './messages.js';
 
 export interface RequestService {
@@ -42,6 +44,7 @@
   readonly table: RequestTable;
   readonly timeline: Timeline;
   readonly connected: () => readonly string[];
+  readonly metrics: Metrics;
   readonly now: () => number;
 }
 
@@ -62,7 +65,13 @@
       team: request.team,
       detail: request.entry,
     });
-    return request.callerId ? atHome(request) : admit(request);
+    const result = await (request.callerId ? atHome(request) : admit(request));
+    const meter = (outcome: Outcome) => {
+      meterOutcome(options.metrics, request, outcome, options.now());
+    };
+    if (result.kind === 'outcome') meter(result.outcome);
+    else void result.outcome.then(meter);
+    return result;
   }
 
   /** Only the home of an id may decide whether the request runs. */
--- a/src/model/outcome.ts
+++ b/src/model/outcome.ts
@@ -11,7 +11,6 @@
   | 'not-authorized'
   | 'wrong-team'
   | 'keys-not-current'
-  | 'id-too-old'
   | 'id-in-future'
   | 'id-conflict'
   | 'never-fits'
--- a/src/model/work.ts
+++ b/src/model/work.ts
@@ -36,8 +36,6 @@
   readonly maxAttempts: number;
   /** Open entries take requests without a key; the work is charged to the owner. */
   readonly open: boolean;
-  /** Whether a job may be accepted into the memory of two hosts while the store is away. */
-  readonly volatile: boolean;
 }
 
 /** A team that shares the cell. */
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -50,7 +50,7 @@
   if (minted <= service.knownSince) {
     return unknownOutcome('The id may have run at a former home that has died.');
   }
-  // Not `id-too-old`: the id may have run and been forgotten, and a refusal would deny that.
+  // Not a refusal: the id may have run and been forgotten.
   if (now - minted > options.maxIdAgeMs + options.maxClockSkewMs) {
     return unknownOutcome('The id is older than the ids that are remembered.');
   }
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -4,4 +4,5 @@
 export * from './never-fits.js';
 export * from './order.js';
 export * from './placement.js';
+export * from './policy.js';
 export * from './scheduler.js';
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -47,7 +47,7 @@
   };
   /** Largest fraction of the starts that interactive work takes while other work waits. */
   readonly urgentShare: number;
-  /** Wait after which the priority of a waiting job no longer rises. */
+  /** Wait after which a deferrable job goes ahead of interactive requests. */
   readonly maxWaitBoostMs: number;
 }
 
