--- a/src/entry/retry-budget.ts
+++ b/src/entry/retry-budget.ts
@@ -3,8 +3,8 @@
  * overloaded or failing cell.
  */
 
-/** Retries allowed per success. */
-const RETRIES_PER_SUCCESS = 0.1;
+/** Successes that pay for one retry. */
+const SUCCESSES_PER_RETRY = 10;
 /** Retries allowed before any success, and the most that can be saved up. */
 const BURST = 20;
 
@@ -15,14 +15,15 @@
 }
 
 export function createRetryBudget(burst = BURST): RetryBudget {
-  let tokens = burst;
+  /** Counted in successes, because tenths of a retry do not add up exactly. */
+  let credit = burst * SUCCESSES_PER_RETRY;
   return {
     noteSuccess: () => {
-      tokens = Math.min(burst, tokens + RETRIES_PER_SUCCESS);
+      credit = Math.min(burst * SUCCESSES_PER_RETRY, credit + 1);
     },
     take: () => {
-      if (tokens < 1) return false;
-      tokens -= 1;
+      if (credit < SUCCESSES_PER_RETRY) return false;
+      credit -= SUCCESSES_PER_RETRY;
       return true;
     },
   };
--- /dev/null
+++ b/test/callers/app.test.ts
@@ -0,0 +1,190 @@
+import { expect } from 'chai';
+import { v7 as mintId } from 'uuid';
+import {
+  createCallerApp,
+  REFUSAL_STATUS,
+  UNKNOWN_STATUS,
+  type CallerBackend,
+} from '../../src/callers/index.js';
+import { compileConfiguration, hashSecret } from '../../src/catalogue/index.js';
+import {
+  refuse,
+  unknownOutcome,
+  type Done,
+  type Outcome,
+  type WorkRequest,
+} from '../../src/model/index.js';
+
+const CATALOGUE = `
+teams: { lawns: { share: 1, limit: 4 }, clubs: { share: 1, limit: 4 } }
+entries:
+  lookup: { owner: lawns, class: interactive, idempotent: true, size: { processors: 1, memoryMb: 1 }, maxInputBytes: 64 }
+  gate: { owner: lawns, class: interactive, idempotent: true, open: true, size: { processors: 1, memoryMb: 1 } }
+  plan: { owner: lawns, class: batch, idempotent: true, size: { processors: 1, memoryMb: 1 } }
+keys:
+  lawns-1: { team: lawns, role: submitter, hash: ${hashSecret('lawns')} }
+  clubs-1: { team: clubs, role: submitter, hash: ${hashSecret('clubs')} }
+  operator-1: { role: operator, hash: ${hashSecret('operator')} }
+`;
+const CONFIGURATION = compileConfiguration(CATALOGUE, 1, 'change')._unsafeUnwrap();
+const NOW = Date.parse('2026-12-05T10:00:00Z');
+
+function answer(text: string): Done {
+  const body = Buffer.from(text);
+  return { kind: 'done', status: 200, contentType: 'text/plain', body, worker: 'w1' };
+}
+
+function startApp(overrides: Partial<CallerBackend> = {}) {
+  const submitted: WorkRequest[] = [];
+  const backend: CallerBackend = {
+    configuration: () => CONFIGURATION,
+    keysCurrent: () => true,
+    accepting: () => true,
+    submit: (request) => {
+      submitted.push(request);
+      return Promise.resolve({ kind: 'accepted', outcome: Promise.resolve(answer('ok')) });
+    },
+    status: () => Promise.resolve('not-found'),
+    cancel: () => Promise.resolve('not-found'),
+    ...overrides,
+  };
+  const limits = { maxBodyBytes: 128, maxIdAgeMs: 600_000, maxClockSkewMs: 5000 };
+  const app = createCallerApp({ backend, limits, now: () => NOW });
+  const post = (body: unknown, key?: string) =>
+    app.request('/v1/requests', {
+      method: 'POST',
+      body: typeof body === 'string' ? body : JSON.stringify(body),
+      headers: key === undefined ? {} : { authorization: `Bearer ${key}` },
+    });
+  return { app, post, submitted };
+}
+
+function outcomeOf(response: Response): Promise<{ outcome?: string; reason?: string }> {
+  return response.json() as Promise<{ outcome?: string; reason?: string }>;
+}
+
+describe('callers interface', () => {
+  describe('keys', () => {
+    const cases = [
+      ['no key', undefined, 401, 'not-authorized'],
+      ['an unknown key', 'guess', 401, 'not-authorized'],
+      ["another team's key", 'clubs', 403, 'wrong-team'],
+      ['an operator key', 'operator', 401, 'not-authorized'],
+    ] as const;
+    for (const [name, key, status, reason] of cases) {
+      it(`refuses work under ${name}`, async () => {
+        const { post, submitted } = startApp();
+        const response = await post({ entry: 'lookup' }, key);
+        expect(response.status).to.equal(status);
+        expect((await outcomeOf(response)).reason).to.equal(reason);
+        expect(submitted).to.have.length(0);
+      });
+    }
+
+    it('refuses keyed work and serves open entries while keys may have been withdrawn', async () => {
+      const { post } = startApp({ keysCurrent: () => false });
+      expect((await post({ entry: 'lookup' }, 'lawns')).status).to.equal(503);
+      expect((await post({ entry: 'gate' })).status).to.equal(200);
+    });
+
+    it('charges open work to the owner of the entry, whatever key came with it', async () => {
+      const { post, submitted } = startApp();
+      await post({ entry: 'gate' }, 'clubs');
+      expect(submitted[0]?.team).to.equal('lawns');
+    });
+  });
+
+  describe('outcomes', () => {
+    it('never share a status code between done, accepted, refused and unknown', () => {
+      const statuses = Object.values(REFUSAL_STATUS);
+      expect(statuses).not.to.include.members([200]);
+      for (const status of [200, 202, UNKNOWN_STATUS]) expect(statuses).not.to.include(status);
+    });
+
+    const cases: readonly [string, Outcome, number, string][] = [
+      ['unknown', unknownOutcome('lost'), 504, 'unknown'],
+      ['refused', refuse('queue-full', 'later', 1500), 429, 'refused'],
+    ];
+    for (const [name, outcome, status, word] of cases) {
+      it(`tell ${name} in status and body`, async () => {
+        const { post } = startApp({
+          submit: () => Promise.resolve({ kind: 'outcome', outcome }),
+        });
+        const response = await post({ entry: 'lookup' }, 'lawns');
+        expect(response.status).to.equal(status);
+        expect((await outcomeOf(response)).outcome).to.equal(word);
+      });
+    }
+
+    it('round the time to wait up to whole seconds, so that no caller comes back too early', async () => {
+      const outcome = refuse('queue-full', 'later', 1500);
+      const { post } = startApp({ submit: () => Promise.resolve({ kind: 'outcome', outcome }) });
+      const response = await post({ entry: 'lookup' }, 'lawns');
+      expect(response.headers.get('retry-after')).to.equal('2');
+    });
+
+    it('answer a deferrable job with a receipt and a lookup with its answer', async () => {
+      const { post } = startApp();
+      const receipt = await post({ entry: 'plan' }, 'lawns');
+      expect([
+        receipt.status,
+        receipt.headers.get('location')?.startsWith('/v1/requests/'),
+      ]).to.deep.equal([202, true]);
+      const done = await post({ entry: 'lookup' }, 'lawns');
+      expect([done.status, await done.text()]).to.deep.equal([200, 'ok']);
+    });
+  });
+
+  describe('submissions', () => {
+    it('report every mistake at once', async () => {
+      const { post } = startApp();
+      const response = await post({ entry: '', id: 'x', deadlineMs: -1, extra: 1 }, 'lawns');
+      expect(response.status).to.equal(400);
+      const { findings } = (await response.json()) as { findings: { place: string }[] };
+      expect(findings.map(({ place }) => place).sort()).to.deep.equal([
+        'body',
+        'deadlineMs',
+        'entry',
+        'id',
+      ]);
+    });
+
+    const refused = [
+      ['text that is not JSON', '{', 400],
+      ['an entry that the catalogue lacks', { entry: 'none' }, 404],
+      ['an input above the limit of the entry', { entry: 'lookup', input: 'x'.repeat(80) }, 413],
+      ['a body above the limit of the host', 'x'.repeat(2000), 413],
+      ['an id from the future', { entry: 'lookup', id: mintId({ msecs: NOW + 60_000 }) }, 422],
+      [
+        'an id that may have been forgotten',
+        { entry: 'lookup', id: mintId({ msecs: NOW - 700_000 }) },
+        504,
+      ],
+    ] as const;
+    for (const [name, body, status] of refused) {
+      it(`stop ${name} before anything is sent`, async () => {
+        const { post, submitted } = startApp();
+        expect((await post(body, 'lawns')).status).to.equal(status);
+        expect(submitted).to.have.length(0);
+      });
+    }
+
+    it('carry raw bytes with their id and deadline in headers', async () => {
+      const { app, submitted } = startApp();
+      const id = mintId({ msecs: NOW });
+      const response = await app.request('/v1/entries/lookup/requests', {
+        method: 'POST',
+        body: Buffer.from([0, 255, 1]),
+        headers: { authorization: 'Bearer lawns', 'request-id': id, 'deadline-ms': '50' },
+      });
+      expect(response.status).to.equal(200);
+      const [request] = submitted;
+      expect([request?.id, request?.callerId, request?.startBefore]).to.deep.equal([
+        id,
+        true,
+        NOW + 50,
+      ]);
+      expect([...(request?.input ?? [])]).to.deep.equal([0, 255, 1]);
+    });
+  });
+});
--- /dev/null
+++ b/test/entry/outcomes.test.ts
@@ -0,0 +1,47 @@
+import { expect } from 'chai';
+import { combine } from '../../src/entry/combine.js';
+import { createRetryBudget } from '../../src/entry/retry-budget.js';
+import { refuse, unknownOutcome, type Done } from '../../src/model/index.js';
+
+const done: Done = {
+  kind: 'done',
+  status: 200,
+  contentType: 'text/plain',
+  body: Buffer.from('ok'),
+  worker: 'w1',
+};
+const refused = refuse('worker-refused', 'full');
+const unknown = unknownOutcome('lost');
+
+describe('outcome of a gang', () => {
+  const cases = [
+    ['all tasks done', [done, done], 'done'],
+    ['all tasks refused', [refused, refused], 'refused'],
+    // The gang ran in part, so a refusal would be false.
+    ['one task refused', [done, refused], 'unknown'],
+    ['one task unknown', [done, unknown], 'unknown'],
+    ['a refusal and an unknown', [refused, unknown], 'unknown'],
+  ] as const;
+  for (const [name, outcomes, kind] of cases) {
+    it(`is ${kind} with ${name}`, () => {
+      expect(combine(outcomes).kind).to.equal(kind);
+    });
+  }
+});
+
+describe('retry budget', () => {
+  it('bounds retries while nothing succeeds, so that they cannot multiply an overload', () => {
+    const budget = createRetryBudget(3);
+    const taken = Array.from({ length: 10 }, () => budget.take()).filter(Boolean);
+    expect(taken).to.have.length(3);
+  });
+
+  it('allows one retry for ten successes', () => {
+    const budget = createRetryBudget(1);
+    budget.take();
+    for (let count = 0; count < 9; count += 1) budget.noteSuccess();
+    expect(budget.take()).to.equal(false);
+    budget.noteSuccess();
+    expect(budget.take()).to.equal(true);
+  });
+});
