Free a former owner's allotments only once its process has ended

Cause: an owner whose claims were taken over while it was paused still believes in its parts when it goes on, so freeing them could let a team pass its limit.

The command line gains show and cancel.

--- a/src/cli/host-client.ts
+++ b/src/cli/host-client.ts
@@ -12,7 +12,7 @@
 }
 
 export interface Call {
-  readonly method: 'GET' | 'PUT' | 'POST';
+  readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE';
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string | Uint8Array;
--- a/src/cli/run-cli.ts
+++ b/src/cli/run-cli.ts
@@ -4,9 +4,11 @@
 import { Builtins, Cli, type BaseContext } from 'clipanion';
 import { wantsColours } from './colours.js';
 import { ApplyCommand } from './commands/apply.js';
+import { CancelCommand } from './commands/cancel.js';
 import { CheckCommand } from './commands/check.js';
 import { DiffCommand } from './commands/diff.js';
 import { GrantKeyCommand, ListKeysCommand, WithdrawKeyCommand } from './commands/keys.js';
+import { ShowCommand } from './commands/show.js';
 import { StatusCommand, SubmitCommand } from './commands/requests.js';
 import { HostsCommand, QueueCommand, TeamsCommand, WorkersCommand } from './commands/tables.js';
 import { TimelineCommand } from './commands/timeline.js';
@@ -15,12 +17,14 @@
 const COMMANDS = [
   Builtins.HelpCommand,
   ApplyCommand,
+  CancelCommand,
   CheckCommand,
   DiffCommand,
   GrantKeyCommand,
   HostsCommand,
   ListKeysCommand,
   QueueCommand,
+  ShowCommand,
   StatusCommand,
   SubmitCommand,
   TeamsCommand,
--- a/src/entry/parts.ts
+++ b/src/entry/parts.ts
@@ -111,7 +111,12 @@
   });
   const health = createHealth({ now });
   const allotments = createAllotments({ store, owner, now, log: logs('teams') });
-  const settlement = createSettlement({ claims, allotments, owner });
+  const settlement = createSettlement({
+    claims,
+    allotments,
+    owner,
+    isGone: (former) => isGone(foundation, former),
+  });
   const scheduler = createHostScheduler(foundation, {
     health,
     allotments,
@@ -210,12 +215,6 @@
     release: (team, chargedTo) => {
       allotments.release(team, chargedTo);
     },
-    lose: (team, chargedTo) => {
-      allotments.lose(team, chargedTo);
-    },
-    releaseLost: (team) => {
-      allotments.releaseLost(team);
-    },
     spare: (team) => allotments.spare(team),
     maxQueued: (entry) =>
       configuration.current()?.entries.get(entry)?.maxQueued ?? DEFAULT_MAX_QUEUED,
@@ -398,6 +397,17 @@
   return membership.workers(host.dataCentre).find((worker) => worker.id === id);
 }
 
+/**
+ * Whether the process of an owner has certainly ended: another process runs on its host, or the
+ * platform no longer lists the host. A silent process may be paused and go on.
+ */
+function isGone({ membership }: Foundation, owner: string): boolean {
+  const [id = '', bootId] = owner.split('/');
+  const heard = membership.heartbeat(id);
+  if (heard !== undefined && heard.bootId !== bootId) return true;
+  return !membership.hosts().some((known) => known.id === id);
+}
+
 function sumOf(amounts: readonly Resources[]): Resources {
   return amounts.reduce(addResources, NO_RESOURCES);
 }
--- a/src/entry/settlement.ts
+++ b/src/entry/settlement.ts
@@ -20,6 +20,8 @@
   readonly claims: Claims;
   readonly allotments: Allotments;
   readonly owner: string;
+  /** Whether a former owner's process has certainly ended; a paused one still uses its parts. */
+  readonly isGone: (former: string) => boolean;
 }): Settlement {
   const { claims, allotments, owner } = options;
   const formerOwners = new Set<string>();
@@ -55,7 +57,7 @@
       claims.all().flatMap((claim) => [ownerName(claim), ...(claim.from ?? [])]),
     );
     for (const former of formerOwners) {
-      if (named.has(former) || former === owner) continue;
+      if (named.has(former) || former === owner || !options.isGone(former)) continue;
       const freed = await allotments.releaseOwner(former);
       if (freed.isOk()) formerOwners.delete(former);
     }
