Measure ages and timeouts with the monotonic clock

Cause: a forward step of the wall clock made every peer look silent for the suspicion timeout. Deadlines and ids, which travel between machines, keep the wall clock.

--- a/src/entry/foundation.ts
+++ b/src/entry/foundation.ts
@@ -36,7 +36,10 @@
   readonly membership: TimedMembership;
   readonly configuration: ConfigurationHolder;
   readonly faults: FaultSwitch;
+  /** Wall clock, for deadlines and ids that travel between machines. */
   readonly now: () => number;
+  /** Never steps, for ages and timeouts within this process. */
+  readonly monotonicNow: () => number;
   readonly startedAt: number;
 }
 
@@ -46,6 +49,7 @@
 
 export async function createFoundation(settings: Settings, httpPort: number): Promise<Foundation> {
   const now = Date.now;
+  const monotonicNow = () => performance.now();
   const bootId = randomUUID().slice(0, BOOT_ID_LENGTH);
   const logs = (part: string) => createLog(part, settings.log);
   const faults = createFaultSwitch();
@@ -57,14 +61,14 @@
   const membership = createMembership({
     host,
     peers: settings.peers.filter(({ id }) => id !== host.id),
-    now,
+    now: monotonicNow,
     suspectAfterMs: settings.timers.suspectAfterMs,
   });
   const configuration = createConfigurationHolder({
     store,
     membership,
     host,
-    now,
+    now: monotonicNow,
     keyStalenessMs: settings.timers.keyStalenessMs,
     log: logs('configuration'),
     compile: compileConfiguration,
@@ -90,7 +94,8 @@
     configuration,
     faults,
     now,
-    startedAt: now(),
+    monotonicNow,
+    startedAt: monotonicNow(),
   };
 }
 
--- a/src/entry/loops.ts
+++ b/src/entry/loops.ts
@@ -78,8 +78,10 @@
  * A host that knows no peers would take every claim of its data centre from them, so it waits for
  * the host list. Without the list it starts after the suspicion timeout.
  */
-function mayClaim({ membership, startedAt, settings, now }: Parts): boolean {
-  return membership.hosts().length > 1 || now() - startedAt >= settings.timers.suspectAfterMs;
+function mayClaim({ membership, startedAt, settings, monotonicNow }: Parts): boolean {
+  return (
+    membership.hosts().length > 1 || monotonicNow() - startedAt >= settings.timers.suspectAfterMs
+  );
 }
 
 function listenToClaims({ claims, holdings, homes }: Parts): void {
--- a/src/entry/parts.ts
+++ b/src/entry/parts.ts
@@ -95,10 +95,10 @@
 }
 
 function createExecution(foundation: Foundation): Execution {
-  const { host, bootId, owner, store, membership, now, timeline } = foundation;
+  const { host, bootId, owner, store, membership, now, monotonicNow, timeline } = foundation;
   const { settings, logs, abort } = foundation;
   const cancelled = new Set<string>();
-  const table = createRequestTable({ now });
+  const table = createRequestTable({ now: monotonicNow });
   const claims = createClaims({
     store,
     membership,
@@ -106,11 +106,11 @@
     bootId,
     subjects: () => listSubjects(foundation),
     rendezvousOrder,
-    now,
+    now: monotonicNow,
     log: logs('claims'),
   });
-  const health = createHealth({ now });
-  const allotments = createAllotments({ store, owner, now, log: logs('teams') });
+  const health = createHealth({ now: monotonicNow });
+  const allotments = createAllotments({ store, owner, now: monotonicNow, log: logs('teams') });
   const settlement = createSettlement({
     claims,
     allotments,
@@ -137,7 +137,7 @@
     },
     owner,
     leaseMs: settings.timers.leaseMs,
-    now,
+    now: monotonicNow,
     log: logs('workers'),
   });
   const runner = createTaskRunner({
@@ -236,7 +236,8 @@
 >;
 
 function createRequestParts(foundation: Foundation, execution: Execution): RequestParts {
-  const { host, membership, links, now, abort, owner, store, timeline, settings } = foundation;
+  const { host, membership, links, now, monotonicNow, abort, owner, store, timeline, settings } =
+    foundation;
   const { claims, scheduler, runner, holdings, dispatcher, table, allotments, cancelled } =
     execution;
   const signal = abort.signal;
@@ -277,7 +278,7 @@
     links,
     runner,
     leaseMs: settings.timers.leaseMs,
-    now,
+    now: monotonicNow,
     signal,
   });
   const gangs = createGangs({
