--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -2,6 +2,7 @@
  * Scheduling: queues, shares, placement and reservations.
  */
 export * from './never-fits.js';
+export * from './options.js';
 export * from './order.js';
 export * from './placement.js';
 export * from './scheduler.js';
--- a/src/scheduling/urgency.ts
+++ b/src/scheduling/urgency.ts
@@ -14,11 +14,13 @@
 const AGED_SHARE = 0.5;
 /** Unused turns do not add up, so that urgent work never waits for a series of deferrable starts. */
 const MAX_CREDIT = 1;
+/** Absorbs the rounding of summed shares. */
+const ROUNDING_TOLERANCE = 1e-9;
 
 export function createUrgency(urgentShare: number): Urgency {
   let credit = 0;
   return {
-    urgentFirst: () => credit < MAX_CREDIT,
+    urgentFirst: () => credit < MAX_CREDIT - ROUNDING_TOLERANCE,
     started: (workClass, deferrableAged) => {
       const share = deferrableAged ? Math.max(AGED_SHARE, 1 - urgentShare) : 1 - urgentShare;
       const spent = workClass === 'interactive' ? 0 : 1;
--- a/src/teams/allotments.ts
+++ b/src/teams/allotments.ts
@@ -271,6 +271,6 @@
 
 function toResult(outcome: Promise<StoreError | undefined>): ResultAsync<void, StoreError> {
   return ResultAsync.fromSafePromise(outcome).andThen((error) =>
-    error ? errAsync(error) : okAsync<void, StoreError>(undefined),
+    error ? errAsync(error) : okAsync(),
   );
 }
--- a/test/teams/allotments.test.ts
+++ b/test/teams/allotments.test.ts
@@ -235,6 +235,9 @@
 }
 
 describe('allotments', () => {
+  // A longer run: RUNS=100000 SEED=1 npx mocha -g 'never run more'
+  const runs = Number(process.env.RUNS ?? 1_000);
+
   it('never run more than the limit and leak nothing, whatever fails in whatever order', async () => {
     let started = 0;
     await fc.assert(
@@ -260,13 +263,13 @@
         },
       ),
       {
-        seed: Number(process.env['SEED'] ?? 20_260),
-        numRuns: Number(process.env['RUNS'] ?? 1_000),
+        seed: Number(process.env.SEED ?? 20_260),
+        numRuns: runs,
       },
     );
     // Guards against a model that starts nothing and so can fail nothing.
-    expect(started).to.be.above(4_000);
-  });
+    expect(started).to.be.above(5 * runs);
+  }).timeout(120_000);
 
   const owner = (store: Store, name: string, now = () => 0): Allotments => {
     const allotments = createAllotments({ store, owner: name, now });
@@ -340,8 +343,8 @@
     expect(take(spare), 'a start before the record is corrected').to.equal(0);
     await spare.rebalance();
     const record = await readRecord(store);
-    expect(record?.parts['full']?.part).to.be.at.least(running);
-    expect(record?.parts['spare']?.part ?? 0).to.be.at.most(0);
+    expect(record?.parts.full?.part).to.be.at.least(running);
+    expect(record?.parts.spare?.part ?? 0).to.be.at.most(0);
   });
 
   it('calls the store seldom when nothing changes', async () => {
