--- /dev/null
+++ b/bench/decision.ts
@@ -0,0 +1,166 @@
+/**
+ * Benchmark of scheduling decisions alone, without sockets or store: time per decision and bytes of
+ * state as slopes, and the policy against its baselines in virtual time. Usage:
+ * `node dist/bench/decision.js [--seed N] [--rounds N] [--json FILE]`.
+ */
+import { writeFileSync } from 'node:fs';
+import { parseArgs } from 'node:util';
+import { createTeams } from './decision/cell.js';
+import { measureCost, slope, type CellSize, type Cost } from './decision/cost.js';
+import {
+  createPolicies,
+  drawArrivals,
+  simulate,
+  type PolicyCell,
+  type PolicyResult,
+} from './decision/policy.js';
+
+const LARGE: CellSize = { workers: 1_700, tasks: 11_000, teams: 74 };
+const SIZES: Record<string, readonly CellSize[]> = {
+  cell: [{ workers: 30, tasks: 200, teams: 6 }, LARGE],
+  workers: [425, 850, 1_275, 1_700].map((workers) => ({ ...LARGE, workers, tasks: 2_500 })),
+  tasks: [2_000, 5_000, 8_000, 11_000].map((tasks) => ({ ...LARGE, tasks })),
+  teams: [6, 24, 49, 74].map((teams) => ({ ...LARGE, teams })),
+};
+const POLICY_CELLS: readonly PolicyCell[] = [
+  { name: '30 workers, load 0.8', workers: 30, teams: 6, seconds: 900, load: 0.8 },
+  { name: '30 workers, load 1.2', workers: 30, teams: 6, seconds: 900, load: 1.2 },
+  { name: '1700 workers, load 1.2', workers: 1_700, teams: 74, seconds: 120, load: 1.2 },
+];
+
+interface Slope {
+  readonly over: string;
+  readonly state: Cost['state'];
+  /** Microseconds and bytes per additional worker, task or team. */
+  readonly p50: number;
+  readonly p99: number;
+  readonly bytes: number;
+}
+
+function main() {
+  const { values } = parseArgs({
+    options: {
+      seed: { type: 'string', default: '1' },
+      rounds: { type: 'string', default: '3' },
+      json: { type: 'string' },
+    },
+  });
+  const seed = Number(values.seed);
+  console.log(`seed ${String(seed)}`);
+  const costs = measureCosts(seed, Number(values.rounds));
+  printCosts(costs);
+  const slopes = computeSlopes(costs);
+  printSlopes(slopes);
+  const policies = comparePolicies(seed);
+  printPolicies(policies);
+  if (values.json === undefined) return;
+  writeFileSync(values.json, JSON.stringify({ seed, costs, slopes, policies }, undefined, 2));
+}
+
+interface NamedCost extends Cost {
+  readonly over: string;
+}
+
+/** All sizes alternate within each round, so that drift of the machine meets them alike. */
+function measureCosts(seed: number, rounds: number): readonly NamedCost[] {
+  const costs: NamedCost[] = [];
+  const [warmUp] = SIZES.cell ?? [];
+  if (warmUp) measureCost(warmUp, 'room', seed);
+  for (let round = 0; round < rounds; round += 1) {
+    for (const [over, sizes] of Object.entries(SIZES)) {
+      for (const size of sizes) {
+        for (const state of ['room', 'full'] as const) {
+          if (over === 'tasks' && state === 'full') continue;
+          costs.push({ over, ...measureCost(size, state, seed + round) });
+        }
+      }
+    }
+  }
+  return costs;
+}
+
+function computeSlopes(costs: readonly NamedCost[]): readonly Slope[] {
+  const slopes: Slope[] = [];
+  for (const over of ['workers', 'tasks', 'teams'] as const) {
+    for (const state of ['room', 'full'] as const) {
+      const points = costs.filter((cost) => cost.over === over && cost.state === state);
+      if (points.length === 0) continue;
+      const of = (key: 'p50' | 'p99' | 'bytes') =>
+        slope(points.map((cost) => [cost[over], cost[key]]));
+      slopes.push({ over, state, p50: of('p50'), p99: of('p99'), bytes: of('bytes') });
+    }
+  }
+  return slopes;
+}
+
+/** Policies alternate within each cell on the same arrivals. */
+function comparePolicies(seed: number): readonly PolicyResult[] {
+  return POLICY_CELLS.flatMap((cell) => {
+    const arrivals = drawArrivals(cell, seed);
+    const policies = createPolicies(createTeams(cell.teams));
+    return Object.entries(policies).map(([name, policy]) => {
+      return simulate(cell, { name, policy, arrivals, seed });
+    });
+  });
+}
+
+function printCosts(costs: readonly NamedCost[]) {
+  console.log('\ntime of one decision in microseconds, per round');
+  console.table(
+    costs.map(({ over, workers, tasks, teams, state, queued, ...cost }) => ({
+      over,
+      workers,
+      tasks,
+      teams,
+      state,
+      queued,
+      p50: round(cost.p50, 1),
+      p99: round(cost.p99, 1),
+      max: round(cost.max, 0),
+      'cycles/s': round(cost.perSecond, 0),
+      'state KB': round(cost.bytes / 1_024, 0),
+    })),
+  );
+}
+
+function printSlopes(slopes: readonly Slope[]) {
+  console.log('\nslopes per additional worker, task or team');
+  console.table(
+    slopes.map(({ over, state, p50, p99, bytes }) => ({
+      over,
+      state,
+      'p50 ns': round(p50 * 1_000, 1),
+      'p99 ns': round(p99 * 1_000, 1),
+      bytes: round(bytes, 0),
+    })),
+  );
+}
+
+function printPolicies(results: readonly PolicyResult[]) {
+  console.log('\nwaiting time in ms; shares in use while work waits; distance to share');
+  console.table(
+    results.map(({ cell, policy, interactive, batch, packing, ...rest }) => ({
+      cell,
+      policy,
+      'int p50': round(interactive.p50, 0),
+      'int p99': round(interactive.p99, 0),
+      'int left': interactive.unstarted,
+      'batch p50': round(batch.p50, 0),
+      'batch p99': round(batch.p99, 0),
+      'batch left': batch.unstarted,
+      proc: round(packing.processors, 3),
+      mem: round(packing.memoryMb, 3),
+      acc: round(packing.accelerators, 3),
+      slots: round(rest.slots, 3),
+      'dist max': round(rest.largestDistance, 3),
+      'dist mean': round(rest.meanDistance, 3),
+      waiting: round(rest.waitingShare, 2),
+    })),
+  );
+}
+
+function round(value: number, digits: number): number {
+  return Number(value.toFixed(digits));
+}
+
+main();
--- /dev/null
+++ b/bench/decision/cost.ts
@@ -0,0 +1,156 @@
+/**
+ * Time per decision and bytes of state, over workers, running tasks and teams.
+ */
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import type { Scheduler, Decision } from '../../src/scheduling/index.js';
+import {
+  createCell,
+  createRandom,
+  createRequest,
+  createTeams,
+  createWorkers,
+  drawWork,
+  type Random,
+} from './cell.js';
+
+export interface CellSize {
+  readonly workers: number;
+  readonly tasks: number;
+  readonly teams: number;
+}
+
+export interface Cost extends CellSize {
+  readonly state: 'room' | 'full';
+  readonly queued: number;
+  readonly decisions: number;
+  /** Time of one `next`, in microseconds. */
+  readonly p50: number;
+  readonly p99: number;
+  readonly max: number;
+  /** Cycles of enqueue, next and finished per second. */
+  readonly perSecond: number;
+  readonly bytes: number;
+}
+
+const DECISIONS = 4_000;
+const WARM_UP = 1_000;
+const BACKLOG_PER_TEAM = 20;
+const INTERACTIVE_SHARE = 0.7;
+
+interface Driver {
+  readonly scheduler: Scheduler;
+  readonly running: Decision[];
+  readonly enqueue: () => void;
+  /** Moves the clock on by the interval between two of 340 starts a second. */
+  readonly tick: () => void;
+  readonly random: Random;
+}
+
+function createDriver(size: CellSize, seed: number): Driver {
+  const random = createRandom(seed);
+  const teams = createTeams(size.teams);
+  const clock = { now: 1_000_000 };
+  const now = () => clock.now;
+  const scheduler = createCell({ workers: createWorkers(size.workers), teams, now, random });
+  let serial = 0;
+  return {
+    scheduler,
+    running: [],
+    random,
+    tick: () => {
+      clock.now += 1_000 / 340;
+    },
+    enqueue: () => {
+      serial += 1;
+      const team = teams[Math.floor(random() * teams.length)]?.name ?? 'team-0';
+      const work = drawWork(random, INTERACTIVE_SHARE);
+      scheduler.enqueue(createRequest(serial, { ...work, team, at: now() }));
+    },
+  };
+}
+
+function startOne({ scheduler, running }: Driver): boolean {
+  const decision = scheduler.next();
+  if (decision) running.push(decision);
+  return decision !== undefined;
+}
+
+function finishOne({ scheduler, running, random }: Driver) {
+  const index = Math.floor(random() * running.length);
+  const ended = running[index];
+  const last = running.pop();
+  if (!ended || !last) return;
+  if (ended !== last) running[index] = last;
+  scheduler.finished(ended.task, ended.worker);
+}
+
+/** Starts tasks up to the wanted number, or until no worker has room for any queued work. */
+function fill(driver: Driver, size: CellSize, state: Cost['state']) {
+  const wanted = state === 'full' ? Infinity : size.tasks;
+  const backlog = size.teams * BACKLOG_PER_TEAM;
+  for (let n = 0; n < backlog; n += 1) driver.enqueue();
+  let failures = 0;
+  while (driver.running.length < wanted && failures < 3) {
+    if (startOne(driver)) {
+      driver.enqueue();
+      failures = 0;
+    } else failures += 1;
+    driver.tick();
+  }
+}
+
+function collectGarbage() {
+  setFlagsFromString('--expose_gc');
+  (runInNewContext('gc') as () => void)();
+}
+
+function heapUsed(): number {
+  collectGarbage();
+  return process.memoryUsage().heapUsed;
+}
+
+/** Time of each `next` in a steady state of one end and one arrival per start. */
+export function measureCost(size: CellSize, state: Cost['state'], seed: number): Cost {
+  const before = heapUsed();
+  const driver = createDriver(size, seed);
+  fill(driver, size, state);
+  const bytes = heapUsed() - before;
+  const { queued } = driver.scheduler.load();
+  const tasks = driver.running.length;
+  const times: number[] = [];
+  let cycleStart = 0;
+  for (let n = 0; n < WARM_UP + DECISIONS; n += 1) {
+    if (n === WARM_UP) cycleStart = performance.now();
+    driver.tick();
+    finishOne(driver);
+    driver.enqueue();
+    const started = performance.now();
+    startOne(driver);
+    if (n >= WARM_UP) times.push((performance.now() - started) * 1_000);
+  }
+  const perSecond = DECISIONS / ((performance.now() - cycleStart) / 1_000);
+  times.sort((left, right) => left - right);
+  const at = (fraction: number) => times[Math.floor(fraction * (times.length - 1))] ?? 0;
+  return {
+    ...size,
+    tasks,
+    state,
+    queued: queued.interactive + queued.batch,
+    decisions: times.length,
+    p50: at(0.5),
+    p99: at(0.99),
+    max: at(1),
+    perSecond,
+    bytes,
+  };
+}
+
+/** Slope of a least-squares line. */
+export function slope(points: readonly (readonly [number, number])[]): number {
+  const meanX = points.reduce((sum, [x]) => sum + x, 0) / points.length;
+  const meanY = points.reduce((sum, [, y]) => sum + y, 0) / points.length;
+  const covariance = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0);
+  const variance = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
+  return variance === 0 ? 0 : covariance / variance;
+}
--- /dev/null
+++ b/bench/decision/policy.ts
@@ -0,0 +1,284 @@
+/**
+ * The policy against baselines on one arrival sequence, in virtual time.
+ */
+import {
+  createStaticPartition,
+  firstComeFirstServed,
+  firstFit,
+  randomOfTwo,
+  type Decision,
+  type Placement,
+  type SchedulerOptions,
+} from '../../src/scheduling/index.js';
+import type { Resources, WorkClass } from '../../src/model/index.js';
+import {
+  createCell,
+  createRandom,
+  createRequest,
+  createTeams,
+  createWorkers,
+  drawWork,
+  sumCapacity,
+  type BenchTeam,
+  type Draw,
+} from './cell.js';
+import { createTimers } from './timers.js';
+
+export interface PolicyCell {
+  readonly name: string;
+  readonly workers: number;
+  readonly teams: number;
+  readonly seconds: number;
+  /** Offered work as a multiple of what the slots can run. */
+  readonly load: number;
+}
+
+export interface Waits {
+  readonly started: number;
+  readonly unstarted: number;
+  /** Milliseconds; a request that did not start counts with its wait up to the end. */
+  readonly p50: number;
+  readonly p99: number;
+}
+
+export interface PolicyResult {
+  readonly cell: string;
+  readonly policy: string;
+  readonly interactive: Waits;
+  readonly batch: Waits;
+  /** Shares in use while work waits. */
+  readonly packing: Resources;
+  readonly slots: number;
+  /** Entitlement less use, of teams whose work waits, as fractions of the cell. */
+  readonly largestDistance: number;
+  readonly meanDistance: number;
+  readonly waitingShare: number;
+}
+
+const INTERACTIVE_SHARE = 0.7;
+/** The first team sends this part of all requests, whatever its share. */
+const FLOOD_SHARE = 0.4;
+const SAMPLE_MS = 1_000;
+/** Tasks that run for the whole time, as a part of the slots. */
+const SERVICE_SHARE = 0.2;
+const SERVICE_SIZE: Resources = { processors: 2, memoryMb: 8_192, accelerators: 0 };
+
+function everywhere(placement: Placement): Record<WorkClass, Placement> {
+  return { interactive: placement, batch: placement, gang: placement, service: placement };
+}
+
+export function createPolicies(
+  teams: readonly BenchTeam[],
+): Record<string, Partial<SchedulerOptions>> {
+  const totalShare = teams.reduce((sum, { share }) => sum + share, 0);
+  return {
+    sapphirewing: {},
+    'first come, first fit': {
+      order: firstComeFirstServed,
+      classes: 'merged',
+      placements: everywhere(firstFit),
+      agingMs: Infinity,
+    },
+    'random of two': {
+      order: firstComeFirstServed,
+      classes: 'merged',
+      placements: everywhere(randomOfTwo),
+      agingMs: Infinity,
+    },
+    'static partition': {
+      order: createStaticPartition(totalShare),
+      classes: 'merged',
+      agingMs: Infinity,
+    },
+  };
+}
+
+interface Arrival extends Draw {
+  readonly at: number;
+  readonly team: string;
+}
+
+export function drawArrivals(cell: PolicyCell, seed: number): readonly Arrival[] {
+  const random = createRandom(seed);
+  const teams = createTeams(cell.teams);
+  const slots = createWorkers(cell.workers).reduce((sum, worker) => sum + worker.slots, 0);
+  const probe = createRandom(seed + 1);
+  const draws = Array.from({ length: 20_000 }, () => drawWork(probe, INTERACTIVE_SHARE));
+  const meanRunMs = draws.reduce((sum, { runMs }) => sum + runMs, 0) / draws.length;
+  const perMs = (cell.load * slots * (1 - SERVICE_SHARE)) / meanRunMs;
+  const arrivals: Arrival[] = [];
+  for (let at = 0; at < cell.seconds * 1_000; at += -Math.log(1 - random()) / perMs) {
+    const index = random() < FLOOD_SHARE ? 0 : Math.floor(random() * teams.length);
+    // The flooding team is the last, which has the smallest share.
+    const team = teams[teams.length - 1 - index]?.name ?? 'team-0';
+    arrivals.push({ ...drawWork(random, INTERACTIVE_SHARE), at, team });
+  }
+  return arrivals;
+}
+
+class Sampler {
+  private readonly sums = { processors: 0, memoryMb: 0, accelerators: 0, slots: 0 };
+  private samples = 0;
+  private waiting = 0;
+  private largest = 0;
+  private distance = 0;
+  private distances = 0;
+
+  constructor(
+    private readonly cell: Resources,
+    private readonly slots: number,
+    private readonly teams: readonly BenchTeam[],
+  ) {}
+
+  sample(used: ReadonlyMap<string, Use>, queued: ReadonlyMap<string, number>) {
+    this.samples += 1;
+    const waiting = this.teams.filter(({ name }) => (queued.get(name) ?? 0) > 0);
+    if (waiting.length === 0) return;
+    this.waiting += 1;
+    for (const use of used.values()) {
+      this.sums.processors += use.processors / this.cell.processors;
+      this.sums.memoryMb += use.memoryMb / this.cell.memoryMb;
+      this.sums.accelerators += use.accelerators / this.cell.accelerators;
+      this.sums.slots += use.tasks / this.slots;
+    }
+    const active = this.teams.filter(({ name }) => {
+      return (queued.get(name) ?? 0) > 0 || (used.get(name)?.tasks ?? 0) > 0;
+    });
+    const shares = active.reduce((sum, { share }) => sum + share, 0);
+    const total = active.reduce((sum, { name }) => sum + this.dominant(used.get(name)), 0);
+    for (const { name, share } of waiting) {
+      const distance = Math.max(0, share / shares - this.dominant(used.get(name)) / total);
+      this.largest = Math.max(this.largest, distance);
+      this.distance += distance;
+      this.distances += 1;
+    }
+  }
+
+  private dominant(use: Use | undefined): number {
+    if (!use) return 0;
+    return Math.max(
+      use.processors / this.cell.processors,
+      use.memoryMb / this.cell.memoryMb,
+      use.accelerators / this.cell.accelerators,
+    );
+  }
+
+  results() {
+    const mean = (sum: number) => (this.waiting === 0 ? 0 : sum / this.waiting);
+    return {
+      packing: {
+        processors: mean(this.sums.processors),
+        memoryMb: mean(this.sums.memoryMb),
+        accelerators: mean(this.sums.accelerators),
+      },
+      slots: mean(this.sums.slots),
+      largestDistance: this.largest,
+      meanDistance: this.distances === 0 ? 0 : this.distance / this.distances,
+      waitingShare: this.samples === 0 ? 0 : this.waiting / this.samples,
+    };
+  }
+}
+
+interface Use {
+  processors: number;
+  memoryMb: number;
+  accelerators: number;
+  tasks: number;
+}
+
+function addUse(used: Map<string, Use>, decision: Decision, sign: 1 | -1) {
+  const { team, size } = decision.request;
+  const use = used.get(team) ?? { processors: 0, memoryMb: 0, accelerators: 0, tasks: 0 };
+  use.processors += sign * size.processors;
+  use.memoryMb += sign * size.memoryMb;
+  use.accelerators += sign * size.accelerators;
+  use.tasks += sign;
+  used.set(team, use);
+}
+
+function summarizeWaits(started: readonly number[], unstarted: readonly number[]): Waits {
+  const waits = [...started, ...unstarted].sort((left, right) => left - right);
+  const at = (fraction: number) => waits[Math.floor(fraction * (waits.length - 1))] ?? 0;
+  return { started: started.length, unstarted: unstarted.length, p50: at(0.5), p99: at(0.99) };
+}
+
+/** Runs one policy over the arrivals. */
+export function simulate(
+  cell: PolicyCell,
+  run: {
+    name: string;
+    policy: Partial<SchedulerOptions>;
+    arrivals: readonly Arrival[];
+    seed: number;
+  },
+): PolicyResult {
+  const workers = createWorkers(cell.workers);
+  const teams = createTeams(cell.teams);
+  const clock = { now: 0 };
+  const scheduler = createCell({
+    workers,
+    teams,
+    now: () => clock.now,
+    random: createRandom(run.seed + 2),
+    policy: run.policy,
+  });
+  const slots = workers.reduce((sum, worker) => sum + worker.slots, 0);
+  const sampler = new Sampler(sumCapacity(workers), slots, teams);
+  const used = new Map<string, Use>();
+  const queued = new Map<string, number>();
+  const waits: Record<string, number[]> = { interactive: [], batch: [], service: [] };
+  const timers = createTimers<Decision>();
+  const pending = new Map<string, Arrival>();
+
+  function startAll() {
+    for (let decision = scheduler.next(); decision; decision = scheduler.next()) {
+      const { id, team, submittedAt } = decision.request;
+      const arrival = pending.get(id);
+      pending.delete(id);
+      queued.set(team, (queued.get(team) ?? 1) - 1);
+      addUse(used, decision, 1);
+      waits[decision.request.class]?.push(clock.now - submittedAt);
+      timers.add(clock.now + (arrival?.runMs ?? Infinity), decision);
+    }
+  }
+
+  function arrive(id: number, arrival: Arrival) {
+    scheduler.enqueue(createRequest(id, arrival));
+    pending.set(String(id), arrival);
+    queued.set(arrival.team, (queued.get(arrival.team) ?? 0) + 1);
+  }
+
+  for (let n = 0; n < slots * SERVICE_SHARE; n += 1) {
+    const team = teams[n % teams.length]?.name ?? 'team-0';
+    arrive(-1 - n, { class: 'service', size: SERVICE_SIZE, runMs: Infinity, at: 0, team });
+  }
+  startAll();
+  const end = cell.seconds * 1_000;
+  let next = 0;
+  let sampleAt = SAMPLE_MS;
+  while (clock.now < end) {
+    const arrival = run.arrivals[next];
+    clock.now = Math.min(arrival?.at ?? Infinity, timers.first(), sampleAt, end);
+    for (const decision of timers.take(clock.now)) {
+      scheduler.finished(decision.task, decision.worker);
+      addUse(used, decision, -1);
+    }
+    if (arrival && arrival.at <= clock.now) {
+      arrive(next, arrival);
+      next += 1;
+    }
+    startAll();
+    if (clock.now < sampleAt) continue;
+    sampler.sample(used, queued);
+    sampleAt += SAMPLE_MS;
+  }
+  const left = (workClass: WorkClass) =>
+    [...pending.values()].filter((each) => each.class === workClass).map(({ at }) => end - at);
+  return {
+    cell: cell.name,
+    policy: run.name,
+    interactive: summarizeWaits(waits.interactive ?? [], left('interactive')),
+    batch: summarizeWaits(waits.batch ?? [], left('batch')),
+    ...sampler.results(),
+  };
+}
