--- a/src/scheduling/queued-work.ts
+++ b/src/scheduling/queued-work.ts
@@ -3,7 +3,7 @@
  */
 import { WORK_CLASSES } from '../model/index.js';
 import type { Queues } from './queue.js';
-import type { QueuedWork } from './scheduler.js';
+import type { QueuedWork } from './options.js';
 
 export function listQueued(queues: Queues, now: number): readonly QueuedWork[] {
   const rows = new Map<string, QueuedWork>();
