--- a/src/requests/homes-options.ts
+++ b/src/requests/homes-options.ts
@@ -32,9 +32,10 @@
     epoch: number,
   ) => Promise<'owner' | 'fenced' | 'unavailable'>;
   /**
-   * Epoch of the bucket's claim as last read, 0 if it has none. Undefined if this host has not read
-   * the claims since it started, or since it was silent for so long that peers may have suspected
-   * it: a later home may then have fenced all hosts but this one, so it keeps no copies.
+   * Epoch of the bucket's claim as last read, 0 if it has none. Undefined after a start, and after a
+   * silence so long that peers may have suspected this host, until it has heard its peers (or waited
+   * for the suspicion timeout) and read the claims again: a later home may have fenced all hosts but
+   * this one, so it keeps no copies and takes no bucket over.
    */
   readonly epochOf: (bucket: number) => number | undefined;
   /** Whether the data centre has no other host, live or not, that could have taken buckets over. */
--- a/src/requests/homes.ts
+++ b/src/requests/homes.ts
@@ -110,6 +110,11 @@
   await Promise.all(
     options.copyHosts(bucket.number).map((host) => fenceHost(bucket, epoch, host, options)),
   );
+  const claimed = options.epochOf(bucket.number);
+  if (claimed === undefined) {
+    throw new Error('this host must hear its peers and read the claims before it takes over');
+  }
+  raiseEpoch(bucket, claimed);
   if (bucket.epoch > epoch) {
     throw new Error(`bucket ${String(bucket.number)} has a home with a higher epoch`);
   }
