--- a/src/requests/homes.ts
+++ b/src/requests/homes.ts
@@ -133,6 +133,11 @@
   const served = await Promise.all(
     [...hosts].map((host) => fenceHost(bucket, epoch, host, options)),
   );
+  const claimed = options.epochOf(bucket.number);
+  if (claimed === undefined) {
+    throw new Error('this host must hear its peers and read the claims before it takes over');
+  }
+  raiseEpoch(bucket, claimed);
   if (bucket.epoch > epoch) {
     throw new Error(`bucket ${String(bucket.number)} has a home with a higher epoch`);
   }
