Trust the claims last read only after hearing the peers again

Cause: a host that resumed from a pause could keep copies of request ids under an epoch that a successor had already raised elsewhere; the model test of homes found an id that ran twice that way. epochOf is now unknown until the claims were read and the peers heard.

--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -24,9 +24,9 @@
   /** Reads the claim from the store. */
   readOwner(subject: string): ResultAsync<Claim | undefined, StoreError>;
   /**
-   * Epoch of the claim as last read, 0 if there is none. Undefined if this host has not read the
-   * claims since it started, was paused or was out of contact with store and peers: another host may
-   * then have raised the epoch without this one hearing of it.
+   * Epoch of the claim as last read, 0 if there is none. Undefined after a start, a pause or a loss
+   * of contact until this host has read the claims and heard its peers again: another host may then
+   * have raised the epoch without this one hearing of it.
    */
   epochOf(subject: string): number | undefined;
   /** Claims of this host whose `onGain` listeners have finished. */
@@ -109,7 +109,7 @@
       }),
     epochOf: (subject) => {
       const record = ownership.record();
-      if (record === undefined || !contact.isCurrent()) return undefined;
+      if (record === undefined || !contact.isCurrent() || !liveness.isInformed()) return undefined;
       return record.claims.get(subject)?.epoch ?? 0;
     },
     all: () => [...(ownership.record()?.claims.values() ?? [])],
