--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,249 @@
+/**
+ * Measures the control cost of an entry host in one data centre as a function of the workers, the
+ * running tasks, the peers and the teams, while no work arrives, and fits a line to each. Every cell
+ * runs in real processes on loopback; one process serves all its workers.
+ */
+import { writeFile } from 'node:fs/promises';
+import { setTimeout as delay } from 'node:timers/promises';
+import { Cli, Command, Option } from 'clipanion';
+import { stringify } from 'yaml';
+import { hashSecret } from '../src/catalogue/index.js';
+import { OPERATOR_KEY, startCell, type Cell } from '../stand-ins/cell.js';
+import { createCallers, createRandom, type Callers } from './support/arrivals.js';
+import type { Stream } from './support/mix.js';
+import { secretOf } from './support/mix.js';
+import {
+  computeRates,
+  formatTable,
+  readCell,
+  startCollector,
+  stopOnSignal,
+  type Collector,
+  type HostRates,
+} from './support/probe.js';
+
+interface Shape {
+  readonly workers: number;
+  readonly hosts: number;
+  readonly teams: number;
+  /** Running tasks at which the cell is measured, rising. */
+  readonly tasks: readonly number[];
+}
+
+interface Row {
+  readonly workers: number;
+  readonly hosts: number;
+  readonly teams: number;
+  readonly tasks: number;
+  readonly rates: HostRates;
+}
+
+type Dimension = 'workers' | 'tasks' | 'hosts' | 'teams';
+
+const BASE = { workers: 60, hosts: 4, teams: 6, tasks: [0] };
+/** A ninth of the target is 189 workers and 1,222 tasks. */
+const SHAPES: readonly Shape[] = [
+  { ...BASE, workers: 8 },
+  BASE,
+  { ...BASE, workers: 190, tasks: [0, 400, 1300] },
+  { ...BASE, hosts: 2 },
+  { ...BASE, hosts: 8 },
+  { ...BASE, teams: 74 },
+];
+const MAX_SECONDS = 60;
+/** Claims of 190 workers and the first pieces of 74 allotments are settled after this time. */
+const SETTLE_MS = 8000;
+const READY_TIMEOUT_MS = 60_000;
+const SUBMISSIONS_AT_ONCE = 16;
+const SERVICE_PART = 5;
+const RUN_MS = 3_600_000;
+const START_WAIT_MS = 30_000;
+const START_POLL_MS = 500;
+const SEED = 1;
+
+class CapacityCommand extends Command {
+  static override usage = Command.Usage({
+    description: 'Measure the idle control cost of an entry host at several sizes.',
+  });
+
+  seconds = Option.String('--seconds', '10', {
+    description: 'Length of a measurement, at most 60',
+  });
+  repeat = Option.String('--repeat', '1', { description: 'Rounds over all sizes, at most 5' });
+  json = Option.String('--json', { description: 'File for the results' });
+
+  override async execute(): Promise<number> {
+    const measureMs = Math.min(Number(this.seconds), MAX_SECONDS) * 1000;
+    const rounds = Math.min(Number(this.repeat), 5);
+    const collector = await startCollector();
+    const rows: Row[] = [];
+    for (let round = 0; round < rounds; round += 1) {
+      for (const shape of SHAPES) rows.push(...(await measureShape(shape, collector, measureMs)));
+    }
+    collector.close();
+    const print = (text: string) => this.context.stdout.write(`${text}\n`);
+    print(
+      `seed ${String(SEED)}, ${String(measureMs / 1000)} s a measurement; costs per entry host`,
+    );
+    print(formatTable([HEADER, ...rows.map(describeRow)]));
+    const slopes = computeSlopes(rows);
+    print(formatTable([SLOPE_HEADER, ...slopes.map(describeSlope)]));
+    const result = { node: process.version, measureMs, rows, slopes };
+    if (this.json !== undefined) await writeFile(this.json, JSON.stringify(result, null, 2));
+    return 0;
+  }
+}
+
+async function measureShape(
+  shape: Shape,
+  collector: Collector,
+  measureMs: number,
+): Promise<readonly Row[]> {
+  const cell = await startCell({
+    dataCentres: [{ name: 'dc', hosts: shape.hosts, workers: listWorkers(shape.workers) }],
+    catalogue: describeCatalogue(shape.teams),
+    settings: { metrics: collector.settings },
+    readyTimeoutMs: READY_TIMEOUT_MS,
+  });
+  stopOnSignal(cell);
+  const callers = createCallers(cell.hosts, createRandom(SEED));
+  try {
+    const rows: Row[] = [];
+    let running = 0;
+    for (const tasks of shape.tasks) {
+      await startTasks(callers, shape.teams, { from: running, until: tasks });
+      running = await awaitRunning(cell, tasks);
+      await delay(SETTLE_MS);
+      const before = await readCell(cell, collector);
+      await delay(measureMs);
+      const rates = computeRates(before, await readCell(cell, collector));
+      const { workers, hosts, teams } = shape;
+      rows.push({ workers, hosts, teams, tasks: running, rates });
+    }
+    return rows;
+  } finally {
+    await callers.close();
+    await cell.stop();
+  }
+}
+
+function listWorkers(count: number): readonly object[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `worker-${String(index + 1).padStart(3, '0')}`,
+    rack: `rack-${String(Math.floor(index / 8) + 1)}`,
+    capacity: { processors: 32, memoryMb: 131_072, accelerators: 0 },
+    slots: 8,
+    connections: 64,
+  }));
+}
+
+function describeCatalogue(count: number): string {
+  const teams = Array.from({ length: count }, (_, index) => `team-${String(index + 1)}`);
+  const size = { processors: 1, memoryMb: 1024 };
+  const waits = { deadlineMs: 600_000, maxQueued: 2000 };
+  return stringify({
+    teams: Object.fromEntries(teams.map((team) => [team, { share: 1, limit: 1000 }])),
+    entries: Object.fromEntries(
+      teams.flatMap((owner) => [
+        [
+          `job-of-${owner}`,
+          { owner, class: 'batch', idempotent: true, size, ...waits, maxRunMs: 2 * RUN_MS },
+        ],
+        [`service-of-${owner}`, { owner, class: 'service', idempotent: true, size, ...waits }],
+      ]),
+    ),
+    keys: {
+      ...Object.fromEntries(
+        teams.map((team) => [team, { team, hash: hashSecret(secretOf(team)) }]),
+      ),
+      operator: { role: 'operator', hash: hashSecret(OPERATOR_KEY) },
+    },
+  });
+}
+
+/** A fifth of the tasks are services. */
+async function startTasks(
+  callers: Callers,
+  teams: number,
+  { from, until }: { from: number; until: number },
+): Promise<void> {
+  let next = from;
+  const submitSome = async () => {
+    for (let index = next++; index < until; index = next++) {
+      const key = `team-${String((index % teams) + 1)}`;
+      const kind = index % SERVICE_PART === 0 ? 'service' : 'job';
+      const entry = `${kind}-of-${key}`;
+      const stream: Stream = { kind: 'batch', entry, key, part: 0, meanRunMs: RUN_MS, tasks: 1 };
+      await callers.submit(stream, { runMs: RUN_MS });
+    }
+  };
+  await Promise.all(Array.from({ length: SUBMISSIONS_AT_ONCE }, submitSome));
+}
+
+async function awaitRunning({ operator }: Cell, expected: number): Promise<number> {
+  const giveUpAt = Date.now() + START_WAIT_MS;
+  for (;;) {
+    const rows = await operator.workers();
+    const running = rows.reduce((sum, row) => sum + row.running, 0);
+    if (running >= expected || Date.now() >= giveUpAt) return running;
+    await delay(START_POLL_MS);
+  }
+}
+
+const HEADER = ['workers', 'hosts', 'teams', 'tasks', '% core', 'MB', 'link B/s', 'store calls/s'];
+const SLOPE_HEADER = ['slope per', '% core', 'MB', 'link B/s', 'store calls/s'];
+
+function describeRow({ workers, hosts, teams, tasks, rates }: Row): readonly string[] {
+  return [...[workers, hosts, teams, tasks].map(String), ...describeCosts(costsOf(rates), 2)];
+}
+
+type Costs = readonly [number, number, number, number];
+
+function costsOf(rates: HostRates): Costs {
+  const { processorShare, residentMb, linkBytesPerSecond, storeCallsPerSecond } = rates;
+  return [processorShare * 100, residentMb, linkBytesPerSecond, storeCallsPerSecond];
+}
+
+function describeCosts(costs: readonly number[], digits: number): readonly string[] {
+  return costs.map((cost) => cost.toFixed(digits));
+}
+
+interface Slope {
+  readonly dimension: string;
+  readonly costs: readonly number[];
+}
+
+/** Each slope is fitted to the rows that differ from the base in this dimension only. */
+function computeSlopes(rows: readonly Row[]): readonly Slope[] {
+  const isBase = (row: Row, except: Dimension) =>
+    (except === 'workers' || row.workers === (except === 'tasks' ? 190 : BASE.workers)) &&
+    (except === 'hosts' || row.hosts === BASE.hosts) &&
+    (except === 'teams' || row.teams === BASE.teams) &&
+    (except === 'tasks' || row.tasks === 0);
+  const dimensions: readonly Dimension[] = ['workers', 'tasks', 'hosts', 'teams'];
+  return dimensions.map((dimension) => {
+    const chosen = rows.filter((row) => isBase(row, dimension));
+    const costs = [0, 1, 2, 3].map((cost) =>
+      fitSlope(chosen.map((row) => [row[dimension], costsOf(row.rates)[cost] ?? NaN])),
+    );
+    return { dimension, costs };
+  });
+}
+
+/** Least squares. */
+function fitSlope(points: readonly (readonly [number, number])[]): number {
+  const meanOf = (values: readonly number[]) =>
+    values.reduce((sum, value) => sum + value, 0) / values.length;
+  const meanX = meanOf(points.map(([x]) => x));
+  const meanY = meanOf(points.map(([, y]) => y));
+  const covariance = meanOf(points.map(([x, y]) => (x - meanX) * (y - meanY)));
+  return covariance / meanOf(points.map(([x]) => (x - meanX) ** 2));
+}
+
+function describeSlope({ dimension, costs }: Slope): readonly string[] {
+  return [dimension.replace(/s$/, ''), ...describeCosts(costs, 4)];
+}
+
+const cli = new Cli({ binaryLabel: 'capacity', binaryName: 'node dist/bench/capacity.js' });
+cli.register(CapacityCommand);
+process.exitCode = await cli.run(process.argv.slice(2));
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -73,6 +73,9 @@
   });
   seconds = Option.String('--seconds', '20', { description: 'Length of a phase, at most 60' });
   seed = Option.String('--seed', String(Date.now() % 1_000_000), { description: 'Random seed' });
+  profile = Option.String('--cpu-prof', {
+    description: 'Directory for processor profiles of the daemons',
+  });
   json = Option.String('--json', { description: 'File for the results' });
 
   override async execute(): Promise<number> {
@@ -89,7 +92,14 @@
     const seed = Number(this.seed);
     const print = (line: string) => this.context.stdout.write(`${line}\n`);
     print(`user ${user}, seed ${String(seed)}, ${String(seconds)} s a phase`);
-    const report = await runBench({ user, loads, phaseMs: seconds * 1000, seed, print });
+    const report = await runBench({
+      user,
+      loads,
+      phaseMs: seconds * 1000,
+      seed,
+      print,
+      profile: this.profile,
+    });
     const result = { user, seed, seconds, node: process.version, ...report };
     if (this.json !== undefined) await writeFile(this.json, JSON.stringify(result, null, 2));
     return 0;
@@ -102,6 +112,7 @@
   readonly phaseMs: number;
   readonly seed: number;
   readonly print: (line: string) => void;
+  readonly profile: string | undefined;
 }
 
 async function runBench(plan: Plan): Promise<{ idle: HostRates; phases: readonly PhaseReport[] }> {
@@ -112,6 +123,9 @@
     dataCentres: example.dataCentres,
     catalogue: example.catalogue,
     settings: { metrics: collector.settings },
+    ...(plan.profile !== undefined && {
+      nodeArgs: ['--cpu-prof', `--cpu-prof-dir=${plan.profile}`],
+    }),
   });
   stopOnSignal(cell);
   const random = createRandom(seed);
@@ -132,11 +146,18 @@
     return { idle, phases: reports };
   } finally {
     await callers.close();
+    if (plan.profile !== undefined) await endWithProfiles(cell);
     await cell.stop();
     collector.close();
   }
 }
 
+/** A second signal ends a daemon at once, and then it writes its profile. */
+async function endWithProfiles({ hosts }: Cell): Promise<void> {
+  for (const host of hosts) host.signal('SIGTERM');
+  await Promise.all(hosts.map((host) => host.stop('SIGTERM')));
+}
+
 /** Observed use between a third and 1.6 times of the declared size, reported late. */
 async function disturbWorkers(cell: Cell, random: () => number): Promise<void> {
   await Promise.all(
--- a/stand-ins/cell.ts
+++ b/stand-ins/cell.ts
@@ -34,6 +34,8 @@
   readonly catalogue: string;
   /** Settings that replace the defaults, for example `timers`. */
   readonly settings?: object;
+  /** Options of Node.js for the daemons. */
+  readonly nodeArgs?: readonly string[];
   readonly readyTimeoutMs?: number;
 }
 
@@ -92,7 +94,11 @@
     const file = join(folder, `${id}.yaml`);
     const settings = describeSettings({ id, dataCentre, keyValue, hostList, options });
     await writeFile(file, stringify(settings));
-    const started = await startProcess({ script: ENTRY_SCRIPT, args: ['--settings', file] });
+    const started = await startProcess({
+      script: ENTRY_SCRIPT,
+      args: ['--settings', file],
+      nodeArgs: options.nodeArgs ?? [],
+    });
     const linkUrl = /^listening \S+ (?<link>\S+)/m.exec(started.output())?.groups?.link ?? '';
     const entry = { ...started, id, dataCentre, linkUrl };
     const place = hosts.findIndex((host) => host.id === id);
--- a/stand-ins/control.ts
+++ b/stand-ins/control.ts
@@ -12,6 +12,8 @@
   /** Path of the compiled main module. */
   readonly script: string;
   readonly args?: readonly string[];
+  /** Options of Node.js, for example `--cpu-prof`. */
+  readonly nodeArgs?: readonly string[];
   readonly readyTimeoutMs?: number;
 }
 
@@ -52,8 +54,8 @@
 
 /** Starts a process and waits until it prints `listening <url>`. */
 export async function startProcess(options: ProcessOptions): Promise<RunningProcess> {
-  const { script, args = [], readyTimeoutMs = READY_TIMEOUT_MS } = options;
-  const child = spawn(process.execPath, [script, ...args], { stdio: 'pipe' });
+  const { script, args = [], nodeArgs = [], readyTimeoutMs = READY_TIMEOUT_MS } = options;
+  const child = spawn(process.execPath, [...nodeArgs, script, ...args], { stdio: 'pipe' });
   const lines: string[] = [];
   child.stderr.on('data', (chunk: Buffer) => lines.push(chunk.toString()));
   const timer = setTimeout(() => child.kill('SIGKILL'), readyTimeoutMs);
