Bound the bytes of answers that the request table keeps

Only their number was bounded. A process with 20,000 ended requests with answers of 10 KB had a resident memory of 274, 269 and 274 MB and has 130, 123 and 124 MB now; an empty Node.js process is part of both. The oldest answers are forgotten first, as they are when there are too many.

--- a/src/requests/request-table.ts
+++ b/src/requests/request-table.ts
@@ -22,10 +22,14 @@
   readonly keepMs?: number;
   /** Most ended requests that are kept. */
   readonly maxEnded?: number;
+  /** Most bytes of answers that are kept. */
+  readonly maxEndedBytes?: number;
 }
 
 const DEFAULT_KEEP_MS = 600_000;
 const DEFAULT_MAX_ENDED = 20_000;
+/** Without it, 20,000 answers of 10 KB would take more than the whole memory of an entry host. */
+const DEFAULT_MAX_ENDED_BYTES = 16 * 1024 * 1024;
 
 interface Row {
   status: RequestStatus;
@@ -34,14 +38,18 @@
 
 export function createRequestTable(options: RequestTableOptions): RequestTable {
   const { now, keepMs = DEFAULT_KEEP_MS, maxEnded = DEFAULT_MAX_ENDED } = options;
+  const { maxEndedBytes = DEFAULT_MAX_ENDED_BYTES } = options;
   const rows = new Map<string, Row>();
   /** Times of the end by key, oldest first. */
   const ended = new Map<string, number>();
+  let endedBytes = 0;
 
   function forgetOld(): void {
     for (const [key, endedAt] of ended) {
-      if (ended.size <= maxEnded && now() - endedAt < keepMs) return;
+      const fits = ended.size <= maxEnded && endedBytes <= maxEndedBytes;
+      if (fits && now() - endedAt < keepMs) return;
       ended.delete(key);
+      endedBytes -= bytesOf(rows.get(key)?.status.outcome);
       rows.delete(key);
     }
   }
@@ -69,6 +77,7 @@
       if (row === undefined || row.status.state === 'ended') return;
       row.status = { ...row.status, state: 'ended', outcome };
       ended.set(key, now());
+      endedBytes += bytesOf(outcome);
       for (const wake of row.waiting) wake();
       row.waiting.clear();
       forgetOld();
@@ -82,6 +91,10 @@
   };
 }
 
+function bytesOf(outcome: Outcome | undefined): number {
+  return outcome?.kind === 'done' ? outcome.body.byteLength : 0;
+}
+
 async function waitForEnd(row: Row, waitMs: number): Promise<void> {
   await new Promise<void>((resolve) => {
     const wake = () => {
