--- a/test/requests/request-table.test.ts
+++ b/test/requests/request-table.test.ts
@@ -21,7 +21,7 @@
   it('forgets the oldest ended requests once their answers take too many bytes', () => {
     const table = createRequestTable({ now: () => 0, maxEndedBytes: 100 });
     const ids = ['small', 'large', 'last'];
-    for (const id of ids) table.add(requestOf(id));
+    for (const id of ids) table.add(createWorkRequest('clubs', id));
     for (const [index, id] of ids.entries()) {
       const body = new Uint8Array([10, 80, 20][index] ?? 0);
       table.end('clubs', id, { kind: 'done', status: 200, contentType: '', body, worker: 'w' });
