--- a/src/entry/loops.ts
+++ b/src/entry/loops.ts
@@ -16,7 +16,6 @@
 const CLAIMS_INTERVAL_MS = 1000;
 const ALLOTMENTS_INTERVAL_MS = 500;
 const ADOPTION_INTERVAL_MS = 2000;
-const METRICS_INTERVAL_MS = 1000;
 /** Renewals per lease; two may be lost before a lease expires. */
 const RENEWALS_PER_LEASE = 3;
 
@@ -55,19 +54,6 @@
   repeat('orphans', leaseMs / RENEWALS_PER_LEASE, () => renewOrphans(parts));
   repeat('adoption', ADOPTION_INTERVAL_MS, () => adoptJobs(parts));
   if (settings.metrics === 'off') return;
-  repeat('metrics', METRICS_INTERVAL_MS, () => {
-    reportCosts(parts);
-    return Promise.resolve();
-  });
-}
-
-/** Totals since the start of the process, so that a lost datagram loses no count. */
-function reportCosts({ metrics, links, store, host }: Parts): void {
-  const tags = { host: host.id };
-  const { sentBytes, receivedBytes } = links.traffic();
-  metrics.gauge('links.sent_bytes', sentBytes, tags);
-  metrics.gauge('links.received_bytes', receivedBytes, tags);
-  metrics.gauge('store.calls', store.calls(), tags);
 }
 
 interface Loop {
--- a/src/entry/metering.ts
+++ b/src/entry/metering.ts
@@ -22,18 +22,20 @@
   metrics.timing('response_ms', now - request.submittedAt, tags);
 }
 
-/** Reports queues, workers and what control costs. */
-export function meterHost({ metrics, holdings, links, store, describeHeartbeat }: Parts): void {
-  const { load, storeContactAgeMs } = describeHeartbeat();
+/** Reports queues and workers, and totals since the start, so that a lost datagram loses no count. */
+export function meterHost(parts: Parts): void {
+  const { metrics, host, holdings, links, store } = parts;
+  const { load, storeContactAgeMs } = parts.describeHeartbeat();
+  const tags = { host: host.id };
   for (const [workClass, queued] of Object.entries(load.queued)) {
-    metrics.gauge('queued', queued, { class: workClass });
+    metrics.gauge('queued', queued, { ...tags, class: workClass });
   }
-  metrics.gauge('oldest_interactive_wait_ms', load.waitMs);
-  metrics.gauge('free_slots', load.freeSlots);
-  metrics.gauge('held_workers', holdings.all().length);
-  metrics.gauge('store_contact_age_ms', storeContactAgeMs);
-  metrics.gauge('store_calls', store.calls());
+  metrics.gauge('oldest_interactive_wait_ms', load.waitMs, tags);
+  metrics.gauge('free_slots', load.freeSlots, tags);
+  metrics.gauge('held_workers', holdings.all().length, tags);
+  metrics.gauge('store.contact_age_ms', storeContactAgeMs, tags);
+  metrics.gauge('store.calls', store.calls(), tags);
   const { sentBytes, receivedBytes } = links.traffic();
-  metrics.gauge('link_sent_bytes', sentBytes);
-  metrics.gauge('link_received_bytes', receivedBytes);
+  metrics.gauge('links.sent_bytes', sentBytes, tags);
+  metrics.gauge('links.received_bytes', receivedBytes, tags);
 }
