--- a/test/teams/allotments.test.ts
+++ b/test/teams/allotments.test.ts
@@ -272,9 +272,9 @@
     expect(started).to.be.above(5 * runs);
   }).timeout(120_000);
 
-  const owner = (store: Store, name: string, now = () => 0): Allotments => {
+  const owner = (store: Store, name: string, now = () => 0, limit = 64): Allotments => {
     const allotments = createAllotments({ store, owner: name, now });
-    allotments.setLimits(limits(64), 1);
+    allotments.setLimits(limits(limit), 1);
     return allotments;
   };
 
@@ -348,22 +348,27 @@
     expect(record?.parts.spare?.part ?? 0).to.be.at.most(0);
   });
 
-  it('does not reuse the charge of an adopted task while its paused former owner still may', async () => {
+  it('does not reuse the charge of an adopted task while its paused former owner does', async () => {
     const store = createMemoryStore();
     let time = 0;
-    const paused = owner(store, 'paused', () => time);
-    const adopter = owner(store, 'adopter', () => time);
-    for (const allotments of [paused, adopter]) await allotments.rebalance();
-    const running = take(paused, 1);
-    const before = adopter.spare(TEAM);
-    await adopter.adopt('paused', new Map([[TEAM, running]]));
+    const paused = owner(store, 'paused', () => time, 2);
+    const adopter = owner(store, 'adopter', () => time, 2);
+    const rebalance = async () => {
+      time += 60_000;
+      for (const allotments of [paused, adopter]) await allotments.rebalance();
+    };
+    for (const allotments of [paused, adopter]) take(allotments);
+    await rebalance();
+    take(paused, 1);
+    await adopter.adopt('paused', new Map([[TEAM, 1]]));
     adopter.release(TEAM, 'paused');
     paused.release(TEAM);
-    expect([paused.spare(TEAM), adopter.spare(TEAM)]).to.deep.equal([1, before]);
-    time = 60_000;
-    await paused.rebalance();
-    await adopter.rebalance();
-    expect([paused.spare(TEAM), adopter.spare(TEAM)]).to.deep.equal([0, before + 1]);
+    expect(take(paused, 1), 'the paused owner may still start one').to.equal(1);
+    await rebalance();
+    expect(adopter.spare(TEAM)).to.equal(1);
+    paused.release(TEAM);
+    await rebalance();
+    expect([paused.spare(TEAM), adopter.spare(TEAM)]).to.deep.equal([0, 2]);
   });
 
   it('keeps a dead adopter from freeing charges that a third owner may still use', () => {
