Renew leases only on workers with running tasks

An idle worker has no lease to renew, and a task that starts between two renewals has its whole lease.

--- a/src/entry/holdings.ts
+++ b/src/entry/holdings.ts
@@ -118,7 +118,8 @@
       entry.leaving = report.value.leaving;
       entry.ledger.applyReport(report.value);
       entry.lastRenewalAt = now();
-      await entry.client.renew(entry.epoch, leaseMs);
+      // An idle worker has no lease to renew, and most calls to it would be for nothing.
+      if (entry.ledger.running().length > 0) await entry.client.renew(entry.epoch, leaseMs);
     }
     if (wasUsable !== isUsable(entry, options.findWorker)) options.onChange();
   }
