Read allotments again after all claims were lost

Cause: peers free the parts of a host once no claim names it. A host that was paused meanwhile still believed in its parts after it resumed, up to its next read of the record, and could start tasks from them on workers that it claimed anew.

Change: `distrust` makes the parts unusable until the records were read again.

--- a/src/teams/allotments.ts
+++ b/src/teams/allotments.ts
@@ -39,6 +39,8 @@
    * owner name, because it may not have read that its parts are gone.
    */
   releaseOwner(from: string): ResultAsync<void, StoreError>;
+  /** Starts nothing until the records were read again: this owner's parts may have been freed. */
+  distrust(): void;
   /** Configuration in force; ignored for teams of which a higher revision is known. */
   setLimits(teams: ReadonlyMap<string, Team>, revision: number): void;
   /** Starts nothing any more and returns all unused parts; later calls of `rebalance` go on. */
@@ -95,6 +97,7 @@
 
   function update(state: TeamState): ResultAsync<void, StoreError> {
     writes += 1;
+    const { distrusts } = state;
     const repeated = state.plan !== undefined;
     const plan = state.plan ?? startPlan(state, writes);
     let attempts = 0;
@@ -111,6 +114,7 @@
       .map((record) => {
         const known = record ?? { limit: 0, revision: -1, parts: {} };
         confirm(state, { record: known, plan, owner, now: now() });
+        state.confirmedDistrusts = distrusts;
       })
       .mapErr((error) => {
         // The request that was short is still waiting.
@@ -128,6 +132,7 @@
     const changed = state.limit !== state.limitInRecord && !(unread && state.limit === 0);
     return (
       state.plan !== undefined ||
+      state.confirmedDistrusts < state.distrusts ||
       state.shortage ||
       state.asking ||
       changed ||
@@ -245,6 +250,9 @@
     },
     settled: (from) => [...states.values()].every((state) => isSettled(state, from)),
     releaseOwner: (from) => toResult(exclusively(() => removeOwner(from))),
+    distrust: () => {
+      for (const state of states.values()) state.distrusts += 1;
+    },
     setLimits: (teams, revision) => {
       for (const team of states.keys()) if (!teams.has(team)) setLimit(team, 0, revision);
       for (const { name, limit } of teams.values()) setLimit(name, limit, revision);
--- a/src/teams/state.ts
+++ b/src/teams/state.ts
@@ -51,6 +51,9 @@
   readAt: number;
   /** A write that may have taken effect. */
   plan: Plan | undefined;
+  /** How often the known record was found to be doubtful, and how often before the last read. */
+  distrusts: number;
+  confirmedDistrusts: number;
 }
 
 export function createTeamState(team: string): TeamState {
@@ -70,6 +73,8 @@
     spareInRecord: 0,
     readAt: -Infinity,
     plan: undefined,
+    distrusts: 0,
+    confirmedDistrusts: 0,
   };
 }
 
@@ -89,6 +94,7 @@
  * excess unused, because it cannot know how much of their parts the others use.
  */
 export function available(state: TeamState): number {
+  if (state.confirmedDistrusts < state.distrusts) return 0;
   const unused = state.belief - state.used - state.lost - reserved(state);
   const excess = Math.max(0, state.bound - state.limit);
   return Math.max(0, unused - Math.max(excess, state.giving));
