Interrupt nothing when hosts stop and workers leave

Adoption now waits after a start or a pause, and for two steps in which an owner is silent. - Calls to a worker that changed hands were destroyed, and their callers got `unknown`. They now end first. - A caller that waited for a job at another host got `unknown` when that host left; it now follows the job to the host that adopts it, which may be this one, and ended jobs are found as well. - A leaving host refused callers that its peers could serve. It passes them on, closes its listener after the grace period, and keeps open connections until they are idle for the keep-alive time. - `/healthz` reported a host that had no configuration, workers or links as healthy. A request waits up to 2 s while no host has any workers. - A gang whose reserved worker changed hands ended as `unknown`; the task that did not run gets another place. Reservations of other coordinators are served before the claims are handed over.

Held ledgers now stay in the scheduler and are excluded from placement.

--- a/src/callers/app.ts
+++ b/src/callers/app.ts
@@ -30,7 +30,10 @@
   configuration(): Configuration | undefined;
   /** Whether the keys in force are known to be current. */
   keysCurrent(): boolean;
-  /** Whether the host takes new work. */
+  /**
+   * Whether a load balancer should send work here: not while the host starts or leaves. A leaving
+   * host passes work that still reaches it to other hosts.
+   */
   accepting(): boolean;
   submit(request: WorkRequest): Promise<SubmissionResult>;
   status(team: string, id: string, waitMs: number): Promise<RequestStatus | 'not-found' | Outcome>;
@@ -57,7 +60,6 @@
 const ENVELOPE_BYTES = 1024;
 const MAX_STATUS_WAIT_MS = 30_000;
 const KEYS_RETRY_MS = 1000;
-const SHUTDOWN_RETRY_MS = 1000;
 
 /** Creates the HTTP application for callers. */
 export function createCallerApp(options: CallerOptions): Hono {
@@ -66,7 +68,7 @@
   app.get('/healthz', (context) =>
     backend.accepting()
       ? context.json({ status: 'ok' })
-      : context.json({ status: 'shutting-down' }, 503),
+      : context.json({ status: 'not-serving' }, 503),
   );
   app.post('/v1/requests', async (context) => submitJson(options, context));
   app.post('/v1/entries/:entry/requests', async (context) => submitRaw(options, context));
@@ -134,13 +136,6 @@
 ): Authorized | Refused {
   const { backend, limits } = options;
   const configuration = backend.configuration();
-  if (!backend.accepting()) {
-    return refuse(
-      'shutting-down',
-      'This host is leaving; send the request to another one.',
-      SHUTDOWN_RETRY_MS,
-    );
-  }
   if (configuration === undefined) {
     return refuse(
       'keys-not-current',
--- a/src/entry/caller-backend.ts
+++ b/src/entry/caller-backend.ts
@@ -31,12 +31,24 @@
     status,
     configuration: () => configuration.current(),
     keysCurrent: () => configuration.keysCurrent(),
-    accepting: () => !parts.phase.leaving,
+    accepting: () => !parts.phase.leaving && canServe(parts),
     submit: (request) => parts.service.submit(request),
     cancel: (team, id) => parts.canceller.cancel(team, id),
   };
 }
 
+/** A host that has just started has neither a configuration nor workers nor links to others. */
+function canServe({ configuration, scheduler, links, membership }: Parts): boolean {
+  if (configuration.current() === undefined) return false;
+  if (scheduler.load().capacity.processors > 0) return true;
+  const live = new Set(membership.live());
+  return links
+    .connected()
+    .some(
+      (peer) => live.has(peer) && (membership.heartbeat(peer)?.load.capacity.processors ?? 0) > 0,
+    );
+}
+
 type Recorded = Pick<RequestStatus, 'state'> & {
   readonly request: Pick<RequestStatus, 'id' | 'team' | 'entry'>;
   readonly outcome?: Outcome;
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -30,8 +30,8 @@
   cancel(team: string, id: string): boolean;
   /** Starts whatever fits. */
   pump(): void;
-  /** Empties the queue: moves interactive requests; jobs are left to the hosts that adopt them. */
-  drain(move: (request: WorkRequest) => Promise<Outcome>): void;
+  /** Empties the queue: moves interactive requests and gives jobs back with the refusal. */
+  drain(move: (request: WorkRequest) => Promise<Outcome>, refused: Refused): void;
   close(): void;
 }
 
@@ -164,14 +164,13 @@
       take({ team, id })?.settle(refusedSettlement(refuse('cancelled', detail)));
       return true;
     },
-    drain: (move) => {
+    drain: (move, refused) => {
       for (const request of scheduler.drain()) {
         const entry = take(request);
         if (request.class === 'interactive') {
           void move(request).then((outcome) => entry?.settle({ outcome, ended: false }));
         } else {
-          const detail = 'This host is leaving; another host continues the job.';
-          entry?.settle(refusedSettlement(refuse('shutting-down', detail)));
+          entry?.settle(refusedSettlement(refused));
         }
       }
     },
--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -3,7 +3,9 @@
  */
 import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { Server as NetServer, type AddressInfo } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+import { promisify } from 'node:util';
 import { serve } from '@hono/node-server';
 import { Hono } from 'hono';
 import { createCallerApp } from '../callers/index.js';
@@ -30,6 +32,7 @@
 }
 
 const STARTING_STATUS = 503;
+const POLL_MS = 20;
 
 /** Starts an entry host; it serves once the promise resolves. */
 export async function startEntryHost(settings: Settings): Promise<EntryHost> {
@@ -60,7 +63,9 @@
   return {
     host: parts.host,
     drain: async () => {
-      await drainHost(parts);
+      await drainHost(parts, () => {
+        stopListening(server);
+      });
       await endConnections(server);
       await close();
     },
@@ -101,13 +106,20 @@
   return app;
 }
 
-/** Stops listening and waits until every answer has been sent. */
+/**
+ * Refuses new connections and keeps those that are open. `Server.close` of http would also end idle
+ * ones, over which a caller may be sending a request.
+ */
+function stopListening(server: Server): void {
+  NetServer.prototype.close.call(server);
+}
+
+/** Waits until every answer has been sent. */
 async function endConnections(server: Server): Promise<void> {
-  const closed = new Promise<void>((resolve) => {
-    server.close(() => {
-      resolve();
-    });
-  });
-  server.closeIdleConnections();
-  await closed;
+  while (await hasConnections(server)) await delay(POLL_MS);
+}
+
+async function hasConnections(server: Server): Promise<boolean> {
+  const count = await promisify(server.getConnections.bind(server))();
+  return count > 0;
 }
--- a/src/entry/forwarding.ts
+++ b/src/entry/forwarding.ts
@@ -20,7 +20,8 @@
 const FOLLOW_TIMEOUT_MS = 10_000;
 const RETRY_MS = 500;
 const STATUS_TIMEOUT_MS = 2000;
-const ADOPTION_TRIES = 20;
+/** A dead host is suspected, and then its jobs are adopted, within this number of retries. */
+const ADOPTION_TRIES = 40;
 
 /** What a peer made of a request; `not-sent` states that the peer certainly did not get it. */
 export type Forwarded =
@@ -42,9 +43,14 @@
   readonly links: Links<PeerMessages>;
   readonly timeline: Timeline;
   readonly now: () => number;
-  readonly signal: AbortSignal;
+  /** The state of a request in the table of this host, which may have adopted the job. */
+  readonly waitHere: (
+    team: string,
+    id: string,
+    waitMs: number,
+  ) => Promise<RequestStatus | undefined>;
 }): Forwarding {
-  const { links, timeline, now, signal } = options;
+  const { links, timeline, now } = options;
 
   async function forward(host: string, message: ForwardMessage): Promise<Forwarded> {
     const { id, team } = message.request;
@@ -58,18 +64,17 @@
   }
 
   async function follow(host: string, team: string, id: string): Promise<Outcome> {
-    while (!signal.aborted) {
+    for (;;) {
       const reply = await links.request(
         host,
         'status',
         { team, id, waitMs: FOLLOW_WAIT_MS },
         { timeoutMs: FOLLOW_TIMEOUT_MS },
       );
-      if (reply.isErr()) break;
-      if (reply.value === null) break;
+      // A host that is gone has left the job to another one.
+      if (reply.isErr() || reply.value === null) return followAnywhere(team, id);
       if (reply.value.outcome !== undefined) return reply.value.outcome;
     }
-    return unknownOutcome(`The job was accepted by host ${host}; ask for its status.`);
   }
 
   async function findStatus(
@@ -92,10 +97,21 @@
     return known.find(({ outcome }) => outcome !== undefined) ?? known[0];
   }
 
+  async function findEnd(team: string, id: string): Promise<Outcome | undefined> {
+    const asked = [
+      options.waitHere(team, id, FOLLOW_WAIT_MS),
+      findStatus(team, id, FOLLOW_WAIT_MS),
+    ];
+    const first = await Promise.race(asked);
+    if (first?.outcome !== undefined) return first.outcome;
+    const statuses = await Promise.all(asked);
+    return statuses.find((status) => status?.outcome !== undefined)?.outcome;
+  }
+
   async function followAnywhere(team: string, id: string): Promise<Outcome> {
     for (let tries = 0; tries < ADOPTION_TRIES; tries += 1) {
-      const status = await findStatus(team, id, FOLLOW_WAIT_MS);
-      if (status?.outcome !== undefined) return status.outcome;
+      const outcome = await findEnd(team, id);
+      if (outcome !== undefined) return outcome;
       await delay(RETRY_MS, undefined, { ref: false });
     }
     return unknownOutcome('Another host continues the job; ask for its status.');
--- a/src/entry/gangs.ts
+++ b/src/entry/gangs.ts
@@ -16,6 +16,7 @@
 import type { Scheduler } from '../scheduling/index.js';
 import type { TaskOutcome } from '../workers/index.js';
 import { combine } from './combine.js';
+import { answerFailure } from './dispatcher.js';
 import type { PeerMessages, ReservedTask, ReserveMessage } from './messages.js';
 import type { Reservations } from './reservations.js';
 import type { TaskLookup } from './task-lookup.js';
@@ -29,6 +30,8 @@
 const HOLD_MS = 2000;
 const HOLD_POLL_MS = 50;
 const RUN_MARGIN_MS = 60_000;
+/** A worker that changes hands takes tasks again within two steps of the claims. */
+const REPLACE_MS = 5000;
 
 /** A task and the host that keeps room for it. */
 export interface GangTask extends ReservedTask {
@@ -68,12 +71,16 @@
     request: WorkRequest,
     recordStarts: (tasks: readonly GangTask[]) => Promise<boolean>,
   ): Promise<Outcome> {
-    const queued = scheduler.enqueue(request);
-    if (queued.isErr()) return queued.error;
+    // Other classes would be started from this queue as well.
+    const queued = request.class === 'gang' ? scheduler.enqueue(request) : undefined;
+    if (queued?.isErr()) return queued.error;
     const tasks = await waitForRoom(request, recordStarts);
     scheduler.cancel(request.team, request.id);
     if ('kind' in tasks) return tasks;
-    return combine(await Promise.all(tasks.map((task) => runOne(task, request))));
+    const outcomes = await Promise.all(tasks.map((task) => runPlaced(task, request, recordStarts)));
+    const [only] = outcomes;
+    if (only === undefined || request.class === 'gang') return combine(outcomes);
+    return only.kind === 'failed' ? answerFailure(only) : only;
   }
 
   /** Reserves room for all tasks once the gang is first in the queue. */
@@ -95,7 +102,8 @@
   }
 
   /** A gang whose team has used up its allotment does not hold up the others. */
-  function isNext({ id }: WorkRequest): boolean {
+  function isNext({ id, class: workClass }: WorkRequest): boolean {
+    if (workClass !== 'gang') return true;
     const first = scheduler.waitingGang();
     return first === undefined || first.id === id || options.spare(first.team) < 1;
   }
@@ -147,6 +155,41 @@
     return reply.isOk() ? reply.value.tasks : [];
   }
 
+  /**
+   * A task whose worker changed hands between reservation and start did not run, and gets another
+   * place: the rest of its gang may be running already.
+   */
+  async function runPlaced(
+    first: GangTask,
+    request: WorkRequest,
+    recordStarts: (tasks: readonly GangTask[]) => Promise<boolean>,
+  ): Promise<TaskOutcome> {
+    let task = first;
+    for (;;) {
+      const outcome = await runOne(task, request);
+      if (outcome.kind !== 'refused' || outcome.reason !== 'worker-refused') return outcome;
+      const other = await placeAgain(request, task.index);
+      if (other === undefined) return outcome;
+      if (!(await recordStarts([other]))) {
+        releaseAll([other]);
+        return outcome;
+      }
+      task = other;
+    }
+  }
+
+  async function placeAgain(request: WorkRequest, index: number): Promise<GangTask | undefined> {
+    const giveUpAt = now() + REPLACE_MS;
+    while (!signal.aborted && now() < giveUpAt) {
+      for (const holder of [...membership.live(host.dataCentre)].sort()) {
+        const [task] = await reserveAt(holder, request, 1, index);
+        if (task !== undefined) return task;
+      }
+      await pause(HOLD_POLL_MS);
+    }
+    return undefined;
+  }
+
   async function runOne(task: GangTask, request: WorkRequest): Promise<TaskOutcome> {
     if (task.host === host.id) return reservations.run(task.task, request);
     const reply = await links.request(
--- a/src/entry/holdings.ts
+++ b/src/entry/holdings.ts
@@ -38,8 +38,14 @@
   lose(worker: string): void;
   get(worker: string): HeldWorker | undefined;
   all(): readonly HeldWorker[];
-  /** Workers that may take new tasks. */
+  /** Ledgers of all held workers; one that takes no new tasks still has its running ones. */
   ledgers(): readonly Ledger[];
+  /** Whether the worker may take new tasks. */
+  isUsable(worker: string): boolean;
+  /** Whether any worker may take new tasks. */
+  anyUsable(): boolean;
+  /** Gives a worker that refused a start no new tasks before its next report, which says why. */
+  recheck(worker: string): void;
   /** Reads the report of every worker and renews the leases of its tasks. */
   refresh(): Promise<void>;
   /** Whether every lease on the worker must have expired. */
@@ -93,7 +99,7 @@
       reachable: true,
       lastRenewalAt: now(),
     };
-    await held.get(id)?.client.close();
+    void held.get(id)?.client.finish();
     held.set(id, entry);
     log.info('Holds a worker.', { worker: id, epoch: claim.epoch, running: running.length });
     options.onAdopted(entry, tasks);
@@ -106,7 +112,8 @@
     held.delete(id);
     log.info('No longer holds a worker.', { worker: id });
     options.onChange();
-    void entry.client.close();
+    // Answers of tasks that run still arrive here; the worker refuses starts under the old epoch.
+    void entry.client.finish();
   }
 
   async function refreshOne(entry: MutableHeld): Promise<void> {
@@ -137,10 +144,19 @@
     lose,
     get: (id) => held.get(id),
     all: () => [...held.values()],
-    ledgers: () =>
-      [...held.values()]
-        .filter((entry) => isUsable(entry, options.findWorker))
-        .map(({ ledger }) => ledger),
+    ledgers: () => [...held.values()].map(({ ledger }) => ledger),
+    isUsable: (id) => {
+      const entry = held.get(id);
+      return entry !== undefined && isUsable(entry, options.findWorker);
+    },
+    anyUsable: () => [...held.values()].some((entry) => isUsable(entry, options.findWorker)),
+    recheck: (id) => {
+      const entry = held.get(id);
+      if (!entry?.reachable) return;
+      entry.reachable = false;
+      options.onChange();
+      void refreshOne(entry);
+    },
     refresh: async () => {
       await Promise.all([...held.values()].map(refreshOne));
     },
--- a/src/entry/interactive.ts
+++ b/src/entry/interactive.ts
@@ -1,13 +1,17 @@
 /**
  * Interactive requests: routed to a host with room, queued there, answered while the caller waits.
  */
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Host, Outcome, RefusalReason, WorkRequest } from '../model/index.js';
 import type { Dispatcher } from './dispatcher.js';
 import { refuseNoCapacity, type Forwarding } from './forwarding.js';
-import type { Router } from './routing.js';
+import type { Route, Router } from './routing.js';
 
 /** Peers that may prove unreachable before the request is refused. */
 const MAX_PEERS_TRIED = 4;
+/** Two steps of the claims, in which a released worker gets its next holder. */
+const ROUTE_WAIT_MS = 2000;
+const ROUTE_POLL_MS = 20;
 
 /** Refusals of one host that another host may not share. */
 const LOCAL_REASONS: ReadonlySet<RefusalReason> = new Set([
@@ -31,15 +35,16 @@
   readonly router: Router;
   readonly dispatcher: Dispatcher;
   readonly forwarding: Forwarding;
+  readonly now: () => number;
 }): Interactive {
-  const { host, router, dispatcher, forwarding } = options;
+  const { host, router, dispatcher, forwarding, now } = options;
   let active = 0;
 
   async function run(request: WorkRequest): Promise<Outcome> {
     const excluded = new Set<string>();
     let refusal = refuseNoCapacity();
     for (let tried = 0; tried < MAX_PEERS_TRIED; tried += 1) {
-      const route = router.route(request, excluded);
+      const route = await awaitRoute(request, excluded);
       if (route.kind === 'local') return dispatcher.run(request);
       if (route.kind === 'none') return refusal;
       const outcome = await forwardTo(route.host, request);
@@ -50,6 +55,16 @@
     return refusal;
   }
 
+  /** While workers change hands, no linked host may have any for a moment. */
+  async function awaitRoute(request: WorkRequest, excluded: ReadonlySet<string>): Promise<Route> {
+    const giveUpAt = Math.min(now() + ROUTE_WAIT_MS, request.startBefore);
+    for (;;) {
+      const route = router.route(request, excluded);
+      if (route.kind !== 'none' || excluded.size > 0 || now() >= giveUpAt) return route;
+      await delay(ROUTE_POLL_MS, undefined, { ref: false });
+    }
+  }
+
   /** Undefined if the peer certainly did not get the request. */
   async function forwardTo(peer: string, request: WorkRequest): Promise<Outcome | undefined> {
     router.noteForwarded(peer);
--- a/src/entry/jobs.ts
+++ b/src/entry/jobs.ts
@@ -12,7 +12,7 @@
 import type { RequestTable } from '../requests/index.js';
 import type { Timeline } from '../timeline/index.js';
 import type { Dispatcher, StartHook } from './dispatcher.js';
-import { refuseNoCapacity, type Forwarding } from './forwarding.js';
+import { refuseNoCapacity, type Forwarded, type Forwarding } from './forwarding.js';
 import type { GangTask, Gangs } from './gangs.js';
 import type { Router } from './routing.js';
 import type { TaskLookup } from './task-lookup.js';
@@ -49,6 +49,8 @@
   readonly lookup: TaskLookup;
   readonly timeline: Timeline;
   readonly bootIdOf: (worker: string) => string;
+  /** Whether this host holds a worker that takes new tasks. */
+  readonly hasWorkers: () => boolean;
   readonly cancelled: Set<string>;
   readonly signal: AbortSignal;
   readonly log: Log;
@@ -59,15 +61,20 @@
   const active = new Map<string, JobRecord>();
   const abandoned = new Set<string>();
 
-  async function submit(request: WorkRequest): Promise<SubmissionResult> {
-    const route = router.route(request);
+  async function submit(
+    request: WorkRequest,
+    excluded: ReadonlySet<string> = new Set(),
+  ): Promise<SubmissionResult> {
+    const route = router.route(request, excluded);
     if (route.kind === 'none') return { kind: 'outcome', outcome: refuseNoCapacity() };
     if (route.kind === 'local') return accept(request);
     const forwarded = await forwarding.forward(route.host, {
       stage: 'place',
       request: { ...request, hops: [...request.hops, options.hostId] },
     });
-    if (forwarded.kind === 'not-sent') return accept(request);
+    if (forwarded.kind === 'not-sent' || isRefusedAsLeaving(forwarded)) {
+      return submit(request, new Set([...excluded, route.host]));
+    }
     if (forwarded.kind === 'outcome') return forwarded;
     table.add(request);
     const outcome = forwarding
@@ -77,6 +84,7 @@
   }
 
   async function accept(request: WorkRequest): Promise<SubmissionResult> {
+    if (signal.aborted) return { kind: 'outcome', outcome: refuseLeaving() };
     const recorded = await journal.accept(request);
     if (recorded.isErr()) return { kind: 'outcome', outcome: describeStoreFailure(recorded.error) };
     table.add(request);
@@ -127,11 +135,12 @@
       current = { ...current, attempt: (current.attempt ?? 0) + 1 };
       await pause(REQUEUE_MS);
     }
-    return refuse('shutting-down', 'This host is leaving; another host continues the job.');
+    return refuseLeaving();
   }
 
   function runOnce(request: WorkRequest): Promise<Outcome> {
-    if (request.class === 'gang') {
+    // A host without workers starts its jobs on those of its peers, as it does for gangs.
+    if (request.class === 'gang' || !options.hasWorkers()) {
       return gangs.run(request, (tasks) => recordStarts(request, tasks));
     }
     return dispatcher.run(request, recordStart);
@@ -204,6 +213,18 @@
   return `${team}/${id}`;
 }
 
+function refuseLeaving(): Outcome {
+  return refuse('shutting-down', 'This host is leaving; another host takes the job.');
+}
+
+function isRefusedAsLeaving(forwarded: Forwarded): boolean {
+  return (
+    forwarded.kind === 'outcome' &&
+    forwarded.outcome.kind === 'refused' &&
+    forwarded.outcome.reason === 'shutting-down'
+  );
+}
+
 function refuseCancelled(): Outcome {
   return refuse('cancelled', 'The job was cancelled before it started.');
 }
--- a/src/entry/loops.ts
+++ b/src/entry/loops.ts
@@ -6,6 +6,7 @@
 import type { Claim } from '../claims/index.js';
 import { choosePeers } from '../hosts/index.js';
 import { isWorkerClaim, workerOf } from './holdings.js';
+import { refuse } from '../model/index.js';
 import type { Parts } from './parts.js';
 import { bucketSubject } from './request-service.js';
 
@@ -15,6 +16,7 @@
 const CLAIMS_INTERVAL_MS = 1000;
 const ALLOTMENTS_INTERVAL_MS = 500;
 const ADOPTION_INTERVAL_MS = 2000;
+const STRANDED_INTERVAL_MS = 250;
 /** Renewals per lease; two may be lost before a lease expires. */
 const RENEWALS_PER_LEASE = 3;
 
@@ -25,10 +27,13 @@
   const repeat = (name: string, intervalMs: number, step: () => Promise<unknown>) => {
     void runLoop(parts, { name, intervalMs, step, signal });
   };
+  const silence = createSilenceCheck(parts);
+  const silentOwners = new Set<string>();
   listenToClaims(parts);
   listenToConfiguration(parts);
   void parts.configuration.start(signal);
   repeat('heartbeats', heartbeatMs, () => {
+    silence.noteStep();
     parts.sendHeartbeats();
     return Promise.resolve();
   });
@@ -48,9 +53,15 @@
     await allotments.rebalance();
     parts.dispatcher.pump();
   });
+  repeat('stranded work', STRANDED_INTERVAL_MS, () => {
+    moveStrandedWork(parts);
+    return Promise.resolve();
+  });
   repeat('leases', leaseMs / RENEWALS_PER_LEASE, () => holdings.refresh());
   repeat('orphans', leaseMs / RENEWALS_PER_LEASE, () => renewOrphans(parts));
-  repeat('adoption', ADOPTION_INTERVAL_MS, () => adoptJobs(parts));
+  repeat('adoption', ADOPTION_INTERVAL_MS, async () => {
+    if (silence.isConclusive()) await adoptJobs(parts, silentOwners);
+  });
 }
 
 interface Loop {
@@ -80,12 +91,40 @@
   return membership.hosts().length > 1 || now() - startedAt >= settings.timers.suspectAfterMs;
 }
 
-function listenToClaims({ claims, holdings, homes }: Parts): void {
+/**
+ * Right after its start or a pause, a host has heard from nobody for a while. Without this check it
+ * took the jobs of all its live peers for those of dead hosts and adopted them.
+ */
+function createSilenceCheck({ settings, now, startedAt }: Parts) {
+  const { suspectAfterMs, heartbeatMs } = settings.timers;
+  const longestStepMs = heartbeatMs + suspectAfterMs / 2;
+  let since = startedAt;
+  let lastStepAt = startedAt;
+
+  function noteStep(): void {
+    if (now() - lastStepAt > longestStepMs) since = now();
+    lastStepAt = now();
+  }
+
+  return {
+    noteStep,
+    /** Whether silent hosts have had time to be heard from. */
+    isConclusive: (): boolean => {
+      noteStep();
+      return now() - since >= 2 * suspectAfterMs;
+    },
+  };
+}
+
+function listenToClaims({ claims, holdings, homes, allotments }: Parts): void {
   claims.onGain(async (claim) => {
+    if (claims.owned().length === 0) allotments.distrust();
     if (isWorkerClaim(claim)) await holdings.gain(claim);
     else await homes.takeOver(bucketOf(claim.subject), claim.epoch, formerHostOf(claim));
   });
   claims.onLoss((claim) => {
+    // Its parts may be freed while no claim names this host.
+    if (claims.owned().length === 0) allotments.distrust();
     if (isWorkerClaim(claim)) holdings.lose(workerOf(claim));
     else homes.stop(bucketOf(claim.subject), claim.epoch);
   });
@@ -109,6 +148,13 @@
   return from?.at(-1)?.split('/')[0];
 }
 
+/** Work that was queued here before the last worker left or became unreachable. */
+function moveStrandedWork({ holdings, dispatcher, interactive, scheduler }: Parts): void {
+  if (holdings.anyUsable() || scheduler.queued().every((row) => row.class === 'gang')) return;
+  const detail = 'This host has no worker that takes new tasks.';
+  dispatcher.drain((request) => interactive.move(request), refuse('no-capacity', detail));
+}
+
 async function refreshFleet(parts: Parts): Promise<void> {
   const { hostList, membership, host, links } = parts;
   const fleet = await hostList.fetch();
@@ -136,12 +182,28 @@
   }
 }
 
-async function adoptJobs({ journal, membership, jobs, abort }: Parts): Promise<void> {
+/**
+ * An owner counts as dead if it was silent in two steps: the first job of a host that has just
+ * restarted may be in the store before its first heartbeat arrives here.
+ */
+async function adoptJobs(parts: Parts, silentOwners: Set<string>): Promise<void> {
+  const { journal, membership, jobs, abort } = parts;
   if (abort.signal.aborted) return;
+  const silentBefore = new Set(silentOwners);
+  silentOwners.clear();
   const adopted = await journal.adopt((owner) => {
     const [host = '', bootId] = owner.split('/');
-    return !membership.live().includes(host) || membership.heartbeat(host)?.bootId !== bootId;
+    const isHeard =
+      membership.live().includes(host) && membership.heartbeat(host)?.bootId === bootId;
+    if (!isHeard) silentOwners.add(owner);
+    return !isHeard && silentBefore.has(owner);
   });
   if (adopted.isOk()) jobs.resume(adopted.value);
+  // Callers may wait for jobs that had ended before they were adopted.
+  jobs.resume(
+    journal.jobs().filter(({ request, state }) => {
+      return state === 'ended' && parts.table.get(request.team, request.id) === undefined;
+    }),
+  );
   await journal.sweep();
 }
--- a/src/entry/parts.ts
+++ b/src/entry/parts.ts
@@ -190,7 +190,10 @@
   const scheduler: Scheduler = createScheduler({
     now,
     random: Math.random,
-    health,
+    health: {
+      ...health,
+      state: (worker) => (holdings().isUsable(worker) ? health.state(worker) : 'out'),
+    },
     owner,
     epoch: (worker) => holdings().get(worker)?.epoch ?? 0,
     team: (name) => configuration.current()?.teams.get(name),
@@ -221,7 +224,14 @@
       configuration.current()?.entries.get(entry)?.maxQueued ?? DEFAULT_MAX_QUEUED,
     urgentShare: settings.scheduling.urgentShare,
   });
-  return scheduler;
+  return {
+    ...scheduler,
+    // Peers queue nothing at a host whose workers all leave or are unreachable.
+    load: () => {
+      const load = scheduler.load();
+      return holdings().anyUsable() ? load : { ...load, capacity: NO_RESOURCES };
+    },
+  };
 }
 
 type RequestParts = Omit<
@@ -251,7 +261,12 @@
       jobs.abandon(records);
     },
   });
-  const forwarding = createForwarding({ links, timeline, now, signal });
+  const forwarding = createForwarding({
+    links,
+    timeline,
+    now,
+    waitHere: (team, id, waitMs) => table.wait(team, id, waitMs),
+  });
   const router = createRouter({
     host,
     membership,
@@ -260,7 +275,7 @@
     accepting: () => !foundation.phase.leaving,
     spare,
   });
-  const interactive = createInteractive({ host, router, dispatcher, forwarding });
+  const interactive = createInteractive({ host, router, dispatcher, forwarding, now });
   const reservations = createReservations({
     scheduler,
     runner,
@@ -303,6 +318,7 @@
     lookup,
     timeline,
     bootIdOf: (worker) => holdings.get(worker)?.bootId ?? '',
+    hasWorkers: () => holdings.anyUsable(),
     cancelled,
     signal,
     log: foundation.logs('jobs'),
--- a/src/entry/reservations.ts
+++ b/src/entry/reservations.ts
@@ -15,6 +15,8 @@
   /** Starts a reserved task and waits for its outcome. */
   run(task: TaskId, request: WorkRequest): Promise<TaskOutcome>;
   release(tasks: readonly TaskId[]): void;
+  /** Tasks that have room and were not started yet. */
+  waiting(): number;
 }
 
 interface Reservation {
@@ -74,5 +76,5 @@
     return reservation;
   }
 
-  return { reserve, run, release };
+  return { reserve, run, release, waiting: () => reserved.size };
 }
--- a/src/entry/shutdown.ts
+++ b/src/entry/shutdown.ts
@@ -3,6 +3,7 @@
  * for, and hands its workers, id buckets, jobs and allotments to its peers.
  */
 import { setTimeout as delay } from 'node:timers/promises';
+import { refuse } from '../model/index.js';
 import type { Parts } from './parts.js';
 
 const POLL_MS = 50;
@@ -13,16 +14,23 @@
 /** Longest wait for running interactive requests; their longest run time is usually shorter. */
 const MAX_DRAIN_MS = 60_000;
 
-/** Prepares the host for its end; callers' connections stay open until it resolves. */
-export async function drainHost(parts: Parts): Promise<void> {
-  const { log, phase, settings, membership, dispatcher, interactive } = parts;
+/**
+ * Prepares the host for its end. Until the listener closes, callers that do not know that the host
+ * leaves are served by way of its peers; their connections stay open until this resolves.
+ */
+export async function drainHost(parts: Parts, stopListening: () => void): Promise<void> {
+  const { log, phase, settings, membership, dispatcher, interactive, reservations } = parts;
   log.info('Leaving.');
   phase.leaving = true;
   membership.leave();
   parts.sendHeartbeats();
-  dispatcher.drain((request) => interactive.move(request));
+  dispatcher.drain(
+    (request) => interactive.move(request),
+    refuse('shutting-down', 'This host is leaving; another host continues the job.'),
+  );
   await delay(settings.timers.drainGraceMs);
-  await waitUntil(() => interactive.active() === 0, MAX_DRAIN_MS);
+  stopListening();
+  await waitUntil(() => interactive.active() === 0 && reservations.waiting() === 0, MAX_DRAIN_MS);
   await handOver(parts);
   log.info('Left.');
 }
--- a/src/entry/task-runner.ts
+++ b/src/entry/task-runner.ts
@@ -73,6 +73,7 @@
     const started = recordEvent(placed, 'task-started', `epoch ${String(held.epoch)}`);
     holdings.noteStart(placed.worker);
     const outcome = await held.client.start(describeStart(placed, held, options));
+    if (outcome.kind === 'refused') holdings.recheck(placed.worker);
     const settlement =
       outcome.kind === 'unknown'
         ? await resolveDoubt(held, task, outcome)
--- a/src/workers/client.ts
+++ b/src/workers/client.ts
@@ -150,6 +150,10 @@
     checkpoint: (task, epoch) => tell(`${pathOf(task)}/checkpoint`, { epoch }),
     throttle: (task, epoch, fraction) => tell(`${pathOf(task)}/throttle`, { epoch, fraction }),
     report: () => command('GET', '/v1/report', undefined, decodeReport),
+    finish: async () => {
+      closed = true;
+      await Promise.all([tasks.close(), commands.close()]);
+    },
     close: async () => {
       closed = true;
       await Promise.all([tasks.destroy(), commands.destroy()]);
--- a/src/workers/task.ts
+++ b/src/workers/task.ts
@@ -76,5 +76,8 @@
   /** Limits a task to a fraction of its processors. */
   throttle(task: TaskId, epoch: number, fraction: number): ResultAsync<void, WorkerError>;
   report(): ResultAsync<WorkerReport, WorkerError>;
+  /** Lets calls under way end; new ones are refused. */
+  finish(): Promise<void>;
+  /** Ends all calls at once. */
   close(): Promise<void>;
 }
--- a/stand-ins/cell.ts
+++ b/stand-ins/cell.ts
@@ -65,6 +65,8 @@
   readonly leaving?: readonly string[];
   /** Ids of workers that the host list lacks. */
   readonly without?: readonly string[];
+  /** Whether the change is delivered at once; by default it is. */
+  readonly immediate?: boolean;
 }
 
 const ENTRY_SCRIPT = fileURLToPath(new URL('../src/bin/sapphirewing-entry.js', import.meta.url));
@@ -101,8 +103,9 @@
     return entry;
   }
 
-  async function publishFleet({ leaving = [], without = [] }: FleetChanges = {}): Promise<void> {
-    await command(hostList.url, 'PUT', '/control/fleet?immediate=true', {
+  async function publishFleet(changes: FleetChanges = {}): Promise<void> {
+    const { leaving = [], without = [], immediate = true } = changes;
+    await command(hostList.url, 'PUT', `/control/fleet?immediate=${String(immediate)}`, {
       hosts: hosts.map(({ id, dataCentre, url, linkUrl }) => {
         return { id, dataCentre, url, linkUrl, state: 'live' };
       }),
--- a/stand-ins/operator.ts
+++ b/stand-ins/operator.ts
@@ -2,7 +2,7 @@
  * A small client of the operators' and callers' interfaces for tests, the demo and benchmarks.
  */
 import { randomUUID } from 'node:crypto';
-import { fetch } from 'undici';
+import { Agent, fetch } from 'undici';
 import type { HostRow, TeamRow, TimelineRow, WorkerRow } from '../src/operators/index.js';
 
 interface Addressed {
@@ -29,6 +29,9 @@
 }
 
 export function createOperator(hosts: () => readonly Addressed[], key: string): Operator {
+  /** A host that leaves waits for its idle connections, so none is kept. */
+  const withoutKeepAlive = new Agent({ pipelining: 0 });
+
   async function call(
     host: Addressed | undefined,
     method: string,
@@ -38,6 +41,7 @@
     const target = host ?? hosts()[0];
     if (target === undefined) throw new Error('The cell has no host.');
     const answer = await fetch(target.url + path, {
+      dispatcher: withoutKeepAlive,
       method,
       headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
       ...(body !== undefined && { body: JSON.stringify(body) }),
