--- a/src/callers/app.ts
+++ b/src/callers/app.ts
@@ -21,7 +21,7 @@
   app.get('/healthz', (context) =>
     backend.accepting()
       ? context.json({ status: 'ok' })
-      : context.json({ status: 'shutting-down' }, 503),
+      : context.json({ status: 'not-serving' }, 503),
   );
   app.post('/v1/requests', async (context) => submitJson(options, context));
   app.post('/v1/entries/:entry/requests', async (context) => submitRaw(options, context));
--- a/src/callers/authorization.ts
+++ b/src/callers/authorization.ts
@@ -17,7 +17,6 @@
 import type { Submission } from './submission.js';
 
 const KEYS_RETRY_MS = 1000;
-const SHUTDOWN_RETRY_MS = 1000;
 
 /** The entry that a submission names and the team that the work is charged to. */
 export interface Authorized {
@@ -33,13 +32,6 @@
 ): Authorized | Refused | Unknown {
   const { backend, limits } = options;
   const configuration = backend.configuration();
-  if (!backend.accepting()) {
-    return refuse(
-      'shutting-down',
-      'This host is leaving; send the request to another one.',
-      SHUTDOWN_RETRY_MS,
-    );
-  }
   if (configuration === undefined) {
     return refuse(
       'keys-not-current',
--- a/src/callers/backend.ts
+++ b/src/callers/backend.ts
@@ -19,7 +19,10 @@
   configuration(): Configuration | undefined;
   /** Whether the keys in force are known to be current. */
   keysCurrent(): boolean;
-  /** Whether the host takes new work. */
+  /**
+   * Whether a load balancer should send work here: not while the host starts or leaves. A leaving
+   * host passes work that still reaches it to other hosts.
+   */
   accepting(): boolean;
   submit(request: WorkRequest): Promise<SubmissionResult>;
   status(team: string, id: string, waitMs: number): Promise<RequestStatus | 'not-found' | Outcome>;
--- a/src/teams/state.ts
+++ b/src/teams/state.ts
@@ -49,6 +49,9 @@
   readAt: number;
   /** A write that may have taken effect. */
   plan: Plan | undefined;
+  /** How often the known record was found to be doubtful, and how often before the last read. */
+  distrusts: number;
+  confirmedDistrusts: number;
 }
 
 export function createTeamState(team: string): TeamState {
@@ -67,6 +70,8 @@
     spareInRecord: 0,
     readAt: -Infinity,
     plan: undefined,
+    distrusts: 0,
+    confirmedDistrusts: 0,
   };
 }
 
@@ -99,6 +104,7 @@
  * excess unused, because it cannot know how much of their parts the others use.
  */
 export function available(state: TeamState): number {
+  if (state.confirmedDistrusts < state.distrusts) return 0;
   const excess = Math.max(0, state.bound - state.limit);
   return Math.max(0, unusedOf(state) - Math.max(excess, state.giving));
 }
