Call a request refused only if none of its attempts ran

Cause: a retry that waited past its deadline answered 'refused', although an earlier attempt had run and failed. An adopted job that ran before could do the same. Refusals before the home of a caller's id was asked (for example keys-not-current) denied earlier attempts with that id. Change: the answer of the earlier attempt stands; an adopted job ends as unknown; a refusal at the edge of an id chosen by the caller says that it covers this attempt only (scope 'attempt'). The change for adopted jobs has no test.

--- a/src/callers/app.ts
+++ b/src/callers/app.ts
@@ -17,7 +17,7 @@
   type RequestStatus,
   type WorkRequest,
 } from '../model/index.js';
-import { createProblem, createRefusal, createUnknown } from './problem.js';
+import { createAttemptRefusal, createProblem, createRefusal, createUnknown } from './problem.js';
 import { parseRawSubmission, parseSubmission, readBody, type Submission } from './submission.js';
 
 /** What became of a submission: accepted for later, or an outcome. */
@@ -112,7 +112,11 @@
   const { backend } = options;
   const id = submission.id ?? mintRequestId();
   const checked = checkSubmission(options, context, submission);
-  if ('kind' in checked) return createRefusal(checked, submission.id);
+  if ('kind' in checked) {
+    return submission.id === undefined
+      ? createRefusal(checked)
+      : createAttemptRefusal(checked, submission.id);
+  }
   const request = buildRequest(options, checked, submission, id);
   const result = await backend.submit(request);
   if (result.kind === 'outcome') return describeOutcome(result.outcome, id);
--- a/src/callers/problem.ts
+++ b/src/callers/problem.ts
@@ -57,16 +57,32 @@
   id?: string,
   findings?: readonly RequestFinding[],
 ): Response {
-  const { reason, detail, retryAfterMs } = refused;
+  return describeRefusal(refused, 'The request was refused and did not run', { id, findings });
+}
+
+/**
+ * A refusal before the home of a caller's id was asked, so that it says nothing about earlier
+ * attempts with this id.
+ */
+export function createAttemptRefusal(refused: Refused, id: string): Response {
+  const title = 'This attempt was refused and did not run';
+  return describeRefusal(refused, title, { id, scope: 'attempt' });
+}
+
+function describeRefusal(
+  { reason, detail, retryAfterMs }: Refused,
+  title: string,
+  members: Readonly<Record<string, unknown>>,
+): Response {
   return createProblem({
     status: REFUSAL_STATUS[reason],
-    title: 'The request was refused and did not run',
+    title,
     detail,
     headers:
       retryAfterMs === undefined
         ? {}
         : { 'retry-after': String(Math.ceil(retryAfterMs / MS_PER_SECOND)) },
-    members: { outcome: 'refused', reason, retryAfterMs, id, findings },
+    members: { outcome: 'refused', reason, retryAfterMs, ...members },
   });
 }
 
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -62,23 +62,22 @@
   async function run(request: WorkRequest, beforeStart?: StartHook): Promise<Outcome> {
     let current = request;
     let refusals = 0;
+    /** What an attempt that ran has answered; the request must not be called refused after it. */
+    let earlier: Outcome | undefined;
     for (;;) {
       const { outcome, ended } = await queueOnce(current, beforeStart);
       const mayRetry = ended && (request.class !== 'interactive' || now() < request.startBefore);
       if (outcome.kind === 'refused') {
-        if (outcome.reason !== 'worker-refused' || !mayRetry) return outcome;
         refusals += 1;
-        if (refusals > MAX_WORKER_REFUSALS) return outcome;
+        const isTemporary = outcome.reason === 'worker-refused' && mayRetry;
+        if (!isTemporary || refusals > MAX_WORKER_REFUSALS) return earlier ?? outcome;
       } else if (outcome.kind === 'done') {
         retries.noteSuccess();
         return outcome;
-      } else if (
-        options.isCancelled(current) ||
-        !mayRetry ||
-        !canRunAgain(current) ||
-        !retries.take()
-      ) {
-        return outcome.kind === 'failed' ? answerFailure(outcome) : outcome;
+      } else {
+        earlier = outcome.kind === 'failed' ? answerFailure(outcome) : outcome;
+        const isLast = options.isCancelled(current) || !mayRetry || !canRunAgain(current);
+        if (isLast || !retries.take()) return earlier;
       }
       current = nextAttempt(current, now());
     }
--- a/src/entry/jobs.ts
+++ b/src/entry/jobs.ts
@@ -15,7 +15,7 @@
 import { refuseNoCapacity, type Forwarding } from './forwarding.js';
 import type { GangTask, Gangs } from './gangs.js';
 import type { Router } from './routing.js';
-import type { TaskLookup } from './task-lookup.js';
+import type { Found, TaskLookup } from './task-lookup.js';
 
 const STORE_RETRY_MS = 1000;
 const REQUEUE_MS = 250;
@@ -54,6 +54,8 @@
   readonly log: Log;
 }
 
+type FoundRun = Extract<Found, { readonly kind: 'run' }>;
+
 export function createJobs(options: JobOptions): Jobs {
   const { journal, dispatcher, gangs, router, forwarding, table, signal, log } = options;
   const active = new Map<string, JobRecord>();
@@ -105,7 +107,7 @@
     active.set(key, record);
     try {
       const found = await options.lookup.findOutcome(record);
-      const outcome = found.kind === 'run' ? await runToEnd(found.request) : found.outcome;
+      const outcome = found.kind === 'run' ? await runFound(found) : found.outcome;
       if (isHandedOver(request, outcome))
         return await forwarding.followAnywhere(request.team, request.id);
       journal.ended(request.team, request.id, outcome);
@@ -117,6 +119,13 @@
     }
   }
 
+  /** A job that ran before its coordinator died is not refused, even if it never starts again. */
+  async function runFound({ request, mayHaveRun }: FoundRun): Promise<Outcome> {
+    const outcome = await runToEnd(request);
+    if (!mayHaveRun || outcome.kind !== 'refused' || isHandedOver(request, outcome)) return outcome;
+    return unknownOutcome(`An earlier attempt may have run. ${outcome.detail}`);
+  }
+
   async function runToEnd(request: WorkRequest): Promise<Outcome> {
     let current = request;
     while (!signal.aborted) {
--- a/src/entry/task-lookup.ts
+++ b/src/entry/task-lookup.ts
@@ -28,7 +28,7 @@
 
 /** What to do with an adopted job. */
 export type Found =
-  | { readonly kind: 'run'; readonly request: WorkRequest }
+  | { readonly kind: 'run'; readonly request: WorkRequest; readonly mayHaveRun: boolean }
   | { readonly kind: 'outcome'; readonly outcome: Outcome };
 
 export interface TaskLookup {
@@ -60,7 +60,7 @@
     const { request } = record;
     const attempt = Math.max(-1, ...record.tasks.map((start) => start.attempt));
     const starts = record.tasks.filter((start) => start.attempt === attempt);
-    if (starts.length === 0) return { kind: 'run', request };
+    if (starts.length === 0) return { kind: 'run', request, mayHaveRun: false };
     const fates = await Promise.all(starts.map((start) => findFate(request, start)));
     return conclude({ ...request, attempt }, fates);
   }
@@ -103,15 +103,15 @@
 }
 
 function conclude(request: WorkRequest, fates: readonly Fate[]): Found {
-  const again: Found = {
-    kind: 'run',
-    request: { ...request, attempt: (request.attempt ?? 0) + 1 },
-  };
-  if (fates.every((fate) => fate.kind === 'not-started')) return again;
+  const next = { ...request, attempt: (request.attempt ?? 0) + 1 };
+  if (fates.every((fate) => fate.kind === 'not-started')) {
+    // The record names the last start of each task only.
+    return { kind: 'run', request: next, mayHaveRun: next.attempt > 1 };
+  }
   const answers = fates.filter((fate) => fate.kind === 'done' || fate.kind === 'failed');
   if (answers.length === fates.length) return { kind: 'outcome', outcome: toOutcome(answers) };
   // Every task has ended, so an idempotent job may start over.
-  if (request.idempotent) return again;
+  if (request.idempotent) return { kind: 'run', request: next, mayHaveRun: true };
   const detail = 'A worker restarted while it ran the job; the job may have run.';
   return { kind: 'outcome', outcome: unknownOutcome(detail) };
 }
