Adopt jobs only from owners that are known to be dead

Cause: a restarted host adopted the job records of live peers that it had not heard yet, and a resumed one could do so by its old heartbeats. Those peers then refused jobs as store-unavailable. Suspected silent owners also kept their claims for 60 s whatever the suspicion timeout. Change: adoption waits for the grace period of the claims; a pause is detected by half the suspicion timeout; the intervals of claims, adoption and fleet polls follow the suspicion timeout and keep their values at its default.

--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -46,6 +46,11 @@
   release(subjects: readonly string[]): Promise<void>;
   /** Removes `from` from claims of this host, once the allotments are settled. */
   settle(subjects: readonly string[]): Promise<void>;
+  /**
+   * False while hosts may be silent only because this one has just started or was paused. Their work
+   * must not be taken over then.
+   */
+  isInformed(): boolean;
   /** All claims last read. */
   all(): readonly Claim[];
   /**
@@ -112,6 +117,7 @@
       if (record === undefined || !contact.isCurrent()) return undefined;
       return record.claims.get(subject)?.epoch ?? 0;
     },
+    isInformed: liveness.isInformed,
     all: () => [...(ownership.record()?.claims.values() ?? [])],
     onGain: ownership.onGain,
     onLoss: ownership.onLoss,
--- a/src/claims/liveness.ts
+++ b/src/claims/liveness.ts
@@ -23,6 +23,7 @@
 export function createLiveness(options: ClaimsOptions, self: Owner) {
   const { membership, host, now } = options;
   const graceMs = options.startGraceMs ?? DEFAULT_START_GRACE_MS;
+  const pauseMs = options.pauseMs ?? graceMs;
   let graceSince = now();
   let lastStepAt = now();
   const silentOwners = new Map<string, SilentClaim>();
@@ -67,7 +68,7 @@
      * long that the heartbeats it has are old.
      */
     isInformed: (): boolean => {
-      if (now() - lastStepAt >= graceMs) graceSince = now();
+      if (now() - lastStepAt >= pauseMs) graceSince = now();
       lastStepAt = now();
       if (now() - graceSince >= graceMs) return true;
       const live = membership.live(host.dataCentre);
--- a/src/claims/options.ts
+++ b/src/claims/options.ts
@@ -20,9 +20,11 @@
   readonly maxReleased?: number;
   /**
    * How long a host that has started or was paused waits for the heartbeats of known hosts before it
-   * claims anything. A gap of this length between two steps counts as a pause.
+   * claims anything.
    */
   readonly startGraceMs?: number;
+  /** A gap of this length between two steps counts as a pause; by default `startGraceMs`. */
+  readonly pauseMs?: number;
   /** How long a silent host counts as live after it made a claim. */
   readonly silentOwnerMs?: number;
 }
--- a/src/entry/loops.ts
+++ b/src/entry/loops.ts
@@ -9,19 +9,22 @@
 import type { Parts } from './parts.js';
 import { bucketSubject } from './request-service.js';
 
-const FLEET_INTERVAL_MS = 2000;
+/** A restarted host must find its peers, and they its address, within its grace period. */
+const CLAIM_STEPS_PER_FLEET_POLL = 2;
 /** Used until the host list names other hosts. */
 const FIRST_FLEET_INTERVAL_MS = 100;
-const CLAIMS_INTERVAL_MS = 1000;
+/** A claim must be read while heartbeats of its owner are recent, even if the owner dies at once. */
+const CLAIM_STEPS_PER_SUSPICION = 5;
 const ALLOTMENTS_INTERVAL_MS = 500;
-const ADOPTION_INTERVAL_MS = 2000;
+const CLAIM_STEPS_PER_ADOPTION = 2;
 /** Renewals per lease; two may be lost before a lease expires. */
 const RENEWALS_PER_LEASE = 3;
 
 /** Starts all loops; they end when the signal is aborted. */
 export function startLoops(parts: Parts, signal: AbortSignal): void {
   const { settings, holdings, allotments, settlement, claims } = parts;
-  const { heartbeatMs, leaseMs } = settings.timers;
+  const { heartbeatMs, leaseMs, suspectAfterMs } = settings.timers;
+  const claimsIntervalMs = suspectAfterMs / CLAIM_STEPS_PER_SUSPICION;
   const repeat = (name: string, intervalMs: number, step: () => Promise<unknown>) => {
     void runLoop(parts, { name, intervalMs, step, signal });
   };
@@ -32,14 +35,14 @@
     parts.sendHeartbeats();
     return Promise.resolve();
   });
-  repeat('fleet', FLEET_INTERVAL_MS, async () => {
+  repeat('fleet', CLAIM_STEPS_PER_FLEET_POLL * claimsIntervalMs, async () => {
     await refreshFleet(parts);
     while (!signal.aborted && parts.membership.hosts().length < 2 && !mayClaim(parts)) {
       await delay(FIRST_FLEET_INTERVAL_MS);
       await refreshFleet(parts);
     }
   });
-  repeat('claims', CLAIMS_INTERVAL_MS, async () => {
+  repeat('claims', claimsIntervalMs, async () => {
     if (!mayClaim(parts)) return;
     await claims.reconcile();
     await settlement.settleClaims();
@@ -50,7 +53,7 @@
   });
   repeat('leases', leaseMs / RENEWALS_PER_LEASE, () => holdings.refresh());
   repeat('orphans', leaseMs / RENEWALS_PER_LEASE, () => renewOrphans(parts));
-  repeat('adoption', ADOPTION_INTERVAL_MS, () => adoptJobs(parts));
+  repeat('adoption', CLAIM_STEPS_PER_ADOPTION * claimsIntervalMs, () => adoptJobs(parts));
 }
 
 interface Loop {
@@ -136,8 +139,9 @@
   }
 }
 
-async function adoptJobs({ journal, membership, jobs, abort }: Parts): Promise<void> {
-  if (abort.signal.aborted) return;
+async function adoptJobs(parts: Parts): Promise<void> {
+  const { journal, membership, jobs, abort, claims } = parts;
+  if (abort.signal.aborted || !mayClaim(parts) || !claims.isInformed()) return;
   const adopted = await journal.adopt((owner) => {
     const [host = '', bootId] = owner.split('/');
     return !membership.live().includes(host) || membership.heartbeat(host)?.bootId !== bootId;
--- a/src/entry/parts.ts
+++ b/src/entry/parts.ts
@@ -69,6 +69,10 @@
 }
 
 const DEFAULT_MAX_QUEUED = 1000;
+/** Links to peers that are alive may take this long, because dialling backs off. */
+const MIN_START_GRACE_MS = 5000;
+/** Two hosts that hear only the store, not each other, take claims over no more often than this. */
+const SUSPICIONS_PER_SILENT_OWNER = 12;
 
 export function createParts(foundation: Foundation): Parts {
   const execution = createExecution(foundation);
@@ -107,6 +111,9 @@
     subjects: () => listSubjects(foundation),
     rendezvousOrder,
     now,
+    startGraceMs: Math.max(MIN_START_GRACE_MS, settings.timers.suspectAfterMs),
+    pauseMs: settings.timers.suspectAfterMs / 2,
+    silentOwnerMs: SUSPICIONS_PER_SILENT_OWNER * settings.timers.suspectAfterMs,
     log: logs('claims'),
   });
   const health = createHealth({ now });
