Follow a job to the host that adopts it

Cause: the home of a job's id ended the request as unknown when the link to the coordinator broke, and answered that for ever, although a peer had adopted and finished the job.

--- a/src/entry/caller-backend.ts
+++ b/src/entry/caller-backend.ts
@@ -14,11 +14,13 @@
     waitMs: number,
   ): Promise<RequestStatus | 'not-found' | Outcome> {
     const here = await table.wait(team, id, waitMs);
-    if (here !== undefined) return here;
+    if (here !== undefined && here.outcome?.kind !== 'unknown') return here;
     const elsewhere = await forwarding.findStatus(team, id, waitMs);
-    if (elsewhere !== undefined) return elsewhere;
+    if (elsewhere !== undefined && elsewhere.outcome?.kind !== 'unknown') return elsewhere;
     const recorded = await parts.journal.find(team, id);
     if (recorded.isOk() && recorded.value !== undefined) return describeRecord(recorded.value);
+    const lost = here ?? elsewhere;
+    if (lost !== undefined) return lost;
     return everyHostAnswers() && recorded.isOk() ? 'not-found' : unreachable(id);
   }
 
--- a/src/entry/forwarding.ts
+++ b/src/entry/forwarding.ts
@@ -30,7 +30,7 @@
 
 export interface Forwarding {
   forward(host: string, message: ForwardMessage): Promise<Forwarded>;
-  /** Asks the host that accepted a job until the job has ended. */
+  /** Asks the host that accepted a job, and the host that adopts it, until the job has ended. */
   follow(host: string, team: string, id: string): Promise<Outcome>;
   /** Follows a job that this host handed over, wherever it is adopted. */
   followAnywhere(team: string, id: string): Promise<Outcome>;
@@ -58,20 +58,31 @@
   }
 
   async function follow(host: string, team: string, id: string): Promise<Outcome> {
-    while (!signal.aborted) {
-      const reply = await links.request(
-        host,
-        'status',
-        { team, id, waitMs: FOLLOW_WAIT_MS },
-        { timeoutMs: FOLLOW_TIMEOUT_MS },
-      );
-      if (reply.isErr()) break;
-      if (reply.value === null) break;
-      if (reply.value.outcome !== undefined) return reply.value.outcome;
+    for (let misses = 0; misses < ADOPTION_TRIES && !signal.aborted;) {
+      const status =
+        (await askStatus(host, team, id)) ?? (await findStatus(team, id, FOLLOW_WAIT_MS));
+      if (status?.outcome !== undefined) return status.outcome;
+      if (status !== undefined) continue;
+      misses += 1;
+      await delay(RETRY_MS, undefined, { ref: false });
     }
     return unknownOutcome(`The job was accepted by host ${host}; ask for its status.`);
   }
 
+  async function askStatus(
+    host: string,
+    team: string,
+    id: string,
+  ): Promise<RequestStatus | undefined> {
+    const reply = await links.request(
+      host,
+      'status',
+      { team, id, waitMs: FOLLOW_WAIT_MS },
+      { timeoutMs: FOLLOW_TIMEOUT_MS },
+    );
+    return reply.unwrapOr(null) ?? undefined;
+  }
+
   async function findStatus(
     team: string,
     id: string,
@@ -89,7 +100,12 @@
       }),
     );
     const known = replies.filter((reply) => reply !== null);
-    return known.find(({ outcome }) => outcome !== undefined) ?? known[0];
+    // A host that lost contact with the job's coordinator knows less than one that still runs it.
+    return (
+      known.find(({ outcome }) => outcome !== undefined && outcome.kind !== 'unknown') ??
+      known.find(({ outcome }) => outcome === undefined) ??
+      known[0]
+    );
   }
 
   async function followAnywhere(team: string, id: string): Promise<Outcome> {
