--- a/src/callers/app.ts
+++ b/src/callers/app.ts
@@ -7,7 +7,7 @@
 import { mintRequestId, type Outcome, type WorkRequest } from '../model/index.js';
 import { checkSubmission, identifyCaller, tooLarge, type Authorized } from './authorization.js';
 import type { CallerOptions } from './backend.js';
-import { createProblem, createRefusal, createUnknown } from './problem.js';
+import { createAttemptRefusal, createProblem, createRefusal, createUnknown } from './problem.js';
 import { parseRawSubmission, parseSubmission, readBody, type Submission } from './submission.js';
 
 /** JSON around the input of the JSON form: names, id, deadline. */
@@ -67,7 +67,11 @@
   const { backend } = options;
   const id = submission.id ?? mintRequestId();
   const checked = checkSubmission(options, context, submission);
-  if ('kind' in checked) return describeOutcome(checked, id);
+  if ('kind' in checked) {
+    return checked.kind === 'refused' && submission.id !== undefined
+      ? createAttemptRefusal(checked, submission.id)
+      : describeOutcome(checked, id);
+  }
   const request = buildRequest(options, checked, submission, id);
   const result = await backend.submit(request);
   if (result.kind === 'outcome') return describeOutcome(result.outcome, id);
--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -29,6 +29,11 @@
    * have raised the epoch without this one hearing of it.
    */
   epochOf(subject: string): number | undefined;
+  /**
+   * Notes that this process runs and which peers it hears; a gap between two calls is a pause. Called
+   * with each heartbeat and not with `reconcile`, which takes long while the store hangs.
+   */
+  noteAlive(): void;
   /** Claims of this host whose `onGain` listeners have finished. */
   owned(): readonly Claim[];
   /** The claim last read, which is of a former owner while nobody has claimed the subject anew. */
@@ -46,6 +51,11 @@
   release(subjects: readonly string[]): Promise<void>;
   /** Removes `from` from claims of this host, once the allotments are settled. */
   settle(subjects: readonly string[]): Promise<void>;
+  /**
+   * False while hosts may be silent only because this one has just started or was paused. Their work
+   * must not be taken over then.
+   */
+  isInformed(): boolean;
   /** All claims last read. */
   all(): readonly Claim[];
   /**
@@ -80,7 +90,6 @@
   }
 
   async function reconcile(): Promise<void> {
-    contact.noteStep();
     await change((current) => {
       if (!liveness.isInformed()) return undefined;
       return decideClaims(current, {
@@ -102,6 +111,9 @@
     reconcile,
     release: (subjects) => change((current) => releaseClaims(current, self, subjects)),
     settle: (subjects) => change((current) => settleClaims(current, self, subjects)),
+    noteAlive: () => {
+      contact.noteStep();
+    },
     readOwner: (subject) =>
       options.store.get(recordKey(options)).map((found) => {
         if (found === undefined) return undefined;
@@ -112,6 +124,7 @@
       if (record === undefined || !contact.isCurrent() || !liveness.isInformed()) return undefined;
       return record.claims.get(subject)?.epoch ?? 0;
     },
+    isInformed: liveness.isInformed,
     all: () => [...(ownership.record()?.claims.values() ?? [])],
     onGain: ownership.onGain,
     onLoss: ownership.onLoss,
--- a/src/claims/contact.ts
+++ b/src/claims/contact.ts
@@ -4,10 +4,10 @@
 import type { ClaimsOptions } from './options.js';
 
 /** The default suspicion timeout: after it, peers may have taken claims over. */
-const DEFAULT_GAP_MS = 5000;
+const DEFAULT_LOSS_MS = 5000;
 
 export interface Contact {
-  /** Called at the begin of each step. */
+  /** Called several times within the shortest pause that matters, whatever the store does. */
   noteStep(): void;
   /** Called when the record was read. */
   noteRead(): void;
@@ -17,7 +17,8 @@
 
 export function createContact(options: ClaimsOptions): Contact {
   const { membership, host, now } = options;
-  const gapMs = options.startGraceMs ?? DEFAULT_GAP_MS;
+  const lossMs = options.startGraceMs ?? DEFAULT_LOSS_MS;
+  const pauseMs = options.pauseMs ?? lossMs;
   let lastStepAt = now();
   let contactAt = now();
   let isRead = false;
@@ -28,7 +29,7 @@
 
   /** A paused process answers messages before its next step, so the gap is checked here too. */
   function checkGap(): void {
-    if (now() - lastStepAt >= gapMs || now() - contactAt >= gapMs) isRead = false;
+    if (now() - lastStepAt >= pauseMs || now() - contactAt >= lossMs) isRead = false;
   }
 
   return {
--- a/src/entry/forwarding.ts
+++ b/src/entry/forwarding.ts
@@ -31,7 +31,7 @@
 
 export interface Forwarding {
   forward(host: string, message: ForwardMessage): Promise<Forwarded>;
-  /** Asks the host that accepted a job until the job has ended. */
+  /** Asks the host that accepted a job, and the host that adopts it, until the job has ended. */
   follow(host: string, team: string, id: string): Promise<Outcome>;
   /** Follows a job that this host handed over, wherever it is adopted. */
   followAnywhere(team: string, id: string): Promise<Outcome>;
@@ -65,18 +65,27 @@
 
   async function follow(host: string, team: string, id: string): Promise<Outcome> {
     for (;;) {
-      const reply = await links.request(
-        host,
-        'status',
-        { team, id, waitMs: FOLLOW_WAIT_MS },
-        { timeoutMs: FOLLOW_TIMEOUT_MS },
-      );
+      const status = await askStatus(host, team, id);
       // A host that is gone has left the job to another one.
-      if (reply.isErr() || reply.value === null) return followAnywhere(team, id);
-      if (reply.value.outcome !== undefined) return reply.value.outcome;
+      if (status === undefined) return followAnywhere(team, id);
+      if (status.outcome !== undefined) return status.outcome;
     }
   }
 
+  async function askStatus(
+    host: string,
+    team: string,
+    id: string,
+  ): Promise<RequestStatus | undefined> {
+    const reply = await links.request(
+      host,
+      'status',
+      { team, id, waitMs: FOLLOW_WAIT_MS },
+      { timeoutMs: FOLLOW_TIMEOUT_MS },
+    );
+    return reply.unwrapOr(null) ?? undefined;
+  }
+
   async function findStatus(
     team: string,
     id: string,
@@ -94,24 +103,29 @@
       }),
     );
     const known = replies.filter((reply) => reply !== null);
-    return known.find(({ outcome }) => outcome !== undefined) ?? known[0];
+    // A host that lost contact with the job's coordinator knows less than one that still runs it.
+    return (
+      known.find(({ outcome }) => outcome !== undefined && outcome.kind !== 'unknown') ??
+      known.find(({ outcome }) => outcome === undefined) ??
+      known[0]
+    );
   }
 
-  async function findEnd(team: string, id: string): Promise<Outcome | undefined> {
-    const asked = [
-      options.waitHere(team, id, FOLLOW_WAIT_MS),
-      findStatus(team, id, FOLLOW_WAIT_MS),
-    ];
-    const first = await Promise.race(asked);
-    if (first?.outcome !== undefined) return first.outcome;
-    const statuses = await Promise.all(asked);
-    return statuses.find((status) => status?.outcome !== undefined)?.outcome;
+  /** The end of a job here or elsewhere, or whether a peer still knows the job. */
+  async function findEnd(team: string, id: string): Promise<RequestStatus | undefined> {
+    const here = options.waitHere(team, id, FOLLOW_WAIT_MS);
+    const elsewhere = findStatus(team, id, FOLLOW_WAIT_MS);
+    const first = await Promise.race([here, elsewhere]);
+    if (first?.outcome !== undefined) return first;
+    const own = await here;
+    return own?.outcome === undefined ? elsewhere : own;
   }
 
   async function followAnywhere(team: string, id: string): Promise<Outcome> {
-    for (let tries = 0; tries < ADOPTION_TRIES; tries += 1) {
-      const outcome = await findEnd(team, id);
-      if (outcome !== undefined) return outcome;
+    for (let misses = 0; misses < ADOPTION_TRIES;) {
+      const status = await findEnd(team, id);
+      if (status?.outcome !== undefined) return status.outcome;
+      if (status === undefined) misses += 1;
       await delay(RETRY_MS, undefined, { ref: false });
     }
     return unknownOutcome('Another host continues the job; ask for its status.');
--- a/src/entry/loops.ts
+++ b/src/entry/loops.ts
@@ -11,42 +11,44 @@
 import type { Parts } from './parts.js';
 import { bucketSubject } from './request-service.js';
 
-const FLEET_INTERVAL_MS = 2000;
+/** A restarted host must find its peers, and they its address, within its grace period. */
+const CLAIM_STEPS_PER_FLEET_POLL = 2;
 /** Used until the host list names other hosts. */
 const FIRST_FLEET_INTERVAL_MS = 100;
-const CLAIMS_INTERVAL_MS = 1000;
+/** A claim must be read while heartbeats of its owner are recent, even if the owner dies at once. */
+const CLAIM_STEPS_PER_SUSPICION = 5;
 const ALLOTMENTS_INTERVAL_MS = 500;
-const ADOPTION_INTERVAL_MS = 2000;
 const STRANDED_INTERVAL_MS = 250;
+const CLAIM_STEPS_PER_ADOPTION = 2;
 /** Renewals per lease; two may be lost before a lease expires. */
 const RENEWALS_PER_LEASE = 3;
 
 /** Starts all loops; they end when the signal is aborted. */
 export function startLoops(parts: Parts, signal: AbortSignal): void {
   const { settings, holdings, allotments, settlement, claims } = parts;
-  const { heartbeatMs, leaseMs } = settings.timers;
+  const { heartbeatMs, leaseMs, suspectAfterMs } = settings.timers;
+  const claimsIntervalMs = suspectAfterMs / CLAIM_STEPS_PER_SUSPICION;
   const repeat = (name: string, intervalMs: number, step: () => Promise<unknown>) => {
     void runLoop(parts, { name, intervalMs, step, signal });
   };
-  const silence = createSilenceCheck(parts);
   const silentOwners = new Set<string>();
   listenToClaims(parts);
   listenToConfiguration(parts);
   void parts.configuration.start(signal);
   repeat('heartbeats', heartbeatMs, () => {
-    silence.noteStep();
+    claims.noteAlive();
     parts.sendHeartbeats();
     meterHost(parts);
     return Promise.resolve();
   });
-  repeat('fleet', FLEET_INTERVAL_MS, async () => {
+  repeat('fleet', CLAIM_STEPS_PER_FLEET_POLL * claimsIntervalMs, async () => {
     await refreshFleet(parts);
     while (!signal.aborted && parts.membership.hosts().length < 2 && !mayClaim(parts)) {
       await delay(FIRST_FLEET_INTERVAL_MS);
       await refreshFleet(parts);
     }
   });
-  repeat('claims', CLAIMS_INTERVAL_MS, async () => {
+  repeat('claims', claimsIntervalMs, async () => {
     if (!mayClaim(parts)) return;
     await claims.reconcile();
     await settlement.settleClaims();
@@ -61,9 +63,9 @@
   });
   repeat('leases', leaseMs / RENEWALS_PER_LEASE, () => holdings.refresh());
   repeat('orphans', leaseMs / RENEWALS_PER_LEASE, () => renewOrphans(parts));
-  repeat('adoption', ADOPTION_INTERVAL_MS, async () => {
-    if (silence.isConclusive()) await adoptJobs(parts, silentOwners);
-  });
+  repeat('adoption', CLAIM_STEPS_PER_ADOPTION * claimsIntervalMs, () =>
+    adoptJobs(parts, silentOwners),
+  );
 }
 
 interface Loop {
@@ -95,31 +97,6 @@
   );
 }
 
-/**
- * Right after its start or a pause, a host has heard from nobody for a while. Without this check it
- * took the jobs of all its live peers for those of dead hosts and adopted them.
- */
-function createSilenceCheck({ settings, monotonicNow: now, startedAt }: Parts) {
-  const { suspectAfterMs, heartbeatMs } = settings.timers;
-  const longestStepMs = heartbeatMs + suspectAfterMs / 2;
-  let since = startedAt;
-  let lastStepAt = startedAt;
-
-  function noteStep(): void {
-    if (now() - lastStepAt > longestStepMs) since = now();
-    lastStepAt = now();
-  }
-
-  return {
-    noteStep,
-    /** Whether silent hosts have had time to be heard from. */
-    isConclusive: (): boolean => {
-      noteStep();
-      return now() - since >= 2 * suspectAfterMs;
-    },
-  };
-}
-
 function listenToClaims({ claims, holdings, homes, allotments }: Parts): void {
   claims.onGain(async (claim) => {
     if (claims.owned().length === 0) allotments.distrust();
@@ -191,8 +168,8 @@
  * restarted may be in the store before its first heartbeat arrives here.
  */
 async function adoptJobs(parts: Parts, silentOwners: Set<string>): Promise<void> {
-  const { journal, membership, jobs, abort } = parts;
-  if (abort.signal.aborted) return;
+  const { journal, membership, jobs, abort, claims } = parts;
+  if (abort.signal.aborted || !mayClaim(parts) || !claims.isInformed()) return;
   const silentBefore = new Set(silentOwners);
   silentOwners.clear();
   const adopted = await journal.adopt((owner) => {
