--- a/test/entry/task-lookup.test.ts
+++ b/test/entry/task-lookup.test.ts
@@ -54,7 +54,7 @@
 describe('lookup of an adopted job', () => {
   it('runs a job that was never started', async () => {
     const found = await lookUp(DONE, { request: REQUEST, state: 'queued', tasks: [] });
-    expect(found).to.deep.equal({ kind: 'run', request: REQUEST });
+    expect(found).to.deep.equal({ kind: 'run', request: REQUEST, mayHaveRun: false });
   });
 
   const cases = [
