Offer the epochs in force to homes and copy hosts

Claims.epochOf answers that: it is undefined after a start or a gap of 3 s between steps, until peers were heard and the claims were read again. Failed reads in an outage do not count as a gap.

A conflict of ids is now refused only if the known request was admitted.

--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -23,6 +23,11 @@
   owned(): readonly Claim[];
   /** The claim last read, which is of a former owner while nobody has claimed the subject anew. */
   ownerOf(subject: string): Claim | undefined;
+  /**
+   * The epoch in force as far as this host can know, 0 for a subject without a claim. Undefined after
+   * a start or a pause until the host has heard its peers and read the claims again.
+   */
+  epochOf(subject: string): number | undefined;
   /**
    * Reads the record, claims what falls to this host, hands over what falls to others, and waits
    * for the listeners of new claims. A further step may begin before the listeners of an earlier
@@ -62,12 +67,15 @@
   function change(edit: (current: ClaimRecord) => ClaimRecord | undefined): Promise<void> {
     lastStep = lastStep.then(async () => {
       const next = await update(edit);
-      if (next !== undefined) ownership.apply(next);
+      if (next === undefined) return;
+      ownership.apply(next);
+      liveness.noteRead();
     });
     return lastStep;
   }
 
   async function reconcile(): Promise<void> {
+    liveness.tick();
     await change((current) => {
       if (!liveness.isInformed()) return undefined;
       return decideClaims(current, {
@@ -86,6 +94,8 @@
   return {
     owned: ownership.owned,
     ownerOf: (subject) => ownership.record()?.claims.get(subject),
+    epochOf: (subject) =>
+      liveness.isCurrent() ? (ownership.record()?.claims.get(subject)?.epoch ?? 0) : undefined,
     reconcile,
     release: (subjects) => change((current) => releaseClaims(current, self, subjects)),
     settle: (subjects) => change((current) => settleClaims(current, self, subjects)),
--- a/src/claims/liveness.ts
+++ b/src/claims/liveness.ts
@@ -7,6 +7,8 @@
 
 /** The default suspicion timeout: after it, a host that is still silent is dead. */
 const DEFAULT_START_GRACE_MS = 5000;
+/** Peers suspect a host after 5 s without a heartbeat, and the last one is up to 1 s old. */
+const DEFAULT_PAUSE_MS = 3000;
 /**
  * Two hosts that reach the store but not each other would take everything from one another in every
  * step. A claim made by a silent host shows that it lives, so takeovers slow down to this period.
@@ -22,9 +24,10 @@
 
 export function createLiveness(options: ClaimsOptions, self: Owner) {
   const { membership, host, now } = options;
-  const graceMs = options.startGraceMs ?? DEFAULT_START_GRACE_MS;
+  const { startGraceMs = DEFAULT_START_GRACE_MS, pauseMs = DEFAULT_PAUSE_MS } = options;
   let graceSince = now();
-  let lastStepAt = now();
+  let lastTickAt = now();
+  let hasRead = false;
   const silentOwners = new Map<string, SilentClaim>();
 
   function isHeard(owner: Owner): boolean {
@@ -45,6 +48,25 @@
     return heartbeat?.bootId === silent.heardBootId && heartbeat?.state !== 'leaving';
   }
 
+  function tick(): void {
+    if (now() - lastTickAt >= pauseMs) {
+      graceSince = now();
+      hasRead = false;
+    }
+    lastTickAt = now();
+  }
+
+  /** False while hosts may be silent only because this one has just started or was paused. */
+  function isInformed(): boolean {
+    tick();
+    if (now() - graceSince >= startGraceMs) return true;
+    const live = membership.live(host.dataCentre);
+    return membership
+      .hosts()
+      .filter((known) => known.dataCentre === host.dataCentre && known.id !== host.id)
+      .every((known) => live.includes(known.id));
+  }
+
   return {
     isLive: (owner: Owner): boolean => isHeard(owner) || madeClaimRecently(owner),
     /** Notes claims that appeared since the last read and whose owners send no heartbeats. */
@@ -62,19 +84,13 @@
       membership
         .live(host.dataCentre)
         .filter((id) => id === host.id || membership.heartbeat(id)?.storeReachable !== false),
-    /**
-     * False while hosts may be silent only because this one has just started, or was paused for so
-     * long that the heartbeats it has are old.
-     */
-    isInformed: (): boolean => {
-      if (now() - lastStepAt >= graceMs) graceSince = now();
-      lastStepAt = now();
-      if (now() - graceSince >= graceMs) return true;
-      const live = membership.live(host.dataCentre);
-      return membership
-        .hosts()
-        .filter((known) => known.dataCentre === host.dataCentre && known.id !== host.id)
-        .every((known) => live.includes(known.id));
+    isInformed,
+    /** Notes that the process runs; long gaps are pauses. */
+    tick,
+    noteRead: (): void => {
+      hasRead = isInformed();
     },
+    /** Whether the claims were read since this host was last out of contact. */
+    isCurrent: (): boolean => hasRead && now() - lastTickAt < pauseMs,
   };
 }
--- a/src/claims/options.ts
+++ b/src/claims/options.ts
@@ -18,11 +18,14 @@
   readonly log: Log;
   /** Most subjects that are released for rebalancing and not claimed yet. */
   readonly maxReleased?: number;
+  /** How long a host that has started or was paused waits for its peers before it claims anything. */
+  readonly startGraceMs?: number;
   /**
-   * How long a host that has started or was paused waits for the heartbeats of known hosts before it
-   * claims anything. A gap of this length between two steps counts as a pause.
+   * A gap between two steps that counts as a pause. Longer than the interval of the steps, and
+   * shorter than the suspicion timeout less a heartbeat interval, so that a host distrusts itself
+   * before its peers suspect it.
    */
-  readonly startGraceMs?: number;
+  readonly pauseMs?: number;
   /** How long a silent host counts as live after it made a claim. */
   readonly silentOwnerMs?: number;
 }
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -26,17 +26,15 @@
   if (record.outcome === undefined && local === undefined) {
     return unknownOutcome('The id was in flight at a former home; ask the team what became of it.');
   }
+  // Only an admitted request shows that no other one ran under this id: this host may not be the
+  // home any more.
+  const decision = (await local?.decision) ?? 'run';
+  if (decision !== 'run') return decision;
   if (record.digest !== digest) {
     return refuse('id-conflict', 'The id was used for another request; mint a new id.');
   }
-  if (local === undefined) return repeatOf(record);
-  const decision = await local.decision;
-  return decision === 'run' ? { kind: 'repeat', outcome: local.outcome } : decision;
-}
-
-function repeatOf(record: IdRecord): Admission {
-  if (record.outcome === undefined) return unknownOutcome('The outcome of the id is not known.');
-  return { kind: 'repeat', outcome: Promise.resolve(record.outcome) };
+  const outcome = local?.outcome ?? Promise.resolve(record.outcome ?? movedHome());
+  return { kind: 'repeat', outcome };
 }
 
 /** Answers an id that is not in the table and must not run; undefined if it may run. */
