--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -65,13 +65,14 @@
 
   /** Runs one read-modify-write at a time. */
   function change(edit: (current: ClaimRecord) => ClaimRecord | undefined): Promise<void> {
-    lastStep = lastStep.then(async () => {
+    const step = lastStep.then(async () => {
       const next = await update(edit);
       if (next === undefined) return;
       ownership.apply(next);
       liveness.noteRead();
     });
-    return lastStep;
+    lastStep = step.catch(() => undefined);
+    return step;
   }
 
   async function reconcile(): Promise<void> {
--- a/test/journal/journal.test.ts
+++ b/test/journal/journal.test.ts
@@ -21,16 +21,8 @@
 }
 
 function open(store: Store, owner: string, options: Partial<JournalOptions> = {}): Journal {
-  return createJournal({
-    store,
-    dataCentre: 'dc',
-    owner,
-    now: () => 0,
-    lingerMs: 0,
-    lazyMs: 60_000,
-    retries: { attempts: 4, delayMs: 0 },
-    ...options,
-  });
+  const timings = { lingerMs: 0, lazyMs: 60_000, retries: { attempts: 4, delayMs: 0 } };
+  return createJournal({ store, dataCentre: 'dc', owner, now: () => 0, ...timings, ...options });
 }
 
 interface RawSegment {
@@ -52,6 +44,11 @@
   return jobs.map(({ request }) => request.id);
 }
 
+/** Ids of all jobs in the store. */
+async function readIds(store: Store): Promise<string[]> {
+  return (await readRaw(store)).flatMap(({ jobs }) => idsOf(jobs));
+}
+
 function numbered(count: number): string[] {
   return Array.from({ length: count }, (_, n) => `job-${String(n)}`);
 }
@@ -113,12 +110,10 @@
       const journal = open(store, 'a/1');
       store.fates = [...fates];
       expect(await acceptAll(journal, ['job'])).to.deep.equal([answer]);
-      const held = (await readRaw(memory)).flatMap(({ jobs }) => jobs);
-      expect(held.length > 0).to.equal(kept);
+      expect((await readIds(memory)).length > 0).to.equal(kept);
       store.fates = [];
       await journal.flush();
-      const after = (await readRaw(memory)).flatMap(({ jobs }) => jobs);
-      expect(after.length > 0, 'kept once the store is back').to.equal(answer === 'ok');
+      expect((await readIds(memory)).length > 0).to.equal(answer === 'ok');
       expect(await acceptAll(journal, ['job'])).to.deep.equal(['ok']);
     });
   }
@@ -133,8 +128,7 @@
     const [, again] = await Promise.all([journal.flush(), acceptAll(journal, ['job'])]);
     expect(again).to.deep.equal(['in-doubt']);
     expect(await acceptAll(journal, ['job'])).to.deep.equal(['ok']);
-    const held = (await readRaw(memory)).flatMap(({ jobs }) => jobs);
-    expect(held).to.have.length(1);
+    expect(await readIds(memory)).to.deep.equal(['job']);
   });
 
   it('does not overwrite what an owner that is not dead adds during an adoption', async () => {
@@ -203,8 +197,8 @@
     now = 1000;
     await journal.sweep();
     await journal.flush();
-    const left = await readRaw(store);
-    expect(left.map(({ jobs }) => idsOf(jobs))).to.deep.equal([[ids[0]]]);
+    expect(await readIds(store)).to.deep.equal([ids[0]]);
+    expect(await readRaw(store)).to.have.length(1);
   });
 
   it('keeps the end of a job whose answer does not fit into the record', async () => {
@@ -324,6 +318,6 @@
   const kept = idsOf(survivor.journal.jobs());
   expect(kept).to.include.members([...accepted], 'accepted jobs are kept');
   expect(kept).to.not.have.any.members([...refused, 'none'], 'refused jobs are not kept');
-  const held = (await readRaw(memory)).flatMap(({ jobs }) => idsOf(jobs));
+  const held = await readIds(memory);
   expect(held.length, 'a job in two values').to.equal(new Set(held).size);
 }
--- a/test/requests/homes.test.ts
+++ b/test/requests/homes.test.ts
@@ -33,8 +33,8 @@
   const nodes = network.nodes as [Node, Node, Node];
   await deliverAll(network, network.takeOver(nodes[0]));
   network.now += SKEW_MS + 1;
-  const admit = (node: Node, id: string, digest = 'd'): Promise<Admission> =>
-    deliverAll(network, node.homes.admit(TEAM, id, digest));
+  const admit = async (node: Node, id: string, digest = 'd'): Promise<string> =>
+    kindOf(await deliverAll(network, node.homes.admit(TEAM, id, digest)));
   return { network, nodes, admit };
 }
 
@@ -53,20 +53,19 @@
     );
     expect(racing.map(kindOf)).to.deep.equal(['run', 'repeat']);
     nodes[0].homes.complete(TEAM, id, doneWith('first'));
-    const late = await admit(nodes[0], id);
-    for (const repeat of [racing[1], late]) {
+    for (const repeat of [racing[1], await nodes[0].homes.admit(TEAM, id, 'd')]) {
       if (repeat === 'run' || repeat.kind !== 'repeat') throw new Error('expected a repeat');
       expect(await repeat.outcome).to.deep.equal(doneWith('first'));
     }
-    expect(kindOf(await admit(nodes[0], id, 'other'))).to.equal('id-conflict');
+    expect(await admit(nodes[0], id, 'other')).to.equal('id-conflict');
   });
 
-  const takeovers = [
-    { name: 'an id that was in flight', completes: false, copied: true, answer: 'unknown' },
-    { name: 'an id that had ended', completes: true, copied: true, answer: 'repeat' },
-    { name: 'an id that no copy host knows', completes: false, copied: false, answer: 'unknown' },
+  const takeovers: [name: string, completes: boolean, copied: boolean, answer: string][] = [
+    ['an id that was in flight', false, true, 'unknown'],
+    ['an id that had ended', true, true, 'repeat'],
+    ['an id that no copy host knows', false, false, 'unknown'],
   ];
-  for (const { name, completes, copied, answer } of takeovers) {
+  for (const [name, completes, copied, answer] of takeovers) {
     it(`does not run ${name} again after a takeover`, async () => {
       const { network, nodes, admit } = await startNetwork();
       const [a, b, c] = nodes;
@@ -79,7 +78,7 @@
       if (!copied) network.crash(b);
       network.crash(a);
       await deliverAll(network, network.takeOver(c));
-      expect(kindOf(await admit(c, id))).to.equal(answer);
+      expect(await admit(c, id)).to.equal(answer);
       network.now += SKEW_MS + 1;
       expect(await admit(c, makeId(network.now, 2))).to.equal('run');
     });
@@ -97,9 +96,9 @@
       expect(await admit(b, id)).to.equal('run');
       network.resume(a);
       a.hears = hears;
-      expect(kindOf(await admit(a, id))).to.equal('unknown');
+      expect(await admit(a, id)).to.equal('unknown');
       a.hears = true;
-      expect(kindOf(await admit(a, makeId(network.now, 2)))).to.equal('unknown');
+      expect(await admit(a, makeId(network.now, 2))).to.equal('unknown');
     }
   });
 
@@ -109,7 +108,7 @@
     await runPending();
     network.move('lose', 0);
     expect(await deliverAll(network, taking)).to.equal(false);
-    expect(kindOf(await admit(nodes[1], makeId(network.now, 1)))).to.equal('unknown');
+    expect(await admit(nodes[1], makeId(network.now, 1))).to.equal('unknown');
   });
 
   const alone = [
@@ -125,11 +124,11 @@
       nodes[0].hears = false;
       network.storeUp = store;
       const id = makeId(network.now, 1);
-      expect(kindOf(await admit(nodes[0], id))).to.equal(answer);
+      expect(await admit(nodes[0], id)).to.equal(answer);
       network.storeUp = true;
       // A refused id did not run, so that the caller may send it again.
       const again = { run: 'repeat', unknown: 'run', 'store-unavailable': 'run' }[answer];
-      expect(kindOf(await admit(nodes[0], id))).to.equal(again);
+      expect(await admit(nodes[0], id)).to.equal(again);
     });
   }
 
@@ -143,10 +142,8 @@
     }
     const most = (MAX_ID_AGE_MS + SKEW_MS) / 1000 + 2;
     expect(nodes[0].homes.size()).to.be.at.most(most);
-    expect(kindOf(await admit(nodes[0], id))).to.equal('unknown');
-    expect(kindOf(await admit(nodes[0], makeId(network.now + 2 * SKEW_MS, 1)))).to.equal(
-      'id-in-future',
-    );
+    expect(await admit(nodes[0], id)).to.equal('unknown');
+    expect(await admit(nodes[0], makeId(network.now + 2 * SKEW_MS, 1))).to.equal('id-in-future');
   });
 
   it('keeps no copy under a lower epoch than the claims show', async () => {
