--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -82,14 +82,18 @@
 
   /** Runs one read-modify-write at a time. */
   function change(edit: (current: ClaimRecord) => ClaimRecord | undefined): Promise<void> {
-    lastStep = lastStep.then(async () => {
+    const step = lastStep.then(async () => {
       const next = await update(edit);
-      if (next !== undefined) ownership.apply(next);
+      if (next === undefined) return;
+      ownership.apply(next);
+      liveness.noteRead();
     });
-    return lastStep;
+    lastStep = step.catch(() => undefined);
+    return step;
   }
 
   async function reconcile(): Promise<void> {
+    liveness.tick();
     await change((current) => {
       if (!liveness.isInformed()) return undefined;
       return decideClaims(current, {
@@ -112,6 +116,7 @@
     release: (subjects) => change((current) => releaseClaims(current, self, subjects)),
     settle: (subjects) => change((current) => settleClaims(current, self, subjects)),
     noteAlive: () => {
+      liveness.tick();
       contact.noteStep();
     },
     readOwner: (subject) =>
@@ -120,9 +125,8 @@
         return decodeClaims(decodeRecord(found.value, parseClaims)).claims.get(subject);
       }),
     epochOf: (subject) => {
-      const record = ownership.record();
-      if (record === undefined || !contact.isCurrent() || !liveness.isInformed()) return undefined;
-      return record.claims.get(subject)?.epoch ?? 0;
+      if (!liveness.isCurrent() || !contact.isCurrent()) return undefined;
+      return ownership.record()?.claims.get(subject)?.epoch ?? 0;
     },
     isInformed: liveness.isInformed,
     all: () => [...(ownership.record()?.claims.values() ?? [])],
