--- a/test/claims/cell.ts
+++ b/test/claims/cell.ts
@@ -41,7 +41,8 @@
 ) {
   const members = new Map<string, Member>();
   const known = new Set<string>();
-  const cell = { subjects, now: 1_000_000, leaving: new Set<string>(), boot, kill };
+  const [leaving, cutOff] = [new Set<string>(), new Set<string>()];
+  const cell = { subjects, now: 1_000_000, leaving, cutOff, boot, kill };
 
   function boot(id: string, bootId: string, ownStore = store): Member {
     const hears = new Set([...known, id]);
@@ -70,7 +71,7 @@
     const bootId = members.get(id)?.bootId;
     if (bootId === undefined) return undefined;
     const state = cell.leaving.has(id) ? 'leaving' : 'live';
-    const contact = { storeContactAgeMs: 0, storeReachable: true };
+    const contact = { storeContactAgeMs: 0, storeReachable: !cutOff.has(id) };
     return {
       host: id,
       dataCentre: 'dc',
--- a/test/claims/claims.test.ts
+++ b/test/claims/claims.test.ts
@@ -155,6 +155,15 @@
     expect(namesOwned(b)).to.have.members(SUBJECTS);
   });
 
+  it('leaves subjects that hash to a host without the store to the next host', async () => {
+    const cell = createCell(SUBJECTS);
+    const a = cell.boot('a', '1');
+    cell.boot('b', '1');
+    cell.cutOff.add('b');
+    await a.claims.reconcile();
+    expect(namesOwned(a)).to.have.members(SUBJECTS);
+  });
+
   it('hands a new host its part at a bounded rate, never two owners at once', async () => {
     const cell = createCell(Array.from({ length: 60 }, (_, index) => `bucket:${String(index)}`));
     const a = cell.boot('a', '1');
@@ -209,10 +218,10 @@
       }
       await Promise.all(steps);
       expect(model.violations).to.deep.equal([]);
-      takeovers += model.gained.size;
+      takeovers += [...model.gained.keys()].filter((name) => !name.endsWith('@1')).length;
     });
     await fc.assert(property, { seed: 41, numRuns: 300 });
-    expect(takeovers, 'the model claims subjects').to.be.greaterThan(1500);
+    expect(takeovers, 'the model takes subjects over').to.be.greaterThan(500);
   });
 });
 
--- a/test/journal/journal.test.ts
+++ b/test/journal/journal.test.ts
@@ -131,6 +131,15 @@
     expect(await readIds(memory)).to.deep.equal(['job']);
   });
 
+  it('lets exactly one of several hosts adopt a value', async () => {
+    const store = createMemoryStore();
+    await acceptAll(open(store, 'a/1'), numbered(3));
+    const peers = ['b/1', 'c/1'].map((owner) => open(store, owner));
+    const adopted = await Promise.all(peers.map((peer) => peer.adopt((owner) => owner === 'a/1')));
+    const counts = adopted.map((result) => result._unsafeUnwrap().length);
+    expect(counts.sort()).to.deep.equal([0, 3]);
+  });
+
   it('does not overwrite what an owner that is not dead adds during an adoption', async () => {
     const memory = createMemoryStore();
     const a = open(memory, 'a/1');
