Split the assembly of an entry host and settle three faults found by reading

- A write in doubt whose retry failed was reported as certainly without effect; it stays in doubt now.
The new test failed before by construction: the retry's outage was returned.
- A restarted worker whose epoch could not be raised refused every start until its holder changed; the call is repeated with the next refresh.
- The end of a task on a restarted worker was judged against the boot id after the restart.

--- /dev/null
+++ b/src/entry/execution.ts
@@ -0,0 +1,145 @@
+/**
+ * Creates everything that decides about workers and starts tasks on them.
+ */
+import { createClaims, type Claims } from '../claims/index.js';
+import { rendezvousOrder } from '../hosts/index.js';
+import type { Worker } from '../model/index.js';
+import { BUCKETS, createRequestTable, type RequestTable } from '../requests/index.js';
+import type { Scheduler } from '../scheduling/index.js';
+import { createAllotments, type Allotments } from '../teams/index.js';
+import { createHealth, type Health } from '../workers/index.js';
+import { createDispatcher, type Dispatcher } from './dispatcher.js';
+import type { Foundation } from './foundation.js';
+import { createHoldings, workerSubject, type Holdings } from './holdings.js';
+import { createHostScheduler } from './host-scheduler.js';
+import { keyOf } from './jobs.js';
+import { bucketSubject } from './request-service.js';
+import { createRetryBudget } from './retry-budget.js';
+import { createSettlement, type Settlement } from './settlement.js';
+import { createTaskRunner, type TaskRunner } from './task-runner.js';
+
+/** Everything that decides about workers and starts tasks on them. */
+export interface Execution {
+  readonly claims: Claims;
+  readonly health: Health;
+  readonly allotments: Allotments;
+  readonly settlement: Settlement;
+  readonly scheduler: Scheduler;
+  readonly holdings: Holdings;
+  readonly runner: TaskRunner;
+  readonly dispatcher: Dispatcher;
+  readonly table: RequestTable;
+  /** Requests that must not be tried again, by team and id. */
+  readonly cancelled: Set<string>;
+}
+
+/** Links to peers that are alive may take this long, because dialling backs off. */
+const MIN_START_GRACE_MS = 5000;
+/** Two hosts that hear only the store, not each other, take claims over no more often than this. */
+const SUSPICIONS_PER_SILENT_OWNER = 12;
+
+export function createExecution(foundation: Foundation): Execution {
+  const { host, bootId, owner, store, membership, now, monotonicNow, timeline } = foundation;
+  const { settings, logs, abort } = foundation;
+  const cancelled = new Set<string>();
+  const table = createRequestTable({ now: monotonicNow });
+  const claims = createClaims({
+    store,
+    membership,
+    host,
+    bootId,
+    subjects: () => listSubjects(foundation),
+    rendezvousOrder,
+    now: monotonicNow,
+    startGraceMs: Math.max(MIN_START_GRACE_MS, settings.timers.suspectAfterMs),
+    pauseMs: settings.timers.suspectAfterMs / 2,
+    silentOwnerMs: SUSPICIONS_PER_SILENT_OWNER * settings.timers.suspectAfterMs,
+    log: logs('claims'),
+  });
+  const health = createHealth({ now: monotonicNow });
+  const allotments = createAllotments({ store, owner, now: monotonicNow, log: logs('teams') });
+  const settlement = createSettlement({
+    claims,
+    allotments,
+    owner,
+    isGone: (former) => isGone(foundation, former),
+  });
+  const scheduler = createHostScheduler(foundation, {
+    health,
+    allotments,
+    holdings: () => holdings,
+  });
+  const holdings: Holdings = createHoldings({
+    findWorker: (id) => findWorker(foundation, id),
+    adopt: (claim, tasks) => settlement.adopt(claim, tasks),
+    onAdopted: (held, tasks) => {
+      for (const task of tasks) void runner.follow(held, task);
+    },
+    onRestart: (held, tasks) => {
+      for (const task of tasks) scheduler.finished(task.id, held.worker.id);
+    },
+    onChange: () => {
+      scheduler.setLedgers(holdings.ledgers());
+      dispatcher.pump();
+    },
+    owner,
+    leaseMs: settings.timers.leaseMs,
+    now: monotonicNow,
+    log: logs('workers'),
+  });
+  const runner = createTaskRunner({
+    holdings,
+    health,
+    timeline,
+    release: (task, worker) => {
+      scheduler.finished(task, worker);
+    },
+    owner,
+    leaseMs: settings.timers.leaseMs,
+    signal: abort.signal,
+  });
+  const dispatcher = createDispatcher({
+    scheduler,
+    runner,
+    retries: createRetryBudget(),
+    timeline,
+    now,
+    isCancelled: (request) => cancelled.has(keyOf(request)),
+    onStarted: ({ team, id }) => {
+      table.setState(team, id, 'running');
+    },
+  });
+  return {
+    claims,
+    health,
+    allotments,
+    settlement,
+    scheduler,
+    holdings,
+    runner,
+    dispatcher,
+    table,
+    cancelled,
+  };
+}
+
+function listSubjects({ membership, host }: Foundation): readonly string[] {
+  const workers = membership.workers(host.dataCentre).map(({ id }) => workerSubject(id));
+  const buckets = Array.from({ length: BUCKETS }, (_, bucket) => bucketSubject(bucket));
+  return [...workers, ...buckets];
+}
+
+export function findWorker({ membership, host }: Foundation, id: string): Worker | undefined {
+  return membership.workers(host.dataCentre).find((worker) => worker.id === id);
+}
+
+/**
+ * Whether the process of an owner has certainly ended: another process runs on its host, or the
+ * platform no longer lists the host. A silent process may be paused and go on.
+ */
+function isGone({ membership }: Foundation, owner: string): boolean {
+  const [id = '', bootId] = owner.split('/');
+  const heard = membership.heartbeat(id);
+  if (heard !== undefined && heard.bootId !== bootId) return true;
+  return !membership.hosts().some((known) => known.id === id);
+}
--- a/src/entry/holdings.ts
+++ b/src/entry/holdings.ts
@@ -121,7 +121,7 @@
     const wasUsable = isUsable(entry, options.findWorker);
     entry.reachable = report.isOk();
     if (report.isOk()) {
-      if (report.value.bootId !== entry.bootId) handleRestart(entry, report.value.bootId);
+      if (report.value.bootId !== entry.bootId) await handleRestart(entry, report.value.bootId);
       entry.leaving = report.value.leaving;
       entry.ledger.applyReport(report.value);
       entry.lastRenewalAt = now();
@@ -131,12 +131,19 @@
     if (wasUsable !== isUsable(entry, options.findWorker)) options.onChange();
   }
 
-  /** A restarted worker runs nothing, and it has forgotten the epoch, which is raised again. */
-  function handleRestart(entry: MutableHeld, bootId: string): void {
-    log.warn('A worker restarted.', { worker: entry.worker.id });
+  /**
+   * A restarted worker runs nothing, and it has forgotten the epoch, which is raised again. The boot
+   * id is taken over only then, so that a failed call is repeated at the next refresh.
+   */
+  async function handleRestart(entry: MutableHeld, bootId: string): Promise<void> {
     const ended = entry.ledger.running();
+    const raised = await entry.client.raiseEpoch(entry.epoch, options.owner);
+    if (raised.isErr()) {
+      log.warn('A restarted worker does not take the epoch yet.', { worker: entry.worker.id });
+      return;
+    }
+    log.warn('A worker restarted.', { worker: entry.worker.id });
     entry.bootId = bootId;
-    void entry.client.raiseEpoch(entry.epoch, options.owner);
     options.onRestart(entry, ended);
   }
 
--- /dev/null
+++ b/src/entry/request-parts.ts
@@ -0,0 +1,175 @@
+/**
+ * Creates the parts that handle requests and jobs.
+ */
+import type { Claims } from '../claims/index.js';
+import { rendezvousOrder } from '../hosts/index.js';
+import { createJournal, type Journal } from '../journal/index.js';
+import type { WorkRequest } from '../model/index.js';
+import { createHomes, type Homes } from '../requests/index.js';
+import { createCanceller, type Canceller } from './cancellation.js';
+import type { Execution } from './execution.js';
+import type { Foundation } from './foundation.js';
+import { createForwarding, type Forwarding } from './forwarding.js';
+import { createGangs } from './gangs.js';
+import { createInteractive, type Interactive } from './interactive.js';
+import { createJobs, keyOf, type Jobs } from './jobs.js';
+import { bucketSubject, createRequestService, type RequestService } from './request-service.js';
+import { createReservations, type Reservations } from './reservations.js';
+import { createRouter } from './routing.js';
+import { createTaskLookup } from './task-lookup.js';
+
+/** Everything that handles requests and jobs. */
+export interface RequestParts {
+  readonly journal: Journal;
+  readonly homes: Homes;
+  readonly forwarding: Forwarding;
+  readonly interactive: Interactive;
+  readonly reservations: Reservations;
+  readonly jobs: Jobs;
+  readonly canceller: Canceller;
+  readonly service: RequestService;
+}
+
+const COPY_TIMEOUT_MS = 1000;
+
+export function createRequestParts(foundation: Foundation, execution: Execution): RequestParts {
+  const { host, membership, links, now, monotonicNow, abort, owner, store, timeline, settings } =
+    foundation;
+  const { claims, scheduler, runner, holdings, dispatcher, table, allotments, cancelled } =
+    execution;
+  const signal = abort.signal;
+  const spare = (team: string) => allotments.spare(team);
+  const connected = () => links.connected();
+  const journal: Journal = createJournal({
+    store,
+    dataCentre: host.dataCentre,
+    owner,
+    now,
+    log: foundation.logs('journal'),
+    onLost: (records) => {
+      jobs.abandon(records);
+    },
+  });
+  const forwarding = createForwarding({
+    links,
+    timeline,
+    now,
+    waitHere: (team, id, waitMs) => table.wait(team, id, waitMs),
+  });
+  const router = createRouter({
+    host,
+    membership,
+    scheduler,
+    connected,
+    accepting: () => !foundation.phase.leaving,
+    spare,
+  });
+  const interactive = createInteractive({ host, router, dispatcher, forwarding, now });
+  const reservations = createReservations({
+    scheduler,
+    runner,
+    holdings,
+    onReleased: () => {
+      dispatcher.pump();
+    },
+  });
+  const lookup = createTaskLookup({
+    host,
+    claims,
+    membership,
+    links,
+    runner,
+    leaseMs: settings.timers.leaseMs,
+    now: monotonicNow,
+    signal,
+  });
+  const gangs = createGangs({
+    host,
+    membership,
+    links,
+    scheduler,
+    reservations,
+    spare,
+    now,
+    random: Math.random,
+    isCancelled: (request: WorkRequest) => cancelled.has(keyOf(request)),
+    lookup,
+    signal,
+  });
+  const jobs: Jobs = createJobs({
+    hostId: host.id,
+    journal,
+    dispatcher,
+    gangs,
+    router,
+    forwarding,
+    table,
+    lookup,
+    timeline,
+    bootIdOf: (worker) => holdings.get(worker)?.bootId ?? '',
+    hasWorkers: () => holdings.anyUsable(),
+    cancelled,
+    signal,
+    log: foundation.logs('jobs'),
+  });
+  const homes = createHostHomes(foundation, claims);
+  const service = createRequestService({
+    host,
+    dataCentres: settings.dataCentres,
+    membership,
+    claims,
+    homes,
+    forwarding,
+    interactive,
+    jobs,
+    table,
+    timeline,
+    connected,
+    metrics: foundation.metrics,
+    now,
+  });
+  const canceller = createCanceller({ dispatcher, jobs, holdings, table, links, cancelled });
+  return { journal, homes, forwarding, interactive, reservations, jobs, canceller, service };
+}
+
+/** Copies go to hosts of the own data centre, in an order that spreads the buckets. */
+function createHostHomes(
+  { host, bootId, membership, links, store, now, settings }: Foundation,
+  claims: Claims,
+): Homes {
+  const { maxIdAgeMs, maxClockSkewMs } = settings.limits;
+  return createHomes({
+    host: host.id,
+    now,
+    maxIdAgeMs,
+    maxClockSkewMs,
+    copyHosts: (bucket) => {
+      const peers = membership.live(host.dataCentre).filter((id) => id !== host.id);
+      return rendezvousOrder(bucketSubject(bucket), peers);
+    },
+    sendRemember: async (peer, message) =>
+      (await links.request(peer, 'remember', message, { timeoutMs: COPY_TIMEOUT_MS })).unwrapOr(
+        undefined,
+      ),
+    sendFence: async (peer, message) =>
+      (await links.request(peer, 'fence', message, { timeoutMs: COPY_TIMEOUT_MS })).unwrapOr(
+        undefined,
+      ),
+    createRecord: async (team, id) => {
+      const created = await store.compareAndSwap(`ids/${team}/${id}`, 0, host.id);
+      if (created.isOk()) return 'created';
+      return created.error.kind === 'conflict' ? 'exists' : 'unavailable';
+    },
+    confirmOwner: async (bucket, epoch) => {
+      const claim = await claims.readOwner(bucketSubject(bucket));
+      if (claim.isErr()) return 'unavailable';
+      const owns = claim.value?.bootId === bootId && claim.value.epoch === epoch;
+      return owns ? 'owner' : 'fenced';
+    },
+    epochOf: (bucket) => claims.epochOf(bucketSubject(bucket)),
+    isOnlyHost: () =>
+      membership.hosts().every(({ id, dataCentre }) => {
+        return id === host.id || dataCentre !== host.dataCentre;
+      }),
+  });
+}
--- a/src/entry/task-runner.ts
+++ b/src/entry/task-runner.ts
@@ -24,6 +24,12 @@
   readonly worker: string;
 }
 
+/** A task and the boot of its worker when it was started. */
+interface StartedTask {
+  readonly task: TaskId;
+  readonly bootId: string;
+}
+
 /** How a task ended; `ended` is false if it may still be running. */
 export interface Settlement {
   readonly outcome: TaskOutcome;
@@ -72,11 +78,12 @@
     }
     const started = recordEvent(placed, 'task-started', `epoch ${String(held.epoch)}`);
     holdings.noteStart(placed.worker);
+    const { bootId } = held;
     const outcome = await held.client.start(describeStart(placed, held, options));
     if (outcome.kind === 'refused') holdings.recheck(placed.worker);
     const settlement =
       outcome.kind === 'unknown'
-        ? await resolveDoubt(held, task, outcome)
+        ? await resolveDoubt(held, { task, bootId }, outcome)
         : { outcome, ended: true };
     finish(placed, held, settlement, started);
     return settlement;
@@ -99,7 +106,11 @@
   }
 
   /** Asks the worker until the task's end is certain or the worker does not know the task. */
-  async function resolveDoubt(held: HeldWorker, task: TaskId, doubt: Unknown): Promise<Settlement> {
+  async function resolveDoubt(
+    held: HeldWorker,
+    { task, bootId }: StartedTask,
+    doubt: Unknown,
+  ): Promise<Settlement> {
     while (!signal.aborted) {
       const joined = await held.client.join(task);
       if (joined.kind === 'done' || joined.kind === 'failed') {
@@ -107,7 +118,7 @@
       }
       // The start may still be on its way to a worker that has not seen the task.
       if (joined.kind === 'never-seen') {
-        return { outcome: doubt, ended: joined.bootId !== held.bootId };
+        return { outcome: doubt, ended: joined.bootId !== bootId };
       }
       if (holdings.leasesExpired(held.worker.id)) return { outcome: doubt, ended: true };
       if (holdings.get(held.worker.id) !== held) return { outcome: doubt, ended: false };
@@ -128,7 +139,7 @@
 
   async function follow(held: HeldWorker, task: RunningTask): Promise<void> {
     const doubt = unknownOutcome(`Worker ${held.worker.id} did not answer.`);
-    await resolveDoubt(held, task.id, doubt);
+    await resolveDoubt(held, { task: task.id, bootId: held.bootId }, doubt);
     if (holdings.get(held.worker.id) === held) options.release(task.id, held.worker.id);
   }
 
--- a/src/platform/update-record.ts
+++ b/src/platform/update-record.ts
@@ -81,10 +81,11 @@
   const retry = (): ResultAsync<T | undefined, StoreError> =>
     attemptsLeft > 1 ? attempt(store, update, attemptsLeft - 1) : errAsync(error);
   if (error.kind === 'conflict') return retry();
+  // Once a write is in doubt, no later failure proves that it had no effect.
   return store
     .get(update.key)
-    .mapErr((): StoreError => error)
-    .andThen((found) => (wroteIt(found, writeId) ? okAsync(next) : retry()));
+    .andThen((found) => (wroteIt(found, writeId) ? okAsync(next) : retry()))
+    .mapErr((): StoreError => error);
 }
 
 function wroteIt(found: Versioned | undefined, writeId: string): boolean {
--- a/test/platform/update-record.test.ts
+++ b/test/platform/update-record.test.ts
@@ -23,6 +23,23 @@
     expect((await increment())._unsafeUnwrap()).to.equal(4);
   });
 
+  it('stays in doubt if the store goes away after a write whose answer was lost', async () => {
+    const store = createMemoryStore();
+    store.setMode('lose-answers');
+    // The read-back finds nothing, and then the store is gone.
+    const get: Store['get'] = (key) => {
+      const found = store.get(key);
+      return store.calls() > 1
+        ? found.map(() => {
+            store.setMode('down');
+            return undefined;
+          })
+        : found;
+    };
+    const result = await updateRecord({ ...store, get }, { key: 'k', parse, change: () => 1 });
+    expect(result._unsafeUnwrapErr().kind).to.equal('in-doubt');
+  });
+
   it('reports an outage instead of retrying without end', async () => {
     const store: Store & { setMode: (mode: 'down') => void } = createMemoryStore();
     store.setMode('down');
