Tell peers with unused allotments that this host is short

Cause: a quarter of the slots was free at a load of 0.95 while work waited. A host that had used up its part of a team's limit asked for more in the record, and owners of unused parts read it only at their next survey, after 15 to 60 s.

Change: the asking host notifies the peers whose heartbeats show unused parts, and they give some up at once.

--- a/src/entry/loops.ts
+++ b/src/entry/loops.ts
@@ -55,6 +55,7 @@
   });
   repeat('allotments', ALLOTMENTS_INTERVAL_MS, async () => {
     await allotments.rebalance();
+    askForAllotments(parts);
     parts.dispatcher.pump();
   });
   repeat('stranded work', STRANDED_INTERVAL_MS, () => {
@@ -111,6 +112,16 @@
   });
 }
 
+/** Peers with unused parts would otherwise find the request only at their next survey. */
+function askForAllotments({ allotments, links, membership }: Parts): void {
+  for (const team of allotments.asking()) {
+    for (const peer of links.connected()) {
+      const spare = membership.heartbeat(peer)?.load.teams[team]?.spare ?? 0;
+      if (spare > 0) links.notify(peer, 'allotment-wanted', { team });
+    }
+  }
+}
+
 function bucketOf(subject: string): number {
   return Number(subject.slice(bucketSubject(0).length - 1));
 }
--- a/src/entry/messages.ts
+++ b/src/entry/messages.ts
@@ -78,6 +78,8 @@
   fence: { body: FenceMessage; reply: FenceReply };
   configuration: { body: ConfigurationRecord; reply: null };
   'pull-configuration': { body: null; reply: ConfigurationRecord | null };
+  /** The sender is short of allotment of a team and has asked for more in the record. */
+  'allotment-wanted': { body: { readonly team: string }; reply: null };
   join: { body: JoinMessage; reply: JoinReply };
   reserve: { body: ReserveMessage; reply: ReserveReply };
   'run-reserved': { body: RunReservedMessage; reply: TaskOutcome };
--- a/src/entry/peer-handlers.ts
+++ b/src/entry/peer-handlers.ts
@@ -7,7 +7,8 @@
 import type { Parts } from './parts.js';
 
 export function registerPeerHandlers(parts: Parts): void {
-  const { links, configuration, table, canceller, homes, reservations, timeline } = parts;
+  const { links, allotments, configuration, table, canceller, homes, reservations, timeline } =
+    parts;
   links.handle('heartbeat', (beat) => {
     receiveHeartbeat(parts, beat);
     return null;
@@ -24,6 +25,11 @@
     return null;
   });
   links.handle('pull-configuration', () => configuration.record() ?? null);
+  links.handle('allotment-wanted', async ({ team }) => {
+    allotments.noteWanted(team);
+    await allotments.rebalance();
+    return null;
+  });
   links.handle('join', (message) => joinTask(parts, message));
   links.handle('reserve', (message) => ({
     tasks: parts.phase.leaving ? [] : reservations.reserve(message),
--- a/src/teams/allotments.ts
+++ b/src/teams/allotments.ts
@@ -27,6 +27,10 @@
   release(team: string, chargedTo?: string): void;
   /** Tasks that may start now. */
   spare(team: string): number;
+  /** Teams of which this owner has asked others for parts. */
+  asking(): readonly string[];
+  /** Another owner asks for parts; the next `rebalance` gives up unused ones without a survey. */
+  noteWanted(team: string): void;
   /** Moves parts by compare-and-swap ahead of demand. Runs periodically. */
   rebalance(): Promise<void>;
   /**
@@ -81,6 +85,7 @@
   const { store, owner, now, log = SILENT_LOG, surveyMs = DEFAULT_SURVEY_MS } = options;
   const states = new Map<string, TeamState>();
   const shortageTold = new Map<string, number>();
+  const wanted = new Set<string>();
   let draining = false;
   let writes = 0;
   let lastOperation: Promise<unknown> = Promise.resolve();
@@ -138,6 +143,7 @@
       state.confirmedDistrusts < state.distrusts ||
       state.shortage ||
       state.asking ||
+      (wanted.has(state.team) && unused > 0) ||
       changed ||
       state.bound > state.limit ||
       [...state.adoptions.values()].some((adoption) => {
@@ -152,6 +158,7 @@
   async function rebalanceAll(): Promise<void> {
     for (const state of states.values()) {
       if (!needsUpdate(state)) continue;
+      wanted.delete(state.team);
       const result = await update(state);
       if (result.isOk()) continue;
       const { kind, detail } = result.error;
@@ -231,6 +238,10 @@
       const state = states.get(team);
       return state && !draining ? available(state) : 0;
     },
+    asking: () => [...states.values()].filter((state) => state.asking).map(({ team }) => team),
+    noteWanted: (team) => {
+      wanted.add(team);
+    },
     rebalance: () => exclusively(rebalanceAll),
     adopt: (from, tasks) => {
       for (const [team, running] of tasks) {
