--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -14,7 +14,7 @@
 import type { Timeline } from '../timeline/index.js';
 import type { Failed } from '../workers/index.js';
 import type { RetryBudget } from './retry-budget.js';
-import type { PlacedTask, Settlement, TaskRunner } from './task-runner.js';
+import type { PlacedTask, TaskEnd, TaskRunner } from './task-runner.js';
 
 /** Starts that workers refused, for example because they were leaving, before giving up. */
 const MAX_WORKER_REFUSALS = 5;
@@ -48,7 +48,7 @@
 }
 
 interface Waiting {
-  readonly settle: (settlement: Settlement) => void;
+  readonly settle: (settlement: TaskEnd) => void;
   readonly beforeStart: StartHook | undefined;
 }
 
@@ -83,9 +83,9 @@
     }
   }
 
-  function queueOnce(request: WorkRequest, beforeStart?: StartHook): Promise<Settlement> {
+  function queueOnce(request: WorkRequest, beforeStart?: StartHook): Promise<TaskEnd> {
     const queued = scheduler.enqueue(request);
-    if (queued.isErr()) return Promise.resolve(refusedSettlement(queued.error));
+    if (queued.isErr()) return Promise.resolve(endRefused(queued.error));
     timeline.record({ kind: 'queued', request: request.id, team: request.team });
     return new Promise((resolve) => {
       waiting.set(keyOf(request), { settle: resolve, beforeStart });
@@ -118,9 +118,9 @@
     pump();
   }
 
-  function abandon(placed: PlacedTask): Settlement {
+  function abandon(placed: PlacedTask): TaskEnd {
     scheduler.finished(taskIdOf(placed.request, placed.index), placed.worker);
-    return refusedSettlement(
+    return endRefused(
       refuse('store-unavailable', 'The start could not be recorded; it is tried again.'),
     );
   }
@@ -144,7 +144,7 @@
       team: request.team,
       detail: refused.reason,
     });
-    take(request)?.settle(refusedSettlement(refused));
+    take(request)?.settle(endRefused(refused));
   }
 
   function take(request: Pick<WorkRequest, 'team' | 'id'>): Waiting | undefined {
@@ -160,7 +160,7 @@
     cancel: (team, id) => {
       if (!scheduler.cancel(team, id)) return false;
       const detail = 'The request was cancelled before it started.';
-      take({ team, id })?.settle(refusedSettlement(refuse('cancelled', detail)));
+      take({ team, id })?.settle(endRefused(refuse('cancelled', detail)));
       return true;
     },
     drain: (move, refused) => {
@@ -169,7 +169,7 @@
         if (request.class === 'interactive') {
           void move(request).then((outcome) => entry?.settle({ outcome, ended: false }));
         } else {
-          entry?.settle(refusedSettlement(refused));
+          entry?.settle(endRefused(refused));
         }
       }
     },
@@ -191,7 +191,7 @@
   return request.idempotent && (request.attempt ?? 0) + 1 < request.maxAttempts;
 }
 
-function refusedSettlement(refused: Refused): Settlement {
+function endRefused(refused: Refused): TaskEnd {
   return { outcome: refused, ended: true };
 }
 
--- a/src/entry/task-runner.ts
+++ b/src/entry/task-runner.ts
@@ -31,13 +31,13 @@
 }
 
 /** How a task ended; `ended` is false if it may still be running. */
-export interface Settlement {
+export interface TaskEnd {
   readonly outcome: TaskOutcome;
   readonly ended: boolean;
 }
 
 export interface TaskRunner {
-  run(placed: PlacedTask): Promise<Settlement>;
+  run(placed: PlacedTask): Promise<TaskEnd>;
   /** Waits for the end of a task that was found on a held worker, then releases its charge. */
   follow(held: HeldWorker, task: RunningTask): Promise<void>;
   /** The outcome of a task on a held worker, or undefined if the worker is not held here. */
@@ -59,7 +59,7 @@
   const { holdings, health, timeline, signal } = options;
   let running = 0;
 
-  async function run(placed: PlacedTask): Promise<Settlement> {
+  async function run(placed: PlacedTask): Promise<TaskEnd> {
     running += 1;
     try {
       return await startAndSettle(placed);
@@ -68,7 +68,7 @@
     }
   }
 
-  async function startAndSettle(placed: PlacedTask): Promise<Settlement> {
+  async function startAndSettle(placed: PlacedTask): Promise<TaskEnd> {
     const task = taskIdOf(placed.request, placed.index);
     const held = holdings.get(placed.worker);
     if (held === undefined) {
@@ -92,7 +92,7 @@
   function finish(
     placed: PlacedTask,
     held: HeldWorker,
-    { outcome, ended }: Settlement,
+    { outcome, ended }: TaskEnd,
     startedAt: number,
   ): void {
     const { request, worker } = placed;
@@ -110,7 +110,7 @@
     held: HeldWorker,
     { task, bootId }: StartedTask,
     doubt: Unknown,
-  ): Promise<Settlement> {
+  ): Promise<TaskEnd> {
     while (!signal.aborted) {
       const joined = await held.client.join(task);
       if (joined.kind === 'done' || joined.kind === 'failed') {
