Let hosts with more processors lead

A small host now waits 300 ms in an election for stronger ones, and a leader hands over to a connected host with more processors. The strongest host seen is kept in the store.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -15,7 +15,12 @@
   STORE_LOST_MS,
 } from '../intake/index.js';
 import type { Election } from '../leadership/index.js';
-import { createElection, createLoadWatch, LEADERSHIP_PREFIX } from '../leadership/index.js';
+import {
+  createElection,
+  createLoadWatch,
+  createStrengthWatch,
+  LEADERSHIP_PREFIX,
+} from '../leadership/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { AdviceAnswer, AdviceCaller } from '../peers/index.js';
 import { createLeaderLink, createPeerHub } from '../peers/index.js';
@@ -41,6 +46,8 @@
   readonly host: string;
   readonly ip: string;
   readonly peerPort: number;
+  /** What this host has, in cores; the strongest hosts lead. */
+  readonly processors: number;
   readonly store: RecordStore;
   readonly fleet: FleetSource;
   readonly connect: (address: string, life: WorkerLife) => WorkerConnection;
@@ -58,7 +65,7 @@
 const LOOP_CHECK_INTERVAL_MS = 100;
 
 export function createCellHost(options: CellHostOptions): CellHost {
-  const { host, ip, store, events, meters } = options;
+  const { host, ip, processors, store, events, meters } = options;
   const configuration = createConfigurationHolder({ events });
   const reachability = createReachability({ events });
   const feed = createConfigurationFeed({
@@ -86,6 +93,7 @@
   const hub = createPeerHub({ ip, port: options.peerPort, events });
   const link = createLeaderLink({
     host,
+    processors,
     events,
     advise: options.advise,
     onLeaderGone: () => {
@@ -98,10 +106,14 @@
   });
   const local: AdviceCaller = { name: host, advise: options.advise };
   const loadWatch = createLoadWatch();
+  const strengthWatch = createStrengthWatch(processors);
   let controller: Controller | undefined;
   let stopping = false;
 
-  hub.onCallers(() => controller?.noteCallers());
+  hub.onCallers(() => {
+    controller?.noteCallers();
+    election.noteStrength(hub.strongest);
+  });
   hub.onCompletions((jobs) => {
     for (const job of jobs) reader.noteCompletion(job);
     controller?.noteCompletions(jobs);
@@ -111,12 +123,14 @@
     store,
     host,
     address: `${ip}:${String(options.peerPort)}`,
+    processors,
     events,
     eligible: () => !stopping,
     onElected: (office) => {
       controller?.close();
       meters.leader.set(1);
       loadWatch.begin(performance.now());
+      strengthWatch.begin(performance.now());
       controller = createController({
         store,
         reachability,
@@ -179,9 +193,12 @@
     const delayMs = Math.max(0, now - expected);
     meters.eventLoopDelaySeconds.observe(delayMs / 1000);
     expected = now + LOOP_CHECK_INTERVAL_MS;
+    const isLate = controller !== undefined && loadWatch.note(delayMs, now);
     const othersMayLead = hub.callers().length > 0 && !stopping;
-    if (controller !== undefined && loadWatch.note(delayMs, now) && othersMayLead) {
-      void handOver('the event loop of this host is late most of the time');
+    if (controller === undefined || !othersMayLead) return;
+    if (isLate) void handOver('the event loop of this host is late most of the time');
+    else if (strengthWatch.shouldYield(hub.strongest, now)) {
+      void handOver('a host with more processors is connected');
     }
   }, LOOP_CHECK_INTERVAL_MS);
   loopCheck.unref();
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -10,9 +10,12 @@
 import type { EventLog } from '../observability/index.js';
 import type { Condition, Entry, RecordStore } from '../records/index.js';
 import { pause } from '../records/index.js';
+import { deferToStronger, isWeak } from './strength.js';
 
 const LEADER_KEY = 'leadership/leader';
 const EPOCH_KEY = 'leadership/epoch';
+/** Processors of the strongest host that a leader has seen, which outlives its term. */
+const STRONGEST_KEY = 'leadership/strongest';
 export const LEADERSHIP_PREFIX = 'leadership/';
 
 /** Lifetime of the leader's lease; a silent leader is replaced after this. The store takes 1 s or more. */
@@ -55,6 +58,8 @@
   readonly host: string;
   /** Where peers reach this host. */
   readonly address: string;
+  /** What this host has, in cores; stronger hosts go first. */
+  readonly processors: number;
   readonly events: EventLog;
   /** Whether this host may lead at the moment. */
   readonly eligible: () => boolean;
@@ -79,6 +84,8 @@
   start(): void;
   /** The leader's process seems to be gone, or the store turns it away. */
   suspectLeader(): void;
+  /** The leader has seen a host with so many processors. */
+  noteStrength(processors: number): void;
   /** Called when a worker or a conditioned write shows that another host leads. */
   depose(reason: string): void;
   /** Gives the office up at once, for a planned stop. */
@@ -106,6 +113,9 @@
   let stopped = false;
   let campaigning = false;
   let yieldedUntil = -Infinity;
+  let strongest = options.processors;
+  /** A weak host waits once in each campaign. */
+  let deferred = false;
 
   function noteLeader(next: Leader | undefined, revision: number) {
     if (revision < leaderRevision) return;
@@ -130,6 +140,7 @@
     if (campaigning || stopped || !options.eligible()) return;
     if (performance.now() < yieldedUntil) return;
     campaigning = true;
+    deferred = false;
     try {
       await tryToLead(replaced);
     } finally {
@@ -143,6 +154,8 @@
     const present = listing.value.entries.find(({ key }) => key === LEADER_KEY);
     const epochEntry = listing.value.entries.find(({ key }) => key === EPOCH_KEY);
     const lastEpoch = Number(epochEntry?.value ?? 0);
+    const strongestEntry = listing.value.entries.find(({ key }) => key === STRONGEST_KEY);
+    strongest = Math.max(strongest, Number(strongestEntry?.value ?? 0));
     if (present !== undefined) {
       const found = parseLeader(present.value);
       noteLeader(found, present.revision);
@@ -151,6 +164,14 @@
       const isReplaced = replaced !== undefined && found?.epoch === replaced.epoch;
       if (!isOwn && !isReplaced) return;
     }
+    if (term === undefined && !deferred) {
+      deferred = true;
+      await deferToStronger(options.processors, strongest);
+      if (isWeak(options.processors, strongest)) {
+        await tryToLead(replaced);
+        return;
+      }
+    }
     // A host that restarted under its name must not continue the epoch of its former process.
     const continues = term?.office.epoch === lastEpoch;
     if (term !== undefined && !continues) depose('another epoch was begun');
@@ -231,6 +252,21 @@
     options.onTurnedAway();
   }
 
+  function noteStrength(processors: number) {
+    if (processors <= strongest || term === undefined) return;
+    strongest = processors;
+    void store
+      .transact({
+        conditions: [term.office.condition],
+        writes: [{ key: STRONGEST_KEY, value: String(processors) }],
+      })
+      .then((outcome) => {
+        if (outcome.isErr()) {
+          events.warn('strongest-host-not-recorded', { failure: outcome.error.detail });
+        }
+      });
+  }
+
   async function leaveOffice(event: string, reason: string): Promise<void> {
     const current = term;
     if (current === undefined) return;
@@ -285,6 +321,7 @@
       void run();
     },
     suspectLeader,
+    noteStrength,
     depose,
     resign: async () => {
       stopped = true;
--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -3,3 +3,4 @@
  */
 export * from './election.js';
 export * from './load-watch.js';
+export { createStrengthWatch } from './strength.js';
--- /dev/null
+++ b/src/leadership/strength.ts
@@ -0,0 +1,50 @@
+/**
+ * Answers the pattern "hosts of unlike strength": the leader of a large pool needs more processor time than a
+ * small host has, so small hosts let stronger ones lead and lead only where no strong host takes the office.
+ */
+import { pause } from '../records/index.js';
+
+/** A host with at least this part of the strongest host's processors leads as well as that one. */
+const SIMILAR_PART = 0.8;
+/**
+ * Wait of a weak candidate before it tries. Strong hosts need up to 80 ms of random delay and three answers of
+ * the store, which take 240 ms each when it is slow.
+ */
+const DEFERENCE_MS = 300;
+/** A new leader reads all jobs first, and stronger hosts connect meanwhile. */
+const SETTLING_MS = 1500;
+/** A strong host that cannot take the office must not make weak ones pass it round. */
+const MIN_INTERVAL_MS = 15_000;
+
+/** Whether a host with so many processors should let another one lead. */
+export function isWeak(processors: number, strongest: number): boolean {
+  return processors < strongest * SIMILAR_PART;
+}
+
+/** Gives stronger hosts the first chance in an election. */
+export async function deferToStronger(processors: number, strongest: number): Promise<void> {
+  if (isWeak(processors, strongest)) await pause(DEFERENCE_MS);
+}
+
+export interface StrengthWatch {
+  /** This host began to lead. */
+  begin(nowMs: number): void;
+  /** Whether to hand over now that the strongest connected host has so many processors. */
+  shouldYield(strongest: number, nowMs: number): boolean;
+}
+
+export function createStrengthWatch(processors: number): StrengthWatch {
+  let began = Infinity;
+  let yieldedAt = -Infinity;
+  return {
+    begin: (nowMs) => {
+      began = nowMs;
+    },
+    shouldYield: (strongest, nowMs) => {
+      if (!isWeak(processors, strongest) || nowMs - began < SETTLING_MS) return false;
+      if (nowMs - yieldedAt < MIN_INTERVAL_MS) return false;
+      yieldedAt = nowMs;
+      return true;
+    },
+  };
+}
--- a/src/peers/hub.ts
+++ b/src/peers/hub.ts
@@ -26,6 +26,8 @@
   /** Hosts connected at present. */
   callers(): readonly AdviceCaller[];
   onCallers(listener: () => void): void;
+  /** Processors of the strongest host that is connected; 0 without any. */
+  readonly strongest: number;
   /** Calls the listener with the jobs that a host which connects knows to be completed. */
   onCompletions(listener: (jobs: readonly string[]) => void): void;
   /** Tells all connected hosts that the job is completed. */
@@ -53,6 +55,7 @@
   const { events, callTimeoutMs = CALL_TIMEOUT_MS } = options;
   const packr = new Packr({ useRecords: false });
   const callers = new Map<WebSocket, AdviceCaller>();
+  const processors = new Map<WebSocket, number>();
   const listeners: (() => void)[] = [];
   const completionListeners: ((jobs: readonly string[]) => void)[] = [];
   const server = new WebSocketServer({
@@ -94,6 +97,7 @@
       if (message.kind === 'hello') {
         name = message.host;
         callers.set(socket, { name, advise });
+        processors.set(socket, message.processors);
         events.info('peer-connected', { peer: name, peers: callers.size });
         for (const listener of listeners) listener();
         for (const listener of completionListeners) listener(message.completed);
@@ -119,6 +123,7 @@
     });
     socket.on('close', () => {
       for (const resolve of pending.values()) resolve(undefined);
+      processors.delete(socket);
       if (!callers.delete(socket)) return;
       events.info('peer-disconnected', { peer: name, peers: callers.size });
     });
@@ -135,6 +140,9 @@
       return address?.port ?? options.port;
     },
     callers: () => [...callers.values()],
+    get strongest() {
+      return Math.max(0, ...processors.values());
+    },
     onCallers: (listener) => {
       listeners.push(listener);
     },
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -16,6 +16,8 @@
 
 export interface LeaderLinkOptions {
   readonly host: string;
+  /** What this host has, in cores. */
+  readonly processors: number;
   readonly events: EventLog;
   /**
    * The leader's port refuses connections after a link to it was lost, so its process is gone, or it says
@@ -77,7 +79,14 @@
     dialled.on('open', () => {
       opened = true;
       wasOpen = true;
-      dialled.send(packr.pack({ kind: 'hello', host, completed: options.completions() }));
+      dialled.send(
+        packr.pack({
+          kind: 'hello',
+          host,
+          processors: options.processors,
+          completed: options.completions(),
+        }),
+      );
       events.info('leader-link-connected', { address });
     });
     dialled.on('pong', () => {
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -13,6 +13,8 @@
 export interface Hello {
   readonly kind: 'hello';
   readonly host: string;
+  /** What the host has, in cores. */
+  readonly processors: number;
   /** Jobs that former leaders told this host to be completed, which the present one may not know. */
   readonly completed: readonly string[];
 }
--- /dev/null
+++ b/test/leadership/strength.test.ts
@@ -0,0 +1,64 @@
+/**
+ * Guards against a large pool that is led by a small host: on grown sites placement stopped for seconds after
+ * a takeover by a host with a quarter of the processors.
+ */
+import { expect } from 'chai';
+import { createStrengthWatch } from '../../src/leadership/index.js';
+import { eventually, startTestCell } from '../platform-path/support.js';
+import type { TestCell } from '../platform-path/support.js';
+
+describe('leadership among hosts of unlike strength', () => {
+  describe('createStrengthWatch', () => {
+    it('yields to a much stronger host once the term has settled', () => {
+      const watch = createStrengthWatch(0.3);
+      watch.begin(0);
+      expect(watch.shouldYield(1.3, 100)).to.equal(false);
+      expect(watch.shouldYield(1.3, 2000)).to.equal(true);
+    });
+
+    it('stays where no host is much stronger', () => {
+      const watch = createStrengthWatch(0.6);
+      watch.begin(0);
+      expect(watch.shouldYield(0.7, 5000)).to.equal(false);
+    });
+
+    it('does not yield again at once if the stronger host did not take over', () => {
+      const watch = createStrengthWatch(0.3);
+      watch.begin(0);
+      expect(watch.shouldYield(1.3, 2000)).to.equal(true);
+      watch.begin(3000);
+      expect(watch.shouldYield(1.3, 6000)).to.equal(false);
+    });
+  });
+
+  describe('a cell with one strong host', () => {
+    let cell: TestCell;
+
+    beforeEach(async () => {
+      cell = await startTestCell({ hosts: 0, workers: 1 });
+      await cell.addHost(0.3);
+      await cell.leader();
+    });
+
+    afterEach(async () => {
+      await cell.close();
+    });
+
+    it('is led by the strong host soon after it has come', async () => {
+      const strong = await cell.addHost(1.3);
+      await eventually(async () => ((await cell.leader()) === strong ? true : undefined));
+    });
+
+    it('is led by a weak host if the strong one is gone, and by no weak one while it is there', async () => {
+      const strong = await cell.addHost(1.3);
+      await cell.addHost(0.3);
+      await eventually(async () => ((await cell.leader()) === strong ? true : undefined));
+      cell.kill(strong);
+      const next = await eventually(async () => {
+        const leader = await cell.leader().catch(() => undefined);
+        return leader === strong ? undefined : leader;
+      });
+      expect(cell.hosts).to.include(next);
+    });
+  });
+});
--- a/test/platform-path/support.ts
+++ b/test/platform-path/support.ts
@@ -62,7 +62,8 @@
   readonly workers: readonly WorkerStandIn[];
   readonly hosts: CellHost[];
   configure(options: ConfigurationOptions): void;
-  addHost(): Promise<CellHost>;
+  /** Adds a host with so many processors, 1 unless given. */
+  addHost(processors?: number): Promise<CellHost>;
   addWorker(options?: Partial<WorkerStandInOptions>): Promise<WorkerStandIn>;
   /** Stops a host without any farewell, as a kill does. */
   kill(host: CellHost): void;
@@ -86,7 +87,7 @@
     store.items.apply([{ key: 'op/config', value, lease: 0 }], []);
   }
 
-  async function addHost(): Promise<CellHost> {
+  async function addHost(processors = 1): Promise<CellHost> {
     const client = createStoreClient({ address: store.address });
     clients.push(client);
     const name = `host-${String(names.size + 1)}`;
@@ -94,6 +95,7 @@
       host: name,
       ip: '127.0.0.1',
       peerPort: await findFreePort(),
+      processors,
       store: refuseCalls(client, () => turnedAway.has(name)),
       fleet: { prefix: WORKER_PREFIX, decode: decodeWorker },
       connect: createWorkerConnection,
