--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -155,7 +155,8 @@
     const epochEntry = listing.value.entries.find(({ key }) => key === EPOCH_KEY);
     const lastEpoch = Number(epochEntry?.value ?? 0);
     const strongestEntry = listing.value.entries.find(({ key }) => key === STRONGEST_KEY);
-    strongest = Math.max(strongest, Number(strongestEntry?.value ?? 0));
+    const recorded = Number(strongestEntry?.value ?? 0);
+    strongest = Math.max(strongest, recorded);
     if (present !== undefined) {
       const found = parseLeader(present.value);
       noteLeader(found, present.revision);
@@ -192,6 +193,7 @@
             lease: grant.value,
           },
           { key: EPOCH_KEY, value: String(epoch) },
+          ...(strongest > recorded ? [{ key: STRONGEST_KEY, value: String(strongest) }] : []),
         ],
       },
       { timeoutMs: CALL_TIMEOUT_MS },
--- a/test/leadership/strength.test.ts
+++ b/test/leadership/strength.test.ts
@@ -36,8 +36,6 @@
 
     beforeEach(async () => {
       cell = await startTestCell({ hosts: 0, workers: 1 });
-      await cell.addHost(0.3);
-      await cell.leader();
     });
 
     afterEach(async () => {
@@ -45,11 +43,30 @@
     });
 
     it('is led by the strong host soon after it has come', async () => {
+      await cell.addHost(0.3);
+      await cell.leader();
       const strong = await cell.addHost(1.3);
       await eventually(async () => ((await cell.leader()) === strong ? true : undefined));
     });
 
+    it('is led by the other strong host when its first leader was strong and is gone', async () => {
+      // The strongest host was recorded only when a weak leader heard of it.
+      const first = await cell.addHost(1.3);
+      await cell.leader();
+      const second = await cell.addHost(1.3);
+      for (let count = 0; count < 4; count += 1) await cell.addHost(0.3);
+      await eventually(() => (cell.hosts.every(({ ready }) => ready) ? true : undefined));
+      cell.kill(first);
+      const next = await eventually(async () => {
+        const leader = await cell.leader().catch(() => undefined);
+        return leader === first ? undefined : leader;
+      });
+      expect(next).to.equal(second);
+    });
+
     it('is led by a weak host if the strong one is gone, and by no weak one while it is there', async () => {
+      await cell.addHost(0.3);
+      await cell.leader();
       const strong = await cell.addHost(1.3);
       await cell.addHost(0.3);
       await eventually(async () => ((await cell.leader()) === strong ? true : undefined));
