--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -34,6 +34,13 @@
 
 const STARTING_STATUS = 503;
 const POLL_MS = 20;
+/**
+ * Idle connections are kept longer than callers keep them, so that the caller closes first: a request that crosses
+ * the host's end of the connection would be reset. Callers' libraries keep them for 4 to 30 s.
+ */
+const KEEP_ALIVE_MS = 60_000;
+/** A host that leaves ends connections that were idle for this long; callers that know of it have ended theirs. */
+const LEAVING_IDLE_MS = 8000;
 
 /** Starts an entry host; it serves once the promise resolves. */
 export async function startEntryHost(settings: Settings): Promise<EntryHost> {
@@ -80,6 +87,7 @@
     const server = serve({ fetch, hostname: address, port }, () => {
       resolve(server as Server);
     });
+    (server as Server).keepAliveTimeout = KEEP_ALIVE_MS;
     server.once('error', reject);
   });
 }
@@ -105,9 +113,13 @@
   return app;
 }
 
-/** Waits until every answer has been sent. */
+/** Waits until every answer has been sent and callers have ended their connections, or were idle for long. */
 async function endConnections(server: Server): Promise<void> {
-  while (await hasConnections(server)) await delay(POLL_MS);
+  const idleFrom = performance.now() + LEAVING_IDLE_MS;
+  while (await hasConnections(server)) {
+    if (performance.now() > idleFrom) server.closeIdleConnections();
+    await delay(POLL_MS);
+  }
 }
 
 async function hasConnections(server: Server): Promise<boolean> {
--- a/test/control/planned-stops.test.ts
+++ b/test/control/planned-stops.test.ts
@@ -20,6 +20,8 @@
 
 const JOB = { key: TEAM_KEY, wait: false } as const;
 const MAX_STOP_MS = 15_000;
+/** What HTTP libraries of callers use at most unless told otherwise. */
+const LONGEST_CALLER_KEEP_ALIVE_S = 30;
 
 /** Hosts that the load balancer knows; a new one is added once its health check passes. */
 async function replace(
@@ -89,6 +91,15 @@
   describe('a host that leaves', () => {
     const cell = useCell({ hosts: 2, workers: 1 });
 
+    it('keeps idle connections longer than callers do, so that no request crosses their end', async () => {
+      const host = cell().hosts[0];
+      if (host === undefined) throw new Error('The cell has no host.');
+      const answer = await request(`${host.url}/healthz`);
+      await answer.body.dump();
+      const [, keptS] = /timeout=(\d+)/.exec(String(answer.headers['keep-alive'])) ?? [];
+      expect(Number(keptS)).to.be.at.least(LONGEST_CALLER_KEEP_ALIVE_S);
+    });
+
     it('ends at once at a second signal', async () => {
       const host = cell().hosts[0];
       if (host === undefined) throw new Error('The cell has no host.');
