Add a soak: real daemons under seeded faults, judged by what callers and workers saw

Daemons run as processes of their own; a proxy on each link to the store and to the workers delays, resets, cuts one way or silences it; processes are killed, paused, stopped in turn and reloaded; store and workers misbehave as the platform announces. Clients keep their connections. One generator of seeded random numbers replaces three copies.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -9,7 +9,8 @@
 import { stringify } from 'yaml';
 import { hashSecret } from '../src/catalogue/index.js';
 import { OPERATOR_KEY, startCell, type Cell } from '../stand-ins/cell.js';
-import { createCallers, createRandom, type Callers } from './support/arrivals.js';
+import { createRandom } from '../stand-ins/random.js';
+import { createCallers, type Callers } from './support/arrivals.js';
 import type { Stream } from './support/mix.js';
 import { secretOf } from './support/mix.js';
 import {
--- a/bench/decision/cell.ts
+++ b/bench/decision/cell.ts
@@ -15,19 +15,7 @@
   type SchedulerOptions,
 } from '../../src/scheduling/index.js';
 import { createHealth, createLedger } from '../../src/workers/index.js';
-
-export type Random = () => number;
-
-/** Mulberry32; a run can be repeated from its seed. */
-export function createRandom(seed: number): Random {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
+import type { Random } from '../../stand-ins/random.js';
 
 const RACK_SIZE = 8;
 const SLOTS = 8;
--- a/bench/decision/cost.ts
+++ b/bench/decision/cost.ts
@@ -1,18 +1,11 @@
 /**
  * Time per decision and bytes of state, over workers, running tasks and teams.
  */
+import { createRandom, type Random } from '../../stand-ins/random.js';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import type { Scheduler, Decision } from '../../src/scheduling/index.js';
-import {
-  createCell,
-  createRandom,
-  createRequest,
-  createTeams,
-  createWorkers,
-  drawWork,
-  type Random,
-} from './cell.js';
+import { createCell, createRequest, createTeams, createWorkers, drawWork } from './cell.js';
 
 export interface CellSize {
   readonly workers: number;
--- a/bench/decision/policy.ts
+++ b/bench/decision/policy.ts
@@ -1,6 +1,7 @@
 /**
  * The policy against baselines on one arrival sequence, in virtual time.
  */
+import { createRandom, type Random } from '../../stand-ins/random.js';
 import {
   createStaticPartition,
   firstComeFirstServed,
@@ -13,7 +14,6 @@
 import type { Resources, WorkClass, Worker } from '../../src/model/index.js';
 import {
   createCell,
-  createRandom,
   createRequest,
   createTeams,
   createWorkers,
@@ -21,7 +21,6 @@
   sumCapacity,
   type BenchTeam,
   type Draw,
-  type Random,
 } from './cell.js';
 import { createTimers } from './timers.js';
 
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -17,7 +17,8 @@
   traceRequests,
   type WorkerRecord,
 } from './support/analysis.js';
-import { createCallers, createRandom, type Callers, type Sent } from './support/arrivals.js';
+import { createRandom } from '../stand-ins/random.js';
+import { createCallers, type Callers, type Sent } from './support/arrivals.js';
 import { readExample, USERS, type Example, type UserName } from './support/mix.js';
 import { printPhase, type PhaseReport } from './support/print.js';
 import {
--- a/bench/support/arrivals.ts
+++ b/bench/support/arrivals.ts
@@ -20,17 +20,6 @@
   answeredAt: number;
 }
 
-/** Seeded generator (mulberry32), so that a run can be repeated. */
-export function createRandom(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
-
 export interface Callers {
   /** Sends requests for a time and resolves when the last one was sent. */
   offer(plan: OfferPlan): Promise<readonly Sent[]>;
--- /dev/null
+++ b/soak/load.ts
@@ -0,0 +1,196 @@
+/**
+ * Callers of a soak: they hand in jobs over kept connections, repeat what has no answer at another host, ask for
+ * states and cancel, and record everything that they are told.
+ */
+import { Agent, request } from 'undici';
+import type { Random } from '../stand-ins/random.js';
+import { sleep } from './proxy.js';
+
+export interface SoakStep {
+  readonly count: number;
+  readonly cpu: number;
+  readonly after: readonly number[];
+}
+
+export interface Told {
+  readonly at: number;
+  readonly host: string;
+  /** State, or the status of an answer without one. */
+  readonly state: string;
+}
+
+/** A job as its caller knows it; times are Unix milliseconds. */
+export interface SoakJob {
+  readonly id: string;
+  readonly steps: readonly SoakStep[];
+  readonly key: string;
+  /** Run time of each task. */
+  readonly workMs: number;
+  /** Times at which attempts were sent that were answered with success. */
+  readonly accepted: number[];
+  /** All attempts were refused, so that it must never run. */
+  refused: boolean;
+  cancelAcknowledgedAt: number | undefined;
+  cancelSent: boolean;
+  readonly told: Told[];
+}
+
+export interface Load {
+  readonly jobs: readonly SoakJob[];
+  /** No further jobs are handed in; resolves when all calls have ended. */
+  stop(): Promise<void>;
+  /** Asks a host for a job. */
+  ask(url: string, job: SoakJob): Promise<string>;
+  close(): Promise<void>;
+}
+
+export interface LoadOptions {
+  readonly hosts: readonly { readonly name: string; readonly url: string }[];
+  readonly callers: number;
+  readonly keys: readonly string[];
+  readonly random: Random;
+}
+
+const ATTEMPTS = 4;
+const CALL_TIMEOUT_MS = 3000;
+const PAUSE_BETWEEN_JOBS_MS = 150;
+const PAUSE_BETWEEN_ATTEMPTS_MS = 300;
+const LOOKS = 6;
+const LOOK_INTERVAL_MS = 400;
+const CANCELLED_PART = 0.12;
+const MAX_WORK_MS = 900;
+
+export function startLoad(options: LoadOptions): Load {
+  const { hosts, random } = options;
+  const jobs: SoakJob[] = [];
+  let stopped = false;
+
+  function drawJob(caller: number): SoakJob {
+    const id = Array.from({ length: 16 }, () => Math.floor(random() * 16).toString(16)).join('');
+    const draw = (after: readonly number[]) => ({
+      count: 1 + Math.floor(random() * 4),
+      cpu: 500 + Math.floor(random() * 2500),
+      after,
+    });
+    const steps = random() < 0.3 ? [draw([]), draw([0])] : [draw([])];
+    const key = options.keys[caller % options.keys.length] ?? '';
+    return {
+      id,
+      steps,
+      key,
+      workMs: 30 + Math.floor(random() * MAX_WORK_MS),
+      accepted: [],
+      refused: false,
+      cancelAcknowledgedAt: undefined,
+      cancelSent: false,
+      told: [],
+    };
+  }
+
+  async function call(agent: Agent, method: 'GET' | 'POST' | 'DELETE', url: string, job: SoakJob) {
+    const spec = JSON.stringify({ ms: job.workMs });
+    const steps = job.steps.map(({ count, cpu, after }) => ({
+      count,
+      cpu,
+      after,
+      'mem-mb': 100,
+      'estimate-ms': MAX_WORK_MS / 2,
+    }));
+    try {
+      const answer = await request(`${url}/lookups/${job.id}`, {
+        method,
+        dispatcher: agent,
+        signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+        headers: {
+          host: 'lawns.example',
+          authorization: `Bearer ${job.key}`,
+          'X-Sapphirewing-Request-Deadline': String(CALL_TIMEOUT_MS),
+        },
+        body: method === 'POST' ? JSON.stringify({ spec, steps }) : null,
+      });
+      return { status: answer.statusCode, body: await answer.body.text() };
+    } catch {
+      return { status: 0, body: '' };
+    }
+  }
+
+  async function handIn(agent: Agent, job: SoakJob, home: number): Promise<boolean> {
+    let refusals = 0;
+    for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+      const host = hosts[(home + attempt) % hosts.length];
+      if (host === undefined) return false;
+      const sentAt = Date.now();
+      const { status } = await call(agent, 'POST', host.url, job);
+      if (status === 200) {
+        job.accepted.push(sentAt);
+        return true;
+      }
+      if (status === 503 || status === 401) refusals += 1;
+      await sleep(PAUSE_BETWEEN_ATTEMPTS_MS);
+    }
+    job.refused = refusals === ATTEMPTS;
+    return false;
+  }
+
+  async function look(agent: Agent, job: SoakJob) {
+    const host = hosts[Math.floor(random() * hosts.length)];
+    if (host === undefined) return;
+    const { status, body } = await call(agent, 'GET', host.url, job);
+    if (status === 0) return;
+    job.told.push({ at: Date.now(), host: host.name, state: readState(status, body) });
+  }
+
+  async function cancel(agent: Agent, job: SoakJob, home: number) {
+    await sleep(random() * MAX_WORK_MS);
+    job.cancelSent = true;
+    for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+      const host = hosts[(home + attempt) % hosts.length];
+      const { status } = await call(agent, 'DELETE', host?.url ?? '', job);
+      if (status !== 200 && status !== 410) continue;
+      job.cancelAcknowledgedAt = Date.now();
+      return;
+    }
+  }
+
+  async function runCaller(caller: number) {
+    const agent = new Agent({ connections: 1 });
+    while (!stopped) {
+      const job = drawJob(caller);
+      jobs.push(job);
+      const isCancelled = random() < CANCELLED_PART;
+      if (await handIn(agent, job, caller)) {
+        if (isCancelled) await cancel(agent, job, caller);
+        for (let count = 0; count < LOOKS && !isSettled(job); count += 1) {
+          await sleep(LOOK_INTERVAL_MS * random());
+          await look(agent, job);
+        }
+      }
+      await sleep(PAUSE_BETWEEN_JOBS_MS);
+    }
+    await agent.close();
+  }
+
+  const asker = new Agent({ connections: 1 });
+  const callers = Array.from({ length: options.callers }, (_, caller) => runCaller(caller));
+  return {
+    jobs,
+    stop: async () => {
+      stopped = true;
+      await Promise.all(callers);
+    },
+    ask: async (url, job) => {
+      const { status, body } = await call(asker, 'GET', url, job);
+      return readState(status, body);
+    },
+    close: () => asker.close(),
+  };
+}
+
+function isSettled({ told }: SoakJob): boolean {
+  return ['completed', 'failed', 'cancelled'].includes(told.at(-1)?.state ?? '');
+}
+
+function readState(status: number, body: string): string {
+  if (status !== 200) return String(status);
+  return (JSON.parse(body) as { state?: string }).state ?? String(status);
+}
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,68 @@
+/**
+ * Runs the soak by hand: `node dist/soak/main.js --runs 50 --seconds 20`. Prints the seed, the faults and each
+ * broken promise of every run, keeps the logs of runs that broke one, and exits with 1 if any did.
+ */
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { parseArgs } from 'node:util';
+import { runSoak } from './soak.js';
+
+const USAGE = `soak [--seed N] [--runs N] [--seconds S] [--hosts N] [--workers N] [--callers N] [--program FILE]
+  --seed     first seed; drawn and printed unless given, further runs use the next ones
+  --program  built daemon, dist/platform/main.js unless given`;
+const MAX_SEED = 2 ** 31;
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: 'string' },
+    runs: { type: 'string', default: '1' },
+    seconds: { type: 'string', default: '20' },
+    hosts: { type: 'string', default: '4' },
+    workers: { type: 'string', default: '5' },
+    callers: { type: 'string', default: '6' },
+    program: { type: 'string', default: 'dist/platform/main.js' },
+    help: { type: 'boolean', default: false },
+  },
+});
+
+async function main() {
+  if (values.help) {
+    process.stdout.write(`${USAGE}\n`);
+    return;
+  }
+  const first = Number(values.seed ?? Math.floor(Math.random() * MAX_SEED));
+  let broken = 0;
+  for (let run = 0; run < Number(values.runs); run += 1) {
+    if (!(await runOnce(first + run))) broken += 1;
+  }
+  process.stdout.write(`${values.runs} runs, ${String(broken)} with broken promises\n`);
+  process.exitCode = broken === 0 ? 0 : 1;
+}
+
+async function runOnce(seed: number): Promise<boolean> {
+  const folder = await mkdtemp(join(tmpdir(), `soak-${String(seed)}-`));
+  const lines: string[] = [];
+  const outcome = await runSoak({
+    seed,
+    folder,
+    program: values.program,
+    durationMs: Number(values.seconds) * 1000,
+    hosts: Number(values.hosts),
+    workers: Number(values.workers),
+    callers: Number(values.callers),
+    note: (line) => lines.push(line),
+  });
+  const { jobs, accepted, starts, violations, faults } = outcome;
+  const counts = `${String(jobs)} jobs, ${String(accepted)} accepted, ${String(starts)} starts`;
+  process.stdout.write(`seed ${String(seed)}: ${counts}, ${String(faults.length)} faults\n`);
+  if (violations.length === 0) {
+    await rm(folder, { recursive: true });
+    return true;
+  }
+  process.stdout.write(`${[...lines, ...violations].map((line) => `  ${line}`).join('\n')}\n`);
+  process.stdout.write(`  logs in ${folder}\n`);
+  return false;
+}
+
+await main();
--- /dev/null
+++ b/soak/world.ts
@@ -0,0 +1,153 @@
+/**
+ * The world of a soak: stand-ins for the store and the workers in this process, daemons in processes of their
+ * own, and a proxy on each link between them.
+ */
+import { join } from 'node:path';
+import { fetch } from 'undici';
+import { startStore } from '../stand-ins/platform/store.js';
+import type { StoreStandIn } from '../stand-ins/platform/store.js';
+import { startWorker } from '../stand-ins/platform/worker.js';
+import type { WorkerStandIn } from '../stand-ins/platform/worker.js';
+import type { Faults } from '../stand-ins/faults.js';
+import { createDaemon, type Daemon } from './daemons.js';
+import { startProxy, type Proxy } from './proxy.js';
+
+export const KEYS = ['key-of-lawns', 'second-key-of-lawns'] as const;
+export const WORKER_MILLIS = 6000;
+
+export interface WithdrawnKey {
+  readonly key: string;
+  readonly from: number;
+  to: number;
+}
+
+export interface World {
+  readonly store: StoreStandIn;
+  readonly workers: readonly WorkerStandIn[];
+  readonly daemons: readonly Daemon[];
+  /** One for each daemon. */
+  readonly storeLinks: readonly Proxy[];
+  /** One for each worker. */
+  readonly workerLinks: readonly Proxy[];
+  readonly withdrawn: readonly WithdrawnKey[];
+  leader(): Daemon | undefined;
+  setStore(faults: Partial<Faults>): Promise<void>;
+  /** Takes the second key away; `grantKey` gives it back. */
+  withdrawKey(): void;
+  grantKey(): void;
+  /** Ends all harm and starts what is not running. */
+  heal(): Promise<void>;
+  close(): Promise<void>;
+}
+
+export interface WorldOptions {
+  readonly program: string;
+  readonly folder: string;
+  readonly network: string;
+  readonly hosts: number;
+  readonly workers: number;
+}
+
+export async function startWorld(options: WorldOptions): Promise<World> {
+  const store = await startStore();
+  const storeLinks: Proxy[] = [];
+  const workerLinks: Proxy[] = [];
+  const daemons: Daemon[] = [];
+  const workers: WorkerStandIn[] = [];
+  const withdrawn: WithdrawnKey[] = [];
+  let version = 0;
+
+  function configure(keys: readonly string[]) {
+    version += 1;
+    const value = Buffer.from(describeConfiguration(version, keys)).toString('base64');
+    store.items.apply([{ key: 'op/config', value, lease: 0 }], []);
+  }
+
+  configure(KEYS);
+  for (let number = 1; number <= options.workers; number += 1) {
+    workers.push(
+      await startWorker({
+        store,
+        id: `w-${String(number)}`,
+        processorMillis: WORKER_MILLIS,
+        workMs: (spec) => (JSON.parse(spec) as { ms: number }).ms,
+        advertise: async (address) => {
+          const proxy = await startProxy(address);
+          workerLinks.push(proxy);
+          return proxy.address;
+        },
+      }),
+    );
+  }
+  for (let number = 1; number <= options.hosts; number += 1) {
+    const link = await startProxy(store.address);
+    storeLinks.push(link);
+    const { program, network } = options;
+    const folder = join(options.folder, 'hosts');
+    daemons.push(
+      await createDaemon({ program, folder, network, number, storeAddress: link.address }),
+    );
+  }
+  await Promise.all(daemons.map((daemon) => daemon.start()));
+
+  async function setStore(faults: Partial<Faults>) {
+    await fetch(`${store.url}/control/faults`, { method: 'PATCH', body: JSON.stringify(faults) });
+  }
+
+  function grantKey() {
+    configure(KEYS);
+    for (const span of withdrawn) span.to = Math.min(span.to, Date.now());
+  }
+
+  return {
+    store,
+    workers,
+    daemons,
+    storeLinks,
+    workerLinks,
+    withdrawn,
+    leader: () => {
+      const item = store.items.get('leadership/leader');
+      if (item === undefined) return undefined;
+      const { host } = JSON.parse(Buffer.from(item.value, 'base64').toString()) as { host: string };
+      return daemons.find(({ name }) => name === host);
+    },
+    setStore,
+    withdrawKey: () => {
+      configure([KEYS[0]]);
+      withdrawn.push({ key: KEYS[1], from: Date.now(), to: Infinity });
+    },
+    grantKey,
+    heal: async () => {
+      await setStore({ outage: 'none', delayMs: 0 });
+      store.loseTransactions(0);
+      for (const link of [...storeLinks, ...workerLinks]) link.harm = 'none';
+      for (const worker of workers) {
+        worker.hanging = false;
+        worker.loseStarts(0);
+      }
+      grantKey();
+      for (const daemon of daemons) daemon.resume();
+      await Promise.all(daemons.map((daemon) => daemon.start()));
+    },
+    close: async () => {
+      await Promise.all(daemons.map((daemon) => daemon.end('SIGKILL')));
+      await Promise.all(workers.map((worker) => worker.close()));
+      await Promise.all([...storeLinks, ...workerLinks].map((proxy) => proxy.close()));
+      await store.close();
+    },
+  };
+}
+
+/** One queue that callers use with either key. */
+function describeConfiguration(version: number, keys: readonly string[]): string {
+  const queue = { name: 'lookups', host: 'lawns.example', prefix: '/lookups/', service: 'rota' };
+  const terms = { priority: 0, 'max-attempts': 5, stretch: 2, 'target-latency-ms': 500 };
+  const cap = { cpu: 0, 'mem-mb': 0, gpu: 0 };
+  return JSON.stringify({
+    version,
+    routes: [{ ...queue, ...terms }],
+    services: [{ name: 'rota', 'admission-control': false }],
+    tenants: [{ name: 'lawns', 'api-keys': keys, weight: 50, cap }],
+  });
+}
--- a/stand-ins/platform/worker.ts
+++ b/stand-ins/platform/worker.ts
@@ -32,10 +32,21 @@
   readonly workMs?: (spec: string) => number;
   /** Time that a stop takes. */
   readonly stopMs?: number;
+  /** Address to register instead of its own, for instance that of a proxy. */
+  readonly advertise?: (address: string) => Promise<string>;
   /** How a task ends that was not stopped. */
   readonly outcome?: (task: string, run: number) => 'done' | 'failed';
 }
 
+/** An end of a run at a worker. */
+export interface ObservedEnd {
+  readonly worker: string;
+  readonly task: string;
+  readonly run: number;
+  readonly how: TaskEnd;
+  readonly at: number;
+}
+
 /** A start that a worker has begun. */
 export interface ObservedStart {
   readonly worker: string;
@@ -49,6 +60,7 @@
 export interface WorkerStandIn extends Listener {
   readonly id: string;
   readonly starts: readonly ObservedStart[];
+  readonly finished: readonly ObservedEnd[];
   readonly running: ReadonlyMap<string, { readonly run: number }>;
   readonly acknowledgedThrough: number;
   /** Renewals so far. */
@@ -89,6 +101,7 @@
   const running = new Map<string, RunningTask>();
   const closedRuns = new Map<string, number>();
   const starts: ObservedStart[] = [];
+  const finished: ObservedEnd[] = [];
   let ends: EndRow[] = [];
   let nextEnd = 1;
   let acknowledgedThrough = 0;
@@ -108,6 +121,7 @@
     clearTimeout(task.timer);
     closedRuns.set(task.task, Math.max(task.run, closedRuns.get(task.task) ?? 0));
     ends.push([nextEnd, task.task, task.run, how, '']);
+    finished.push({ worker: id, task: task.task, run: task.run, how, at: Date.now() });
     nextEnd += 1;
     for (const resolve of waiters.splice(0)) resolve();
   }
@@ -217,12 +231,14 @@
     ],
   });
 
+  const ownAddress = new URL(listener.url).host;
+  const address = (await options.advertise?.(ownAddress)) ?? ownAddress;
   let sequence = 0;
   function register(workerState: 'ready' | 'draining') {
     sequence += 1;
     const entry = {
       service: options.service ?? 'rota',
-      address: new URL(listener.url).host,
+      address,
       zone: options.dataCentre ?? 'dc1',
       version: 'v1',
       capacity: 8,
@@ -255,6 +271,7 @@
     url: listener.url,
     id,
     starts,
+    finished,
     running,
     get acknowledgedThrough() {
       return acknowledgedThrough;
--- a/test/guarantees/support.ts
+++ b/test/guarantees/support.ts
@@ -10,6 +10,7 @@
 import { hashSecret } from '../../src/catalogue/index.js';
 import { OPERATOR_KEY, startCell, type Cell, type EntryProcess } from '../../stand-ins/cell.js';
 import { command } from '../../stand-ins/control.js';
+import { createRandom } from '../../stand-ins/random.js';
 import type { Run, Violation } from '../../stand-ins/worker/audit.js';
 
 export const TIMERS = {
@@ -71,17 +72,6 @@
   return { id, rack: id, capacity, slots: 6, connections: 64 };
 }
 
-/** Random numbers in [0, 1) that a seed determines (mulberry32). */
-function createRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
-
 function groupBy<T, K>(items: readonly T[], keyOf: (item: T) => K): Map<K, T[]> {
   const groups = new Map<K, T[]>();
   for (const item of items) {
