Shorten takeovers: ended jobs keep only their progress, listings are read at once

The record of a job now goes with the write of its end, submissions are conditioned on its progress as well, and the three listings are read at the same time. A leader that the store turns away asks for replacement after 0.05 s instead of 0.25 s.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -4,15 +4,16 @@
  */
 import type { FleetWorker, WorkerConnection } from '../fleet/index.js';
 import type { Job, JobState, WorkerLife } from '../jobs/index.js';
-import { encodeProgress, KEYS } from '../jobs/index.js';
+import { encodeProgress, isFinal, isFinalRecord, KEYS } from '../jobs/index.js';
 import type { Office } from '../leadership/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { AdviceCaller } from '../peers/index.js';
 import { createWorkerHealth } from '../planner/index.js';
 import type { ConfigurationHolder } from '../queues/index.js';
-import type { Change, Entry, PrefixFollower, Reachability, RecordStore } from '../records/index.js';
-import { followPrefix, pause } from '../records/index.js';
+import type { Change, Entry, Reachability, RecordStore } from '../records/index.js';
+import { pause } from '../records/index.js';
 import { createCell } from './cell.js';
+import { createCellFeed } from './cell-feed.js';
 import { createDispatcher } from './dispatcher.js';
 import { createFleetSessions } from './fleet-sessions.js';
 import { createHousekeeping } from './housekeeping.js';
@@ -74,14 +75,6 @@
 const EXTEND_WITHOUT_STORE_MS = 10_000;
 /** Slack on the bound of inherited leases for the drift of workers' clocks. */
 const INHERITED_SLACK_MS = 800;
-const RESTORE_RETRY_MS = 50;
-/**
- * Changes of workers' entries that share a call. Each worker writes its entry every 1.5 s; a worker that leaves
- * has to be known within 2 s.
- */
-const FLEET_GATHER_MS = 150;
-/** New jobs that share a call; hosts tell the leader of those that they accept without this delay. */
-const JOBS_GATHER_MS = 100;
 /**
  * The end of a job that is not durable after this is announced to the hosts, so that callers see it while
  * the store is away. A store that is merely slow takes 240 ms.
@@ -93,9 +86,7 @@
   const now = () => performance.now();
   const startedAt = now();
   let closed = false;
-  let restored = false;
   let condition = office.condition;
-  let followers: PrefixFollower[] = [];
   const saved = new Map<string, Entry>();
   /** Jobs that had ended before this term, with the time at which this leader learned of them. */
   const finishedBefore = new Map<string, number>();
@@ -112,6 +103,11 @@
     reachability,
     condition: office.condition,
     keyOf: KEYS.progressOf,
+    removalsOf: (job) => {
+      const state = cell.jobs.get(job)?.progress.state;
+      // The progress record alone tells of an ended job.
+      return state !== undefined && isFinal(state) ? [KEYS.job(job), KEYS.cancellation(job)] : [];
+    },
     encode: (job) => {
       const entry = cell.jobs.get(job);
       return entry === undefined ? undefined : encodeProgress(entry.progress);
@@ -151,12 +147,12 @@
     health,
     events,
     meters,
-    configuration: () => (restored ? configuration.current?.configuration : undefined),
+    configuration: () => (feed.restored ? configuration.current?.configuration : undefined),
     write: (job) => log.write(job, 'order'),
   });
 
   function requestPlan() {
-    if (restored && !closed) dispatcher.request();
+    if (feed.restored && !closed) dispatcher.request();
   }
 
   function announceIfDelayed(job: string, durable: Promise<boolean>) {
@@ -197,7 +193,7 @@
       },
       onChange: requestPlan,
     });
-    if (restored) session.begin();
+    if (feed.restored) session.begin();
     return session;
   }
 
@@ -252,59 +248,16 @@
     sessions.update(id, worker);
   }
 
-  /** Progress first, then workers, then jobs: each job finds what it needs when it is added. */
-  async function restore() {
-    while (!closed) {
-      const progress = await store.list(KEYS.progress);
-      if (progress.isOk()) {
-        for (const entry of progress.value.entries) {
-          saved.set(entry.key.slice(KEYS.progress.length), entry);
-        }
-        break;
-      }
-      await pause(RESTORE_RETRY_MS);
+  /** Ended jobs are only known by their id, so that a takeover does not spend its time on them. */
+  function readProgress(entries: readonly Entry[]) {
+    for (const entry of entries) {
+      const id = entry.key.slice(KEYS.progress.length);
+      if (isFinalRecord(entry.value)) finishedBefore.set(id, Date.now());
+      else saved.set(id, entry);
     }
-    if (closed) return;
-    followers.push(
-      followPrefix({
-        store,
-        prefix: options.fleet.prefix,
-        gatherMs: FLEET_GATHER_MS,
-        events,
-        reachability,
-        onListing: (entries) => {
-          readFleet(entries);
-          followJobs();
-        },
-        onChange: applyFleetChange,
-      }),
-    );
-  }
-
-  let followsJobs = false;
-  function followJobs() {
-    if (followsJobs || closed) return;
-    followsJobs = true;
-    followers.push(
-      followPrefix({
-        store,
-        prefix: KEYS.jobs,
-        gatherMs: JOBS_GATHER_MS,
-        events,
-        reachability,
-        onListing: (entries) => {
-          intake.applyListing(entries);
-          if (!restored) noteRestored();
-        },
-        onChange: (change) => {
-          intake.applyChange(change);
-        },
-      }),
-    );
   }
 
   function noteRestored() {
-    restored = true;
     saved.clear();
     sessions.endFormerLives();
     for (const session of sessions.all()) session.begin();
@@ -322,7 +275,7 @@
     store,
     cell,
     condition: () => condition,
-    active: () => restored && !closed,
+    active: () => feed.restored && !closed,
     finishedBefore,
     onChange: requestPlan,
     events,
@@ -343,7 +296,22 @@
     onChange: requestPlan,
     events,
   });
-  void restore();
+  const feed = createCellFeed({
+    store,
+    reachability,
+    fleetPrefix: options.fleet.prefix,
+    onProgress: readProgress,
+    onFleet: readFleet,
+    onFleetChange: applyFleetChange,
+    onJobs: (entries) => {
+      intake.applyListing(entries);
+    },
+    onJobChange: (change) => {
+      intake.applyChange(change);
+    },
+    onRestored: noteRestored,
+    events,
+  });
 
   return {
     confirm: (next) => {
@@ -355,7 +323,7 @@
     },
     noteAccepted: (job) => {
       // The listing at the beginning of the term contains it.
-      if (restored && !closed) intake.addAccepted(job);
+      if (feed.restored && !closed) intake.addAccepted(job);
     },
     noteCompletions: (jobs) => {
       for (const job of jobs) {
@@ -371,8 +339,7 @@
       closed = true;
       dispatcher.stop();
       housekeeping.close();
-      for (const follower of followers) follower.stop();
-      followers = [];
+      feed.stop();
       sessions.close();
       log.close();
     },
--- a/src/controller/job-intake.ts
+++ b/src/controller/job-intake.ts
@@ -8,7 +8,6 @@
   decodeJob,
   decodeProgress,
   isFinal,
-  isFinalRecord,
   parseJobKey,
   restoreProgress,
 } from '../jobs/index.js';
@@ -40,7 +39,7 @@
   /** Progress records that were read at the beginning of the term, by job. */
   readonly saved: ReadonlyMap<string, Entry>;
   /** Jobs that had ended before this term, with the time at which this leader learned of them. */
-  readonly finishedBefore: Map<string, number>;
+  readonly finishedBefore: ReadonlyMap<string, number>;
   readonly configuration: () => CellConfiguration | undefined;
   /** Whether a former leader has told this host that the job is completed. */
   readonly isCompleted: (job: string) => boolean;
@@ -105,11 +104,6 @@
   function applyJobRecord(key: string, value: string, cancelled: ReadonlySet<string>) {
     const { id, kind } = parseJobKey(key);
     if (kind !== 'job' || cell.jobs.has(id) || finishedBefore.has(id)) return;
-    // Most jobs of a busy cell have ended; a takeover must not spend its time on them.
-    if (isFinalRecord(saved.get(id)?.value)) {
-      finishedBefore.set(id, Date.now());
-      return;
-    }
     const job = decodeJob(value);
     if (job === undefined) events.error('job-record-unreadable', { job: id, bytes: value.length });
     else addJob(job, cancelled.has(id));
--- a/src/controller/progress-log.ts
+++ b/src/controller/progress-log.ts
@@ -35,6 +35,8 @@
   readonly store: RecordStore;
   readonly condition: Condition;
   readonly keyOf: (job: string) => string;
+  /** Other keys of the job that the write of its present state removes. */
+  readonly removalsOf?: (job: string) => readonly string[];
   /** The job's present state; undefined if the job is no longer known. */
   readonly encode: (job: string) => string | undefined;
   readonly reachability?: Reachability;
@@ -53,8 +55,8 @@
 const GATHER_MS = { order: 4, outcome: 15, note: 60 } as const;
 /** Transactions in flight; more would only help while the store is slow. */
 const MAX_IN_FLIGHT = 4;
-/** Each job takes a condition and a write; the leader's condition takes one entry. */
-const JOBS_PER_TRANSACTION = Math.floor((MAX_TRANSACTION_ENTRIES - 1) / 2);
+/** Each job takes a condition and a write. */
+const ENTRIES_PER_JOB = 2;
 const RETRY_MS = 60;
 const CALL_TIMEOUT_MS = 700;
 
@@ -73,11 +75,12 @@
   readonly job: string;
   readonly slot: Slot;
   readonly value: string;
+  readonly removals: readonly string[];
   readonly waiters: ((durable: boolean) => void)[];
 }
 
 export function createProgressLog(options: ProgressLogOptions): ProgressLog {
-  const { store, events, keyOf, gatherMs = GATHER_MS } = options;
+  const { store, events, keyOf, removalsOf = () => [], gatherMs = GATHER_MS } = options;
   const slots = new Map<string, Slot>();
   const queue = new Set<string>();
   let condition = options.condition;
@@ -122,10 +125,14 @@
 
   function takeBatch(): BatchItem[] {
     const batch: BatchItem[] = [];
+    // One entry is the leader's condition.
+    let left = MAX_TRANSACTION_ENTRIES - 1;
     for (const job of queue) {
-      if (batch.length >= JOBS_PER_TRANSACTION) break;
       const slot = slotOf(job);
       if (slot.inFlight) continue;
+      const removals = removalsOf(job);
+      left -= ENTRIES_PER_JOB + removals.length;
+      if (left < 0) break;
       queue.delete(job);
       const value = options.encode(job);
       const { waiters } = slot;
@@ -137,7 +144,7 @@
         continue;
       }
       slot.inFlight = true;
-      batch.push({ job, slot, value, waiters });
+      batch.push({ job, slot, value, removals, waiters });
     }
     return batch;
   }
@@ -150,6 +157,7 @@
           ...batch.map(({ job, slot }) => ({ key: keyOf(job), revision: slot.revision })),
         ],
         writes: batch.map(({ job, value }) => ({ key: keyOf(job), value })),
+        removals: batch.flatMap(({ removals }) => removals),
       },
       { timeoutMs: CALL_TIMEOUT_MS },
     );
--- a/src/intake/job-reader.ts
+++ b/src/intake/job-reader.ts
@@ -7,7 +7,7 @@
 import { decodeJob, decodeProgress, isFinal, KEYS } from '../jobs/index.js';
 import type { Job, JobState } from '../jobs/index.js';
 import type { EventLog } from '../observability/index.js';
-import type { RecordStore, StoreFailure } from '../records/index.js';
+import type { Entry, RecordStore, StoreFailure } from '../records/index.js';
 
 export interface JobReader {
   /** State of a job; undefined if there is no such job. */
@@ -62,6 +62,21 @@
     return ok(keys.has(KEYS.job(id)) ? 'queued' : undefined);
   }
 
+  function decodeState(id: string, { value, revision }: Entry): Result<JobState, StoreFailure> {
+    const progress = decodeProgress(value);
+    if (progress === undefined) {
+      events.error('progress-record-unreadable', { job: id, revision });
+      return err({ kind: 'rejected', detail: 'the progress record cannot be read' });
+    }
+    if (isFinal(progress.state)) noteFinal(id, progress.state);
+    return ok(progress.state);
+  }
+
+  async function readProgress(id: string): Promise<Result<JobState | undefined, StoreFailure>> {
+    const found = await store.get(KEYS.progressOf(id));
+    return found.andThen((entry) => (entry === undefined ? ok(undefined) : decodeState(id, entry)));
+  }
+
   return {
     finalState: (id) => finals.get(id),
     noteCompletion: (id) => {
@@ -81,16 +96,12 @@
     state: async (id) => {
       const known = finals.get(id);
       if (known !== undefined) return ok(known);
-      const found = await store.get(KEYS.progressOf(id));
-      if (found.isErr()) return err(found.error);
-      if (found.value === undefined) return readAccepted(id);
-      const progress = decodeProgress(found.value.value);
-      if (progress === undefined) {
-        events.error('progress-record-unreadable', { job: id, revision: found.value.revision });
-        return err({ kind: 'rejected', detail: 'the progress record cannot be read' });
-      }
-      if (isFinal(progress.state)) noteFinal(id, progress.state);
-      return ok(progress.state);
+      const begun = await readProgress(id);
+      if (begun.isErr() || begun.value !== undefined) return begun;
+      const accepted = await readAccepted(id);
+      if (accepted.isErr() || accepted.value !== undefined) return accepted;
+      // A short job may have run between the two reads; only its progress is left then.
+      return readProgress(id);
     },
     job: async (id) => {
       const found = await store.get(KEYS.job(id));
--- a/src/intake/submissions.ts
+++ b/src/intake/submissions.ts
@@ -36,8 +36,8 @@
 }
 
 const GATHER_MS = 3;
-/** Each job takes a condition and a write; the configuration's condition takes one entry. */
-const JOBS_PER_TRANSACTION = 12;
+/** Each job takes two conditions and a write; the configuration's condition takes one entry. */
+const JOBS_PER_TRANSACTION = 10;
 const RETRY_MS = 80;
 const CALL_TIMEOUT_MS = 700;
 /** A store that keeps refusing is not asked longer than this; the caller tries another host. */
@@ -95,7 +95,11 @@
       {
         conditions: [
           first.configuration,
-          ...batch.map(({ job }) => ({ key: KEYS.job(job.id), revision: 0 })),
+          // A job that has ended is only known by its progress.
+          ...batch.flatMap(({ job }) => [
+            { key: KEYS.job(job.id), revision: 0 },
+            { key: KEYS.progressOf(job.id), revision: 0 },
+          ]),
         ],
         writes: batch.map(({ job }) => ({ key: KEYS.job(job.id), value: encodeJob(job) })),
       },
@@ -123,7 +127,10 @@
 
   function resolveConflict(batch: readonly Item[], entries: readonly Entry[]) {
     for (const item of batch) {
-      const existing = entries.some(({ key }) => key === KEYS.job(item.job.id));
+      const { id } = item.job;
+      const existing = entries.some(
+        ({ key }) => key === KEYS.job(id) || key === KEYS.progressOf(id),
+      );
       const configuration = entries.find(({ key }) => key === item.configuration.key);
       // A job that exists was accepted before, here or at another host.
       if (existing) settle(item, { kind: 'accepted' });
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -24,6 +24,8 @@
 const RENEW_INTERVAL_MS = 250;
 /** Above the 240 ms of a slow store; a lost answer must leave time for another renewal. */
 const RENEW_TIMEOUT_MS = 400;
+/** After a renewal that was turned away, so that the second comes soon. */
+const RENEW_RETRY_MS = 50;
 /** Longest wait of a candidate before it tries, so that candidates rarely compete. */
 const CANDIDATE_DELAY_MS = 80;
 /** How often a host reads the leader's key itself, in case its feed is silent. */
@@ -289,12 +291,18 @@
     await campaign();
   }
 
+  function chooseInterval(): number {
+    if (term === undefined) return CHECK_INTERVAL_MS;
+    const isFirst = term.turnedAway > 0 && term.turnedAway < TURNED_AWAY_RENEWALS;
+    return isFirst ? RENEW_RETRY_MS : RENEW_INTERVAL_MS;
+  }
+
   async function run() {
     while (!stopped) {
       const sentAt = performance.now();
       if (term === undefined) await check();
       else await renew(term);
-      const interval = term === undefined ? CHECK_INTERVAL_MS : RENEW_INTERVAL_MS;
+      const interval = chooseInterval();
       await pause(Math.max(20, interval - (performance.now() - sentAt)));
     }
   }
--- a/test/platform-path/jobs.test.ts
+++ b/test/platform-path/jobs.test.ts
@@ -70,6 +70,20 @@
     });
   });
 
+  describe('a job that has ended', () => {
+    it('remains one job when its id is handed in again, and is known by its progress alone', async () => {
+      const [first, second] = cell.hosts;
+      const { id } = await submit(present(first));
+      await awaitState(present(first), id, 'completed');
+      // Takeovers read all records of jobs, so those of ended jobs must not pile up.
+      expect(cell.store.items.list('jobs/', '', 10)).to.deep.equal([]);
+      const again = await submit(present(second), { id });
+      expect(again.answer.kind).to.equal('accepted');
+      await awaitState(present(second), id, 'completed');
+      expect(startsOf(cell, id)).to.have.length(1);
+    });
+  });
+
   describe('a cancelled job', () => {
     it('is stopped and shown as cancelled', async () => {
       const host = present(cell.hosts[0]);
