--- a/soak/load.ts
+++ b/soak/load.ts
@@ -26,8 +26,8 @@
   readonly key: string;
   /** Run time of each task. */
   readonly workMs: number;
-  /** Times at which attempts were sent that were answered with success. */
-  readonly accepted: number[];
+  /** Attempts that were answered with success. */
+  readonly accepted: { readonly sentAt: number; readonly answeredAt: number }[];
   /** All attempts were refused, so that it must never run. */
   refused: boolean;
   cancelAcknowledgedAt: number | undefined;
@@ -122,7 +122,7 @@
       const sentAt = Date.now();
       const { status } = await call(agent, 'POST', host.url, job);
       if (status === 200) {
-        job.accepted.push(sentAt);
+        job.accepted.push({ sentAt, answeredAt: Date.now() });
         return true;
       }
       if (status === 503 || status === 401) refusals += 1;
