Answer submissions in doubt at once when their host has lost the store

Cancellations likewise. The leader's lease is 1.0 s instead of 1.2 s, and never shorter than the platform's setting allows. The tests fail without the change.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -12,7 +12,6 @@
   createConfigurationFeed,
   createJobReader,
   createSubmissions,
-  STORE_LOST_MS,
 } from '../intake/index.js';
 import type { Election } from '../leadership/index.js';
 import {
@@ -48,6 +47,8 @@
   readonly peerPort: number;
   /** What this host has, in cores; the strongest hosts lead. */
   readonly processors: number;
+  /** Shortest lease that the store grants, in milliseconds. */
+  readonly minLeaseMs: number;
   readonly store: RecordStore;
   readonly fleet: FleetSource;
   readonly connect: (address: string, life: WorkerLife) => WorkerConnection;
@@ -86,8 +87,15 @@
       feed.adopt(entry);
     },
     confirmedAt: () => feed.confirmedAt,
+    isStoreLost: () => feed.isStoreLost,
     confirm: () => feed.confirm(),
-    submissions: createSubmissions({ store, reachability, events, onCommitted: noteCommitted }),
+    submissions: createSubmissions({
+      store,
+      reachability,
+      events,
+      isStoreLost: () => feed.isStoreLost,
+      onCommitted: noteCommitted,
+    }),
     reader,
     events,
   });
@@ -139,6 +147,7 @@
     store,
     host,
     address: `${ip}:${String(options.peerPort)}`,
+    minLeaseMs: options.minLeaseMs,
     processors,
     events,
     eligible: () => !stopping,
@@ -232,8 +241,7 @@
     service,
     configuration,
     get ready() {
-      const fresh = performance.now() - feed.confirmedAt < STORE_LOST_MS;
-      return !stopping && configuration.current !== undefined && fresh;
+      return !stopping && configuration.current !== undefined && !feed.isStoreLost;
     },
     get stopping() {
       return stopping;
--- a/src/intake/caller-service.ts
+++ b/src/intake/caller-service.ts
@@ -20,11 +20,6 @@
 const OPEN_TEAM = '';
 /** A denial needs a configuration that was confirmed this recently. */
 const DENIAL_FRESHNESS_MS = 250;
-/**
- * A store that was not reached for this long is taken as lost, and callers are told at once. Above the
- * interval of reads and the slowest answer of a slow store.
- */
-export const STORE_LOST_MS = 1100;
 /** Attempts to submit under a configuration that keeps changing. */
 const MAX_REJUDGEMENTS = 4;
 
@@ -75,6 +70,8 @@
   readonly adopt: (entry: Entry) => void;
   /** Monotonic milliseconds of the last confirmed configuration. */
   readonly confirmedAt: () => number;
+  /** The store was not reached for so long that callers should try another host. */
+  readonly isStoreLost: () => boolean;
   /** Reads the configuration now. */
   readonly confirm: () => Promise<void>;
   readonly submissions: Submissions;
@@ -83,7 +80,7 @@
 }
 
 export function createCallerService(options: CallerServiceOptions): CallerService {
-  const { store, configuration, submissions, reader, events } = options;
+  const { store, configuration, submissions, reader, isStoreLost, events } = options;
 
   function judge(caller: Caller): Result<Access, Denial> {
     const inForce = configuration.current;
@@ -116,10 +113,6 @@
     return second;
   }
 
-  function isStoreLost(): boolean {
-    return performance.now() - options.confirmedAt() > STORE_LOST_MS;
-  }
-
   async function submit(
     caller: Caller,
     work: SubmittedWork,
@@ -187,7 +180,7 @@
     cancel: async (id, deadlineAt) => {
       const state = await reader.state(id);
       if (state.isOk() && state.value !== undefined && isFinal(state.value)) return 'cancelled';
-      const outcome = await cancelJob({ store, events, job: id, deadlineAt });
+      const outcome = await cancelJob({ store, isStoreLost, events, job: id, deadlineAt });
       events.info('job-cancel-answered', { job: id, outcome });
       return outcome;
     },
--- a/src/intake/cancellations.ts
+++ b/src/intake/cancellations.ts
@@ -11,6 +11,8 @@
 
 export interface CancellationOptions {
   readonly store: RecordStore;
+  /** The store was not reached for so long that callers should try another host. */
+  readonly isStoreLost: () => boolean;
   readonly events: EventLog;
   readonly job: string;
   /** Monotonic milliseconds until which the caller waits. */
@@ -20,9 +22,9 @@
 const RETRY_MS = 80;
 const CALL_TIMEOUT_MS = 700;
 
-/** Writes the cancellation, repeating calls without an answer until the caller's deadline. */
+/** Writes the cancellation, repeating calls without an answer until the caller's deadline or the store's loss. */
 export async function cancelJob(options: CancellationOptions): Promise<CancellationOutcome> {
-  const { store, events, job, deadlineAt } = options;
+  const { store, isStoreLost, events, job, deadlineAt } = options;
   for (;;) {
     const found = await store.list(KEYS.job(job), { timeoutMs: CALL_TIMEOUT_MS });
     if (found.isOk()) {
@@ -42,7 +44,7 @@
         return 'cancelled';
       }
     }
-    if (performance.now() + RETRY_MS > deadlineAt) return 'unknown';
+    if (isStoreLost() || performance.now() + RETRY_MS > deadlineAt) return 'unknown';
     await pause(RETRY_MS);
   }
 }
--- a/src/intake/configuration-feed.ts
+++ b/src/intake/configuration-feed.ts
@@ -10,6 +10,8 @@
 /** Well below the 2 s within which a change must be in force; also tells whether the store is there. */
 const POLL_INTERVAL_MS = 500;
 const CALL_TIMEOUT_MS = 500;
+/** Above the interval of reads and the slowest answer of a slow store. */
+const STORE_LOST_MS = 1100;
 /**
  * Interval of reads while the store does not answer. They do not wait for each other, because one that hangs
  * says nothing about the moment at which the store is back.
@@ -24,6 +26,8 @@
 export interface ConfigurationFeed {
   /** Monotonic milliseconds of the last read that found the present configuration. */
   readonly confirmedAt: number;
+  /** The store was not reached for so long that callers should try another host. */
+  readonly isStoreLost: boolean;
   adopt(entry: Entry): void;
   /** A write under the condition that this revision is in force took effect after `sentAt` (monotonic). */
   noteConfirmed(revision: number, sentAt: number): void;
@@ -102,9 +106,16 @@
   }
   void poll();
 
+  function latestConfirmation(): number {
+    return Math.max(confirmedAt, follower.revision > 0 ? follower.confirmedAt : -Infinity);
+  }
+
   return {
     get confirmedAt() {
-      return Math.max(confirmedAt, follower.revision > 0 ? follower.confirmedAt : -Infinity);
+      return latestConfirmation();
+    },
+    get isStoreLost() {
+      return performance.now() - latestConfirmation() > STORE_LOST_MS;
     },
     adopt,
     noteConfirmed: (revision, sentAt) => {
--- a/src/intake/submissions.ts
+++ b/src/intake/submissions.ts
@@ -4,7 +4,8 @@
  * a configuration that has been replaced.
  *
  * A write whose answer was lost is repeated under the same condition until it is settled: either an
- * attempt commits, or the conflict shows that an earlier one did.
+ * attempt commits, or the conflict shows that an earlier one did. At a host that has lost the store its outcome
+ * stays unknown, and the caller is told so at once, so that it can ask another host while it still waits.
  */
 import type { Job } from '../jobs/index.js';
 import { encodeJob, KEYS } from '../jobs/index.js';
@@ -31,6 +32,8 @@
   readonly reachability?: Reachability;
   readonly events: EventLog;
   readonly gatherMs?: number;
+  /** The store was not reached for so long that callers should try another host. */
+  readonly isStoreLost?: () => boolean;
   /** Jobs were accepted under the configuration, which was in force at `sentAt` (monotonic milliseconds). */
   readonly onCommitted?: (jobs: readonly Job[], configuration: Condition, sentAt: number) => void;
 }
@@ -146,6 +149,10 @@
       settle(item, { kind: 'refused', reason: 'the store does not take writes' });
       return;
     }
+    if (item.uncertain && options.isStoreLost?.() === true) {
+      settle(item, { kind: 'unknown' });
+      return;
+    }
     if (now > item.deadlineAt) {
       settle(
         item,
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -18,8 +18,11 @@
 const STRONGEST_KEY = 'leadership/strongest';
 export const LEADERSHIP_PREFIX = 'leadership/';
 
-/** Lifetime of the leader's lease; a silent leader is replaced after this. The store takes 1 s or more. */
-const LEASE_MS = 1200;
+/**
+ * Lifetime of the leader's lease, where the store grants one so short; a silent leader is replaced after this. Three
+ * renewals fit into it, and one while the store takes 370 ms for an answer.
+ */
+const LEASE_MS = 1000;
 /** Several renewals in a lifetime, so that one lost answer does not cost the office. */
 const RENEW_INTERVAL_MS = 250;
 /** Above the 240 ms of a slow store; a lost answer must leave time for another renewal. */
@@ -60,6 +63,8 @@
   readonly host: string;
   /** Where peers reach this host. */
   readonly address: string;
+  /** Shortest lease that the store grants, in milliseconds. */
+  readonly minLeaseMs: number;
   /** What this host has, in cores; stronger hosts go first. */
   readonly processors: number;
   readonly events: EventLog;
@@ -179,7 +184,7 @@
     const continues = term?.office.epoch === lastEpoch;
     if (term !== undefined && !continues) depose('another epoch was begun');
     const epoch = continues ? lastEpoch : lastEpoch + 1;
-    const grant = await store.grantLease(LEASE_MS);
+    const grant = await store.grantLease(Math.max(LEASE_MS, options.minLeaseMs));
     if (grant.isErr()) return;
     const sentAt = performance.now();
     const outcome = await store.transact(
--- /dev/null
+++ b/test/intake/submissions.test.ts
@@ -0,0 +1,47 @@
+/**
+ * Guards against callers that wait until their limit at a host that has lost the store: five submissions of one
+ * outage did, although other hosts would have taken them (incident inc-0481).
+ */
+import { expect } from 'chai';
+import { err } from 'neverthrow';
+import { createSubmissions } from '../../src/intake/index.js';
+import type { Job } from '../../src/jobs/index.js';
+import { SILENT_EVENTS } from '../../src/observability/index.js';
+import type { RecordStore } from '../../src/records/index.js';
+
+const JOB: Job = {
+  id: 'a1',
+  team: 'lawns',
+  queue: 'lookups',
+  service: 'rota',
+  spec: '',
+  steps: [],
+  acceptedAtMs: 0,
+  acceptedBy: 'host-1',
+};
+const CONFIGURATION = { key: 'configuration', revision: 1 };
+const LONG_MS = 60_000;
+
+describe('a submission in doubt', () => {
+  function submit(isStoreLost: () => boolean) {
+    const store = {
+      transact: () => Promise.resolve(err({ kind: 'unknown', detail: 'no answer' })),
+    } as unknown as RecordStore;
+    const submissions = createSubmissions({ store, events: SILENT_EVENTS, isStoreLost });
+    return (deadlineMs: number) =>
+      submissions.submit(JOB, CONFIGURATION, performance.now() + deadlineMs);
+  }
+
+  it('is answered as unknown once its host has lost the store', async () => {
+    let calls = 0;
+    const outcome = await submit(() => (calls += 1) > 2)(LONG_MS);
+    expect(outcome).to.deep.equal({ kind: 'unknown' });
+  });
+
+  it('is repeated as long as the store is there and its caller waits', async () => {
+    const startedAt = performance.now();
+    const outcome = await submit(() => false)(300);
+    expect(outcome).to.deep.equal({ kind: 'unknown' });
+    expect(performance.now() - startedAt).to.be.at.least(299);
+  });
+});
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -28,11 +28,15 @@
 [listen-addresses]
 frontend = "10.1.0.17:8183"
 readiness = "10.1.0.17:8184"
+[limits]
+cpu-share = 0.675
+cores = 2
 [bounds]
 grace-s = 6
 [platform]
 address = "10.200.1.7:8182"
 form = "kv"
+ttl-min-ms = 1500
 `;
 
 describe('decoding of the platform', () => {
@@ -95,6 +99,8 @@
         callerAddress: { ip: '10.1.0.17', port: 8183 },
         storeAddress: '10.200.1.7:8182',
         graceMs: 6000,
+        processors: 1.35,
+        minLeaseMs: 1500,
       });
     });
 
--- a/test/platform-path/support.ts
+++ b/test/platform-path/support.ts
@@ -96,6 +96,7 @@
       ip: '127.0.0.1',
       peerPort: await findFreePort(),
       processors,
+      minLeaseMs: 1000,
       store: refuseCalls(client, () => turnedAway.has(name)),
       fleet: { prefix: WORKER_PREFIX, decode: decodeWorker },
       connect: createWorkerConnection,
