--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -89,7 +89,6 @@
       lives: new Map(usable.map((session) => [session.life.id, session])),
     };
     const steps = [...cell.ready.values()].map((ready) => describeStep(ready, round));
-    requestPermits(steps, round);
     const placements = planRound({
       nowMs: round.nowMs,
       workers: usable.map((session) => describeWorker(session)),
@@ -97,6 +96,11 @@
       budgets: describeBudgets(configuration),
     });
     order(placements, round);
+    // Steps that were placed need no further permits.
+    requestPermits(
+      steps.filter(({ key }) => cell.ready.has(key)),
+      round,
+    );
     const tookMs = performance.now() - startedAt;
     meters.planSeconds.observe(tookMs / 1000);
     pauseMs = pauseAfterRound(tookMs);
--- a/src/controller/permit-desk.ts
+++ b/src/controller/permit-desk.ts
@@ -253,11 +253,14 @@
         const missing = missingFor(request);
         const { workers } = missing;
         if (workers.size === 0) continue;
-        (missing.further ? further : first).push({
+        const expectedMs = callMs(request.terms, workers.size);
+        // A short further question costs little, and the workers that were named may be full by now.
+        const isFurther = missing.further && expectedMs > LONG_CALL_MS;
+        (isFurther ? further : first).push({
           step: request.step,
           workers,
           askedAt: askedAt.get(request.step) ?? now(),
-          expectedMs: callMs(request.terms, workers.size),
+          expectedMs,
         });
       }
       questions = [...first, ...further];
