Hand callers' calls to the leader while the store turns a host away

Such a host now hands submissions, questions and cancellations to the leader over its link; the leader judges key and queue. A write that is in doubt here stays in doubt whatever the leader refuses.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -8,9 +8,11 @@
 import { createController } from '../controller/index.js';
 import type { CallerService } from '../intake/index.js';
 import {
+  answerRelayed,
   createCallerService,
   createConfigurationFeed,
   createJobReader,
+  createRelayingService,
   createSubmissions,
 } from '../intake/index.js';
 import type { Election } from '../leadership/index.js';
@@ -78,7 +80,7 @@
     events,
   });
   const reader = createJobReader({ store, events });
-  const service = createCallerService({
+  const local = createCallerService({
     host,
     store,
     configuration,
@@ -125,7 +127,14 @@
     }
   }
 
-  const local: AdviceCaller = { name: host, advise: options.advise };
+  const ownAdvice: AdviceCaller = { name: host, advise: options.advise };
+  const service = createRelayingService({
+    local,
+    isStoreLost: () => feed.isStoreLost,
+    send: link.relay,
+    events,
+  });
+  hub.answerCalls((call) => answerRelayed(local, call));
   const loadWatch = createLoadWatch();
   const strengthWatch = createStrengthWatch(processors);
   let controller: Controller | undefined;
@@ -163,7 +172,7 @@
         configuration,
         fleet: options.fleet,
         connect: options.connect,
-        callers: () => [local, ...hub.callers()],
+        callers: () => [ownAdvice, ...hub.callers()],
         renewedAt: () => election.renewedAt,
         onDeposed: (reason) => {
           election.depose(reason);
--- a/src/intake/index.ts
+++ b/src/intake/index.ts
@@ -6,3 +6,4 @@
 export * from './submissions.js';
 export * from './caller-service.js';
 export * from './configuration-feed.js';
+export * from './relay.js';
--- /dev/null
+++ b/src/intake/relay.ts
@@ -0,0 +1,131 @@
+/**
+ * Answers the pattern "the store turns some hosts away and serves the others": a host that cannot reach the store
+ * hands the calls of its callers to the leader, which answers as it would its own callers. They would have to come
+ * back after a second otherwise, which is more than the slack of urgent work.
+ */
+import type { Result } from 'neverthrow';
+import type { EventLog } from '../observability/index.js';
+import type {
+  Caller,
+  CallerService,
+  StateAnswer,
+  SubmitAnswer,
+  SubmittedWork,
+} from './caller-service.js';
+import type { CancellationOutcome } from './cancellations.js';
+
+/** A caller's call, as the leader gets it; `remainingMs` is the time that the caller still waits. */
+export type RelayedCall =
+  | {
+      readonly operation: 'submit';
+      readonly caller: Caller;
+      readonly work: SubmittedWork;
+      readonly remainingMs: number;
+    }
+  | { readonly operation: 'state'; readonly job: string }
+  | { readonly operation: 'cancel'; readonly job: string; readonly remainingMs: number };
+
+export type RelayedAnswer =
+  | { readonly operation: 'submit'; readonly answer: SubmitAnswer }
+  | { readonly operation: 'state'; readonly answer: StateAnswer }
+  | { readonly operation: 'cancel'; readonly answer: CancellationOutcome };
+
+/** `not-sent`: there is no link to a leader. `no-answer`: the leader may have done what was asked. */
+export type RelayFailure = 'not-sent' | 'no-answer';
+
+/** Sends a call to the leader and waits so long for its answer. */
+export type RelaySender = (
+  call: RelayedCall,
+  timeoutMs: number,
+) => Promise<Result<RelayedAnswer, RelayFailure>>;
+
+export interface RelayOptions {
+  /** Answers callers through this host's own path to the store. */
+  readonly local: CallerService;
+  readonly isStoreLost: () => boolean;
+  readonly send: RelaySender;
+  readonly events: EventLog;
+}
+
+/** A read of the leader takes 10 ms and 400 ms with a slow store. */
+const STATE_TIMEOUT_MS = 1000;
+/** Less is not worth a try. */
+const MIN_REMAINING_MS = 50;
+
+export function createRelayingService(options: RelayOptions): CallerService {
+  const { local, isStoreLost, events } = options;
+
+  async function relay(
+    job: string,
+    call: RelayedCall,
+    timeoutMs: number,
+  ): Promise<Result<RelayedAnswer, RelayFailure>> {
+    const sentAt = performance.now();
+    const outcome = await options.send(call, timeoutMs);
+    const answer = outcome.isOk() ? outcome.value.answer : outcome.error;
+    events.info('call-relayed', {
+      job,
+      operation: call.operation,
+      answer: typeof answer === 'string' ? answer : answer.kind,
+      tookMs: Math.round(performance.now() - sentAt),
+      storeLost: isStoreLost(),
+    });
+    return outcome;
+  }
+
+  async function relaySubmission(
+    caller: Caller,
+    work: SubmittedWork,
+    deadlineAt: number,
+    before: SubmitAnswer,
+  ): Promise<SubmitAnswer> {
+    const remainingMs = deadlineAt - performance.now();
+    if (remainingMs < MIN_REMAINING_MS) return before;
+    const call = { operation: 'submit', caller, work, remainingMs } as const;
+    const outcome = await relay(work.id, call, remainingMs);
+    if (outcome.isErr()) return outcome.error === 'not-sent' ? before : { kind: 'unknown' };
+    if (outcome.value.operation !== 'submit') return { kind: 'unknown' };
+    const { answer } = outcome.value;
+    // A write of this host that is in doubt may still take effect after the leader has refused the job.
+    return before.kind === 'unknown' && answer.kind !== 'accepted' ? before : answer;
+  }
+
+  return {
+    access: (caller) => local.access(caller),
+    pending: (queue) => local.pending(queue),
+    submit: async (caller, work, deadlineAt) => {
+      const answer = await local.submit(caller, work, deadlineAt);
+      if (answer.kind === 'accepted' || answer.kind === 'denied') return answer;
+      return relaySubmission(caller, work, deadlineAt, answer);
+    },
+    state: async (id) => {
+      const state = await local.state(id);
+      if (state !== 'unavailable') return state;
+      const outcome = await relay(id, { operation: 'state', job: id }, STATE_TIMEOUT_MS);
+      return outcome.isOk() && outcome.value.operation === 'state' ? outcome.value.answer : state;
+    },
+    cancel: async (id, deadlineAt) => {
+      const cancelled = await local.cancel(id, deadlineAt);
+      const remainingMs = deadlineAt - performance.now();
+      if (cancelled !== 'unknown' || remainingMs < MIN_REMAINING_MS) return cancelled;
+      const outcome = await relay(id, { operation: 'cancel', job: id, remainingMs }, remainingMs);
+      return outcome.isOk() && outcome.value.operation === 'cancel'
+        ? outcome.value.answer
+        : cancelled;
+    },
+  };
+}
+
+/** Answers a call that another host has handed over. */
+export async function answerRelayed(
+  service: CallerService,
+  call: RelayedCall,
+): Promise<RelayedAnswer> {
+  const { operation } = call;
+  if (operation === 'state') return { operation, answer: await service.state(call.job) };
+  const deadlineAt = performance.now() + call.remainingMs;
+  if (operation === 'cancel') {
+    return { operation, answer: await service.cancel(call.job, deadlineAt) };
+  }
+  return { operation, answer: await service.submit(call.caller, call.work, deadlineAt) };
+}
--- a/src/intake/submissions.ts
+++ b/src/intake/submissions.ts
@@ -43,8 +43,8 @@
 const JOBS_PER_TRANSACTION = 10;
 const RETRY_MS = 80;
 const CALL_TIMEOUT_MS = 700;
-/** A store that keeps refusing is not asked longer than this; the caller tries another host. */
-const MAX_REFUSED_MS = 400;
+/** A store that keeps refusing is not asked longer than this; the leader or another host is tried then. */
+const MAX_REFUSED_MS = 150;
 
 interface Item {
   readonly job: Job;
--- a/src/peers/hub.ts
+++ b/src/peers/hub.ts
@@ -4,11 +4,11 @@
  */
 import type { AddressInfo } from 'node:net';
 import { Packr } from 'msgpackr';
-import { WebSocketServer } from 'ws';
-import type { WebSocket } from 'ws';
+import { WebSocket, WebSocketServer } from 'ws';
+import type { RelayedAnswer, RelayedCall } from '../intake/index.js';
 import type { Job, JobState } from '../jobs/index.js';
 import type { EventLog } from '../observability/index.js';
-import type { AdviceResponse, PeerMessage, Permit } from './messages.js';
+import type { AdviceResponse, CallRequest, PeerMessage, Permit } from './messages.js';
 
 export interface AdviceAnswer {
   readonly permits: readonly Permit[];
@@ -33,6 +33,8 @@
   onCompletions(listener: (jobs: readonly string[]) => void): void;
   /** Tells all connected hosts that the job is completed. */
   announceCompletion(job: string): void;
+  /** Answers calls that hosts hand over, of callers that they cannot serve. */
+  answerCalls(answer: (call: RelayedCall) => Promise<RelayedAnswer>): void;
   /** Calls the listener with each job that a host has accepted. */
   onAccepted(listener: (job: Job) => void): void;
   /** Tells the host, if it is connected, that a job which it accepted has ended. */
@@ -62,6 +64,7 @@
   const callers = new Map<WebSocket, AdviceCaller>();
   const processors = new Map<WebSocket, number>();
   const listeners: (() => void)[] = [];
+  let answerCall: ((call: RelayedCall) => Promise<RelayedAnswer>) | undefined;
   const acceptanceListeners: ((job: Job) => void)[] = [];
   const completionListeners: ((jobs: readonly string[]) => void)[] = [];
   const server = new WebSocketServer({
@@ -109,11 +112,18 @@
         for (const listener of completionListeners) listener(message.completed);
       }
       if (message.kind === 'advice-response') settle(message);
+      if (message.kind === 'call-request') void answer(message);
       if (message.kind === 'job-accepted') {
         for (const listener of acceptanceListeners) listener(message.job);
       }
     }
 
+    async function answer({ id, call }: CallRequest) {
+      const result = await answerCall?.(call);
+      if (result === undefined || socket.readyState !== WebSocket.OPEN) return;
+      socket.send(packr.pack({ kind: 'call-response', id, answer: result }));
+    }
+
     function settle(response: AdviceResponse) {
       const { permits, validMs, failure } = response;
       pending.get(response.id)?.(failure === '' ? { permits, validMs } : undefined);
@@ -161,6 +171,9 @@
     announceCompletion: (job) => {
       announce({ kind: 'job-completed', job });
     },
+    answerCalls: (answer) => {
+      answerCall = answer;
+    },
     onAccepted: (listener) => {
       acceptanceListeners.push(listener);
     },
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -3,7 +3,10 @@
  * for advice.
  */
 import { Packr } from 'msgpackr';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import { WebSocket } from 'ws';
+import type { RelayedAnswer, RelayedCall, RelayFailure, RelaySender } from '../intake/index.js';
 import type { Job, JobState } from '../jobs/index.js';
 import type { EventLog } from '../observability/index.js';
 import type { AdviceAnswer } from './hub.js';
@@ -14,6 +17,8 @@
   follow(address: string | undefined): void;
   /** Tells the leader, if it is connected, of a job that this host has accepted. */
   announceAccepted(job: Job): void;
+  /** Hands a caller's call to the leader. */
+  readonly relay: RelaySender;
   close(): void;
 }
 
@@ -50,6 +55,9 @@
   const packr = new Packr({ useRecords: false });
   let target: string | undefined;
   let socket: WebSocket | undefined;
+  /** Calls that the leader has not answered. */
+  const relayed = new Map<number, (answer: Result<RelayedAnswer, RelayFailure>) => void>();
+  let nextCall = 1;
   /** A link to the present leader was open once. */
   let wasOpen = false;
 
@@ -101,6 +109,7 @@
       try {
         const message = packr.unpack(data as Buffer) as PeerMessage;
         if (message.kind === 'advice-request') void answer(dialled, message);
+        if (message.kind === 'call-response') relayed.get(message.id)?.(ok(message.answer));
         if (message.kind === 'leader-turned-away') options.onLeaderGone();
         if (message.kind === 'job-completed') options.onCompletion(message.job);
         if (message.kind === 'job-ended') options.onEnd(message.job, message.state);
@@ -118,6 +127,7 @@
       clearInterval(pinger);
       if (socket !== dialled) return;
       socket = undefined;
+      failRelayed();
       if (opened) events.info('leader-link-lost', { address });
       setTimeout(
         () => {
@@ -128,6 +138,31 @@
     });
   }
 
+  function failRelayed() {
+    for (const settle of [...relayed.values()]) settle(err('no-answer'));
+  }
+
+  function relay(call: RelayedCall, timeoutMs: number) {
+    return new Promise<Result<RelayedAnswer, RelayFailure>>((resolve) => {
+      if (socket?.readyState !== WebSocket.OPEN) {
+        resolve(err('not-sent'));
+        return;
+      }
+      const id = nextCall;
+      nextCall += 1;
+      const settle = (answer: Result<RelayedAnswer, RelayFailure>) => {
+        clearTimeout(timer);
+        relayed.delete(id);
+        resolve(answer);
+      };
+      const timer = setTimeout(() => {
+        settle(err('no-answer'));
+      }, timeoutMs);
+      relayed.set(id, settle);
+      socket.send(packr.pack({ kind: 'call-request', id, call }));
+    });
+  }
+
   function follow(address: string | undefined) {
     if (address === target) return;
     target = address;
@@ -135,11 +170,13 @@
     const former = socket;
     socket = undefined;
     former?.terminate();
+    failRelayed();
     if (address !== undefined) dial(address);
   }
 
   return {
     follow,
+    relay,
     announceAccepted: (job) => {
       if (socket?.readyState !== WebSocket.OPEN) return;
       socket.send(packr.pack({ kind: 'job-accepted', job }));
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -2,9 +2,10 @@
  * Messages between a host and the leader. The leader hands calls to the advice service to the hosts
  * that are connected to it, because the service serves one call at a time for each calling host, and tells
  * them of jobs that have ended, and that the store turns it away. Hosts tell the leader of jobs that they accept,
- * which saves a call to the store for each job.
+ * which saves a call to the store for each job, and hand over calls while the store turns them away.
  */
 
+import type { RelayedAnswer, RelayedCall } from '../intake/index.js';
 import type { Job, JobState } from '../jobs/index.js';
 
 export interface Permit {
@@ -44,6 +45,19 @@
   readonly job: string;
 }
 
+/** A call of a caller whose host cannot reach the store. */
+export interface CallRequest {
+  readonly kind: 'call-request';
+  readonly id: number;
+  readonly call: RelayedCall;
+}
+
+export interface CallResponse {
+  readonly kind: 'call-response';
+  readonly id: number;
+  readonly answer: RelayedAnswer;
+}
+
 /** The sender has accepted the job, whose record is durable. */
 export interface JobAccepted {
   readonly kind: 'job-accepted';
@@ -63,4 +77,12 @@
 }
 
 export type PeerMessage =
-  Hello | AdviceRequest | AdviceResponse | JobAccepted | JobCompleted | JobEnded | LeaderTurnedAway;
+  | Hello
+  | AdviceRequest
+  | AdviceResponse
+  | CallRequest
+  | CallResponse
+  | JobAccepted
+  | JobCompleted
+  | JobEnded
+  | LeaderTurnedAway;
--- a/test/platform-path/faults.test.ts
+++ b/test/platform-path/faults.test.ts
@@ -174,6 +174,34 @@
     });
   });
 
+  describe('a host that the store turns away', () => {
+    it('serves its callers by way of the leader', async () => {
+      const leader = await cell.leader();
+      const host = present(cell.hosts.find((candidate) => candidate !== leader));
+      cell.turnAway(host);
+      const { id, answer } = await submit(host);
+      expect(answer.kind).to.equal('accepted');
+      await awaitState(host, id, 'completed');
+      const second = await submit(host, { spec: 'cancelled' });
+      expect(await host.service.cancel(second.id, performance.now() + 2000)).to.equal('cancelled');
+    });
+
+    it('accepts no withdrawn key, whatever it last knew', async () => {
+      const leader = await cell.leader();
+      const host = present(cell.hosts.find((candidate) => candidate !== leader));
+      cell.turnAway(host);
+      cell.configure({ version: 2, keys: ['another'] });
+      const { answer } = await submit(host);
+      expect(answer).to.deep.equal({ kind: 'denied', denial: 'unknown-key' });
+    });
+
+    it('refuses while the store turns all hosts away', async () => {
+      for (const host of cell.hosts) cell.turnAway(host);
+      const { answer } = await submit(present(cell.hosts[0]), { deadlineMs: 1000 });
+      expect(answer.kind).to.equal('refused');
+    });
+  });
+
   describe('a planned stop of the leader', () => {
     it('hands over at once', async () => {
       const leader = await cell.leader();
