--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -14,6 +14,7 @@
 import type { JobLifecycle } from './job-lifecycle.js';
 import type { PermitDesk, PermitRequest } from './permit-desk.js';
 import { pauseAfterRound } from './round-pace.js';
+import { createRun } from './run.js';
 import type { Run } from './run.js';
 import type { WorkerSession } from './session-contract.js';
 
@@ -188,7 +189,7 @@
   function order(placements: readonly Placement[], round: Round) {
     const byJob = new Map<string, Run[]>();
     for (const placement of placements) {
-      const run = createRun(placement, round);
+      const run = placeRun(placement, round);
       if (run === undefined) continue;
       const { id } = run.progress.job;
       const runs = byJob.get(id);
@@ -206,7 +207,7 @@
     }
   }
 
-  function createRun(placement: Placement, round: Round): Run | undefined {
+  function placeRun(placement: Placement, round: Round): Run | undefined {
     const ready = cell.ready.get(placement.step.key);
     const session = round.lives.get(placement.worker);
     const task = ready?.step.tasks[placement.task];
@@ -216,24 +217,15 @@
     task.run += 1;
     task.worker = session.life;
     setPhase(step, task, 'placed');
-    const run: Run = {
-      name: `${placement.step.key}.${String(task.index)}`,
-      number: task.run,
+    const name = `${placement.step.key}.${String(task.index)}`;
+    const run = createRun({
+      name,
       progress: entry.progress,
       step,
       task,
-      team: entry.progress.job.team,
-      size: step.step.size,
       session,
       inherited: false,
-      status: 'logging',
-      since: now,
-      stopAnsweredAt: undefined,
-      percent: 0,
-      progressedAt: now,
-      startedAt: now,
-      stopReason: '',
-    };
+    });
     session.attach(run);
     lifecycle.begin(run);
     const waitedMs = step.readySince === undefined ? 0 : now - step.readySince;
--- a/src/controller/inherit-runs.ts
+++ b/src/controller/inherit-runs.ts
@@ -6,7 +6,7 @@
 import { formatTaskName, isFinal } from '../jobs/index.js';
 import type { FleetSessions } from './fleet-sessions.js';
 import type { JobLifecycle } from './job-lifecycle.js';
-import type { Run } from './run.js';
+import { createRun } from './run.js';
 
 export interface InheritOptions {
   readonly progress: JobProgress;
@@ -34,30 +34,13 @@
   life: WorkerLife,
 ) {
   const session = sessions.sessionOf(life);
-  const now = performance.now();
-  const run: Run = {
-    name: formatTaskName({
-      job: progress.job.id,
-      occurrence: step.occurrence,
-      step: step.number,
-      index: task.index,
-    }),
-    number: task.run,
-    progress,
-    step,
-    task,
-    team: progress.job.team,
-    size: step.step.size,
-    session,
-    inherited: true,
-    status: 'in-doubt',
-    since: -Infinity,
-    stopAnsweredAt: undefined,
-    percent: 0,
-    progressedAt: now,
-    startedAt: now,
-    stopReason: '',
-  };
+  const name = formatTaskName({
+    job: progress.job.id,
+    occurrence: step.occurrence,
+    step: step.number,
+    index: task.index,
+  });
+  const run = createRun({ name, progress, step, task, session, inherited: true });
   session.attach(run);
   lifecycle.begin(run);
 }
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -38,6 +38,39 @@
   stopReason: string;
 }
 
+export interface RunOptions {
+  readonly name: string;
+  readonly progress: JobProgress;
+  readonly step: StepProgress;
+  readonly task: TaskProgress;
+  readonly session: WorkerSession;
+  /** Ordered by a former leader, so that it is in doubt until its worker answers. */
+  readonly inherited: boolean;
+}
+
+/** A run of the task under its present number. */
+export function createRun({ name, progress, step, task, session, inherited }: RunOptions): Run {
+  const now = performance.now();
+  return {
+    name,
+    number: task.run,
+    progress,
+    step,
+    task,
+    team: progress.job.team,
+    size: step.step.size,
+    session,
+    inherited,
+    status: inherited ? 'in-doubt' : 'logging',
+    since: inherited ? -Infinity : now,
+    stopAnsweredAt: undefined,
+    percent: 0,
+    progressedAt: now,
+    startedAt: now,
+    stopReason: '',
+  };
+}
+
 /** Why a run is over. `never-ran`: the worker certainly did not start it. `lost`: its worker ended. */
 export type RunEnd =
   'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'never-ran' | 'lost';
