Do not let callers wait behind a link to the leader that is cut

A call waits for 0.6 s now, and after one without an answer none is handed over until the leader is heard again. The test fails without the change.

--- a/src/intake/relay.ts
+++ b/src/intake/relay.ts
@@ -47,8 +47,11 @@
   readonly events: EventLog;
 }
 
-/** A read of the leader takes 10 ms and 400 ms with a slow store. */
-const STATE_TIMEOUT_MS = 1000;
+/**
+ * The leader answers within 20 ms and within 450 ms while the store is slow. A caller who waits behind a link that is
+ * cut is better told that the outcome is unknown, and asks another host.
+ */
+const RELAY_TIMEOUT_MS = 600;
 /** Less is not worth a try. */
 const MIN_REMAINING_MS = 50;
 
@@ -58,10 +61,10 @@
   async function relay(
     job: string,
     call: RelayedCall,
-    timeoutMs: number,
+    timeoutMs = RELAY_TIMEOUT_MS,
   ): Promise<Result<RelayedAnswer, RelayFailure>> {
     const sentAt = performance.now();
-    const outcome = await options.send(call, timeoutMs);
+    const outcome = await options.send(call, Math.min(timeoutMs, RELAY_TIMEOUT_MS));
     const answer = outcome.isOk() ? outcome.value.answer : outcome.error;
     events.info('call-relayed', {
       job,
@@ -101,7 +104,7 @@
     state: async (id) => {
       const state = await local.state(id);
       if (state !== 'unavailable') return state;
-      const outcome = await relay(id, { operation: 'state', job: id }, STATE_TIMEOUT_MS);
+      const outcome = await relay(id, { operation: 'state', job: id });
       return outcome.isOk() && outcome.value.operation === 'state' ? outcome.value.answer : state;
     },
     cancel: async (id, deadlineAt) => {
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -58,6 +58,8 @@
   /** Calls that the leader has not answered. */
   const relayed = new Map<number, (answer: Result<RelayedAnswer, RelayFailure>) => void>();
   let nextCall = 1;
+  /** A call was not answered in time and the leader has sent nothing since; the link may be cut. */
+  let silent = false;
   /** A link to the present leader was open once. */
   let wasOpen = false;
 
@@ -92,6 +94,7 @@
     dialled.on('open', () => {
       opened = true;
       wasOpen = true;
+      silent = false;
       dialled.send(
         packr.pack({
           kind: 'hello',
@@ -104,8 +107,10 @@
     });
     dialled.on('pong', () => {
       alive = true;
+      silent = false;
     });
     dialled.on('message', (data) => {
+      silent = false;
       try {
         const message = packr.unpack(data as Buffer) as PeerMessage;
         if (message.kind === 'advice-request') void answer(dialled, message);
@@ -144,7 +149,7 @@
 
   function relay(call: RelayedCall, timeoutMs: number) {
     return new Promise<Result<RelayedAnswer, RelayFailure>>((resolve) => {
-      if (socket?.readyState !== WebSocket.OPEN) {
+      if (socket?.readyState !== WebSocket.OPEN || silent) {
         resolve(err('not-sent'));
         return;
       }
@@ -156,6 +161,7 @@
         resolve(answer);
       };
       const timer = setTimeout(() => {
+        silent = true;
         settle(err('no-answer'));
       }, timeoutMs);
       relayed.set(id, settle);
--- /dev/null
+++ b/test/peers/link.test.ts
@@ -0,0 +1,54 @@
+/**
+ * Guards against callers that wait behind a link to the leader that is cut: after one call without an answer the
+ * others are told at once that none was sent, until the leader is heard again.
+ */
+import type { AddressInfo } from 'node:net';
+import { expect } from 'chai';
+import { Packr } from 'msgpackr';
+import { WebSocketServer } from 'ws';
+import type { WebSocket } from 'ws';
+import { SILENT_EVENTS } from '../../src/observability/index.js';
+import { createLeaderLink } from '../../src/peers/index.js';
+import { eventually } from '../platform-path/support.js';
+
+const CALL = { operation: 'state', job: 'a1' } as const;
+const TIMEOUT_MS = 50;
+
+describe('the link to the leader', () => {
+  let leader: WebSocketServer;
+  let sockets: WebSocket[];
+
+  beforeEach(async () => {
+    sockets = [];
+    leader = new WebSocketServer({ host: '127.0.0.1', port: 0 });
+    leader.on('connection', (socket) => sockets.push(socket));
+    await new Promise((resolve) => leader.once('listening', resolve));
+  });
+
+  afterEach(() => {
+    for (const socket of sockets) socket.terminate();
+    leader.close();
+  });
+
+  it('hands over no further call after one without an answer, until the leader is heard', async () => {
+    const link = createLeaderLink({
+      host: 'host-1',
+      processors: 1,
+      events: SILENT_EVENTS,
+      onLeaderGone: () => undefined,
+      advise: () => Promise.resolve(undefined),
+      onCompletion: () => undefined,
+      onEnd: () => undefined,
+      completions: () => [],
+    });
+    const relay = async () => (await link.relay(CALL, TIMEOUT_MS))._unsafeUnwrapErr();
+    expect(await relay()).to.equal('not-sent');
+    link.follow(`127.0.0.1:${String((leader.address() as AddressInfo).port)}`);
+    // The leader takes the calls and answers none.
+    await eventually(async () => ((await relay()) === 'no-answer' ? true : undefined));
+    expect(await relay()).to.equal('not-sent');
+    sockets[0]?.send(new Packr({ useRecords: false }).pack({ kind: 'job-completed', job: 'b1' }));
+    await eventually(async () => ((await relay()) === 'no-answer' ? true : undefined));
+    link.close();
+  });
+});
