--- a/soak/main.ts
+++ b/soak/main.ts
@@ -6,9 +6,11 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
+import { FAILED_SEEDS } from './failed-seeds.js';
 import { runSoak } from './soak.js';
 
 const USAGE = `soak [--seed N] [--runs N] [--seconds S] [--hosts N] [--workers N] [--callers N] [--program FILE]
+  --failed   runs the seeds that ever failed instead
   --seed     first seed; drawn and printed unless given, further runs use the next ones
   --program  built daemon, dist/platform/main.js unless given`;
 const MAX_SEED = 2 ** 31;
@@ -22,6 +24,7 @@
     workers: { type: 'string', default: '5' },
     callers: { type: 'string', default: '6' },
     program: { type: 'string', default: 'dist/platform/main.js' },
+    failed: { type: 'boolean', default: false },
     help: { type: 'boolean', default: false },
   },
 });
@@ -31,15 +34,21 @@
     process.stdout.write(`${USAGE}\n`);
     return;
   }
-  const first = Number(values.seed ?? Math.floor(Math.random() * MAX_SEED));
+  const seeds = chooseSeeds();
   let broken = 0;
-  for (let run = 0; run < Number(values.runs); run += 1) {
-    if (!(await runOnce(first + run))) broken += 1;
+  for (const seed of seeds) {
+    if (!(await runOnce(seed))) broken += 1;
   }
-  process.stdout.write(`${values.runs} runs, ${String(broken)} with broken promises\n`);
+  process.stdout.write(`${String(seeds.length)} runs, ${String(broken)} with broken promises\n`);
   process.exitCode = broken === 0 ? 0 : 1;
 }
 
+function chooseSeeds(): readonly number[] {
+  if (values.failed) return FAILED_SEEDS.map(({ seed }) => seed);
+  const first = Number(values.seed ?? Math.floor(Math.random() * MAX_SEED));
+  return Array.from({ length: Number(values.runs) }, (_, run) => first + run);
+}
+
 async function runOnce(seed: number): Promise<boolean> {
   const folder = await mkdtemp(join(tmpdir(), `soak-${String(seed)}-`));
   const lines: string[] = [];
