--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -51,6 +51,8 @@
   const unasked: string[] = [];
   let child: ChildProcess | undefined;
   let paused = false;
+  /** The process has written a line; before this, no program could handle a signal. */
+  let loaded = false;
   let ending = false;
   let reloads = 0;
   await mkdir(folder, { recursive: true });
@@ -113,6 +115,10 @@
         env: { ...process.env, [SETTINGS_VARIABLE]: settings },
       });
       child = started;
+      loaded = false;
+      started.stdout.once('data', () => {
+        loaded = true;
+      });
       started.stdout.pipe(log, { end: false });
       started.stderr.pipe(log, { end: false });
       started.on('exit', (code, signal) => {
@@ -138,7 +144,7 @@
     reload: async () => {
       reloads += 1;
       await writeSettings();
-      if (!paused) child?.kill('SIGHUP');
+      if (!paused && loaded) child?.kill('SIGHUP');
     },
   };
 }
--- a/test/platform-path/processes.test.ts
+++ b/test/platform-path/processes.test.ts
@@ -157,6 +157,16 @@
     expect(worker.starts).to.have.length(1);
   });
 
+  it('survives a reload that comes while it is starting', async () => {
+    // The soak found a daemon that was ended by SIGHUP before it listened for it.
+    const daemon = await startDaemon(4);
+    daemons.push(daemon);
+    await eventually(() => (daemon.output().includes('"host-started"') ? true : undefined));
+    daemon.process.kill('SIGHUP');
+    await eventually(() => isReady(daemon));
+    expect(daemon.process.signalCode).to.equal(null);
+  });
+
   it('names each wrong setting and exits with 2', async () => {
     const settings = join(folder, 'wrong.toml');
     await writeFile(settings, 'zone = "centro"\nport-range = ["a", 2]\n');
