Renew the lease of a new leader at once

Cause: the loop of a host that is not leading rests for 1.5 s between two checks. When it was elected in between, its first renewal came after that rest, and the lease of 1.0 s (1.2 s before) had ended; the office went on to a host whose loop rested as well. The test fails without the change (first renewal after 1487 ms). The lease is 1.2 s again, because a cold leader is busy for 0.5 s.

--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -19,10 +19,10 @@
 export const LEADERSHIP_PREFIX = 'leadership/';
 
 /**
- * Lifetime of the leader's lease, where the store grants one so short; a silent leader is replaced after this. Three
- * renewals fit into it, and one while the store takes 370 ms for an answer.
+ * Lifetime of the leader's lease, where the store grants one so short; a silent leader is replaced after this. A new
+ * leader on a host that has just started can be busy for half a second with reading all jobs.
  */
-const LEASE_MS = 1000;
+const LEASE_MS = 1200;
 /** Several renewals in a lifetime, so that one lost answer does not cost the office. */
 const RENEW_INTERVAL_MS = 250;
 /** Above the 240 ms of a slow store; a lost answer must leave time for another renewal. */
@@ -34,6 +34,8 @@
 /** How often a host reads the leader's key itself, in case its feed is silent. */
 const CHECK_INTERVAL_MS = 1500;
 const CALL_TIMEOUT_MS = 800;
+/** Between two checks or renewals, however long the first took. */
+const MIN_REST_MS = 20;
 /** A renewal that fails sooner was turned away; a slow store or a lost answer takes longer. */
 const TURNED_AWAY_MS = 200;
 /** Renewals in a row that the store turns away before the hosts are asked to try for the office. */
@@ -123,6 +125,8 @@
   let strongest = options.processors;
   /** A weak host waits once in each campaign. */
   let deferred = false;
+  /** Ends the rest between two checks or renewals. */
+  let wake: () => void = () => undefined;
 
   function noteLeader(next: Leader | undefined, revision: number) {
     if (revision < leaderRevision) return;
@@ -215,6 +219,8 @@
     }
     const office = { epoch, condition: { key: LEADER_KEY, revision: outcome.value.revision } };
     term = { office, lease: grant.value, renewedAt: sentAt, turnedAway: 0 };
+    // The loop may rest for longer than the lease lasts.
+    wake();
     noteLeader({ host, address, epoch }, outcome.value.revision);
     events.info(continues ? 'leadership-confirmed' : 'leadership-won', {
       epoch,
@@ -308,7 +314,12 @@
       if (term === undefined) await check();
       else await renew(term);
       const interval = chooseInterval();
-      await pause(Math.max(20, interval - (performance.now() - sentAt)));
+      await Promise.race([
+        pause(Math.max(MIN_REST_MS, interval - (performance.now() - sentAt))),
+        new Promise<void>((resolve) => {
+          wake = resolve;
+        }),
+      ]);
     }
   }
 
--- /dev/null
+++ b/test/leadership/election.test.ts
@@ -0,0 +1,63 @@
+/**
+ * Guards against a new leader whose lease ends before its first renewal: its loop rested for up to 1.5 s, the
+ * office went to the next host, whose loop rested as well, and in an overloaded cell nothing was started any more
+ * (day trouble-3 of pielaru-sched, seed 32866715750).
+ */
+import { expect } from 'chai';
+import { ok } from 'neverthrow';
+import { createElection } from '../../src/leadership/index.js';
+import { SILENT_EVENTS } from '../../src/observability/index.js';
+import type { Entry, RecordStore } from '../../src/records/index.js';
+import { eventually } from '../platform-path/support.js';
+
+const LEADER_KEY = 'leadership/leader';
+/** Half of the shortest lease. */
+const FIRST_RENEWAL_MS = 600;
+
+describe('a host that is elected between two checks', () => {
+  it('renews its lease long before it ends', async () => {
+    const other = JSON.stringify({ host: 'other', address: '127.0.0.1:1', epoch: 1 });
+    let leader: Entry | undefined = { key: LEADER_KEY, value: other, revision: 5 };
+    let checks = 0;
+    let renewedAt: number | undefined;
+    const store = {
+      get: () => {
+        checks += 1;
+        return Promise.resolve(ok(leader));
+      },
+      list: () =>
+        Promise.resolve(ok({ entries: leader === undefined ? [] : [leader], revision: 9 })),
+      grantLease: () => Promise.resolve(ok(1)),
+      transact: () => Promise.resolve(ok({ kind: 'committed', revision: 10 })),
+      renewLease: () => {
+        renewedAt ??= performance.now();
+        return Promise.resolve(ok(undefined));
+      },
+      endLease: () => Promise.resolve(ok(undefined)),
+    } as unknown as RecordStore;
+    const election = createElection({
+      store,
+      host: 'own',
+      address: '127.0.0.1:2',
+      minLeaseMs: 1000,
+      processors: 1,
+      events: SILENT_EVENTS,
+      eligible: () => true,
+      onElected: () => undefined,
+      onConfirmed: () => undefined,
+      onDeposed: () => undefined,
+      onTurnedAway: () => undefined,
+      onLeader: () => undefined,
+      random: () => 0,
+    });
+    election.start();
+    await eventually(() => (checks > 0 ? true : undefined));
+    leader = undefined;
+    election.observeRemoval(LEADER_KEY);
+    await eventually(() => (election.office === undefined ? undefined : true));
+    const electedAt = performance.now();
+    await eventually(() => (renewedAt === undefined ? undefined : true));
+    election.stop();
+    expect((renewedAt ?? Infinity) - electedAt).to.be.lessThan(FIRST_RENEWAL_MS);
+  });
+});
