Read again: one settings file for test daemons, cancellations judged by the soak

The soak recorded acknowledged cancellations and the times of faults without using them; it judges late starts of cancelled jobs by them now. The callback of the leader link that also covers a leader which is turned away is named for both. In src only a name and comments change.

--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -9,6 +9,7 @@
 import { join } from 'node:path';
 import { request } from 'undici';
 import { SETTINGS_VARIABLE } from '../platform/settings.js';
+import { describeHostSettings } from '../stand-ins/platform/settings.js';
 import { sleep } from './proxy.js';
 
 export interface Daemon {
@@ -60,21 +61,15 @@
   const log = createWriteStream(join(folder, `${name}.log`), { flags: 'a' });
 
   async function writeSettings() {
-    const text = [
-      `node-name = "${name}"`,
-      `zone = "dc${String(1 + (number % 2))}"`,
-      `ip = "${ip}"`,
-      'port-range = [7420, 7429]',
-      `reloads = ${String(reloads)}`,
-      '[listen-addresses]',
-      `frontend = "${ip}:8080"`,
-      `readiness = "${ip}:8081"`,
-      '[bounds]',
-      `grace-s = ${String(GRACE_S)}`,
-      '[platform]',
-      `address = "${options.storeAddress}"`,
-    ];
-    await writeFile(settings, text.join('\n'));
+    const text = describeHostSettings({
+      name,
+      ip,
+      dataCentre: `dc${String(1 + (number % 2))}`,
+      storeAddress: options.storeAddress,
+      graceS: GRACE_S,
+    });
+    // An unknown field is ignored, so that each reload finds another file.
+    await writeFile(settings, `reloads = ${String(reloads)}\n${text}`);
   }
 
   async function isReady(): Promise<boolean> {
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -9,6 +9,7 @@
 /** A fault: does harm and resolves when it has undone it. */
 type Fault = (world: World, random: Random) => Promise<void>;
 
+/** When a fault was in force, in Unix milliseconds. */
 export interface FaultRecord {
   readonly kind: string;
   readonly from: number;
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -17,11 +17,16 @@
     readonly from: number;
     readonly to: number;
   }[];
+  /** Times at which something was harmed. */
+  readonly faults: readonly { readonly from: number; readonly to: number }[];
   readonly unaskedExits: readonly string[];
 }
 
 /** The platform's bound on a withdrawn key. */
 const CONFIGURATION_BOUND_MS = 2000;
+/** The platform's bound on a cancellation, and how long calm has to last before it holds. */
+const CANCELLATION_BOUND_MS = 3000;
+const STABLE_MS = 3000;
 
 interface TaskPlace {
   readonly job: string;
@@ -33,6 +38,7 @@
   return [
     ...checkEnds(evidence),
     ...checkRefusals(evidence),
+    ...checkCancellations(evidence),
     ...checkSingleRuns(evidence),
     ...checkOrder(evidence),
     ...checkRoom(evidence),
@@ -60,6 +66,21 @@
     .map(({ id }) => `refused: job ${id} was refused by all hosts and has run`);
 }
 
+/** A task of a cancelled job starts no later than the bound after its acknowledgement, where nothing was harmed. */
+function checkCancellations({ jobs, starts, faults }: Evidence): string[] {
+  const acknowledged = new Map(
+    jobs.map(({ id, cancelAcknowledgedAt }) => [id, cancelAcknowledgedAt]),
+  );
+  return starts.flatMap(({ task, at }) => {
+    const since = acknowledged.get(parseTask(task).job);
+    if (since === undefined || at <= since + CANCELLATION_BOUND_MS) return [];
+    const isCalm = faults.every(({ from, to }) => to < since - STABLE_MS || from > at);
+    return isCalm
+      ? [`cancelled: ${task} starts ${String(at - since)} ms after it was cancelled`]
+      : [];
+  });
+}
+
 /** No task runs twice at the same time, or again after it has ended as done. */
 function checkSingleRuns({ starts, ends }: Evidence): string[] {
   const byTask = groupBy(starts, ({ task }) => task);
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -60,6 +60,7 @@
       finalStates,
       workerMillis: WORKER_MILLIS,
       withdrawn: world.withdrawn,
+      faults,
       unaskedExits: world.daemons.flatMap(({ unasked }) => unasked),
     });
     return {
--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -107,7 +107,7 @@
     processors,
     events,
     advise: options.advise,
-    onLeaderGone: () => {
+    onLeaderUnfit: () => {
       election.suspectLeader();
     },
     onCompletion: (job) => {
--- a/src/intake/relay.ts
+++ b/src/intake/relay.ts
@@ -48,7 +48,7 @@
 }
 
 /**
- * The leader answers within 20 ms and within 450 ms while the store is slow. A caller who waits behind a link that is
+ * Above the slowest answer of a slow store seen on the sites, 93 times 4 ms. A caller who waits behind a link that is
  * cut is better told that the outcome is unknown, and asks another host.
  */
 const RELAY_TIMEOUT_MS = 600;
--- a/src/leadership/strength.ts
+++ b/src/leadership/strength.ts
@@ -7,8 +7,8 @@
 /** A host with at least this part of the strongest host's processors leads as well as that one. */
 const SIMILAR_PART = 0.8;
 /**
- * Wait of a weak candidate before it tries. Strong hosts need up to 80 ms of random delay and three answers of
- * the store, which take 240 ms each when it is slow.
+ * Wait of a weak candidate before it tries. Covers the random delay of strong hosts, 80 ms at most, and their three
+ * calls to the store at its usual 4 ms; while the store is slow a weak host may win, and hands over later.
  */
 const DEFERENCE_MS = 300;
 /** A new leader reads all jobs first, and stronger hosts connect meanwhile. */
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -31,7 +31,7 @@
    * The leader's port refuses connections after a link to it was lost, so its process is gone, or it says
    * that the store turns it away.
    */
-  readonly onLeaderGone: () => void;
+  readonly onLeaderUnfit: () => void;
   readonly advise: (step: string, workers: readonly string[]) => Promise<AdviceAnswer | undefined>;
   /** The leader knows that the job is completed, although the store does not. */
   readonly onCompletion: (job: string) => void;
@@ -115,7 +115,7 @@
         const message = packr.unpack(data as Buffer) as PeerMessage;
         if (message.kind === 'advice-request') void answer(dialled, message);
         if (message.kind === 'call-response') relayed.get(message.id)?.(ok(message.answer));
-        if (message.kind === 'leader-turned-away') options.onLeaderGone();
+        if (message.kind === 'leader-turned-away') options.onLeaderUnfit();
         if (message.kind === 'job-completed') options.onCompletion(message.job);
         if (message.kind === 'job-ended') options.onEnd(message.job, message.state);
       } catch (error) {
@@ -126,7 +126,7 @@
     dialled.on('error', (error) => {
       events.debug('leader-link-failed', { address, error: error.message });
       const { code } = error as NodeJS.ErrnoException;
-      if (code === 'ECONNREFUSED' && wasOpen && socket === dialled) options.onLeaderGone();
+      if (code === 'ECONNREFUSED' && wasOpen && socket === dialled) options.onLeaderUnfit();
     });
     dialled.on('close', () => {
       clearInterval(pinger);
--- a/test/peers/link.test.ts
+++ b/test/peers/link.test.ts
@@ -35,7 +35,7 @@
       host: 'host-1',
       processors: 1,
       events: SILENT_EVENTS,
-      onLeaderGone: () => undefined,
+      onLeaderUnfit: () => undefined,
       advise: () => Promise.resolve(undefined),
       onCompletion: () => undefined,
       onEnd: () => undefined,
--- a/test/platform-path/processes.test.ts
+++ b/test/platform-path/processes.test.ts
@@ -10,13 +10,12 @@
 import { expect } from 'chai';
 import { Agent, request } from 'undici';
 import { SETTINGS_VARIABLE } from '../../platform/settings.js';
+import { describeHostSettings } from '../../stand-ins/platform/settings.js';
 import { startStore, type StoreStandIn } from '../../stand-ins/platform/store.js';
 import { startWorker, type WorkerStandIn } from '../../stand-ins/platform/worker.js';
 import { describeConfiguration, eventually, KEY, newJobId, present } from './support.js';
 
 const DAEMON = 'dist/platform/main.js';
-/** The platform's usual grace period for a planned stop. */
-const GRACE_S = 6;
 const CALLS_AFTER_NOTICE_MS = 2000;
 
 interface Daemon {
@@ -46,21 +45,10 @@
     const name = `host-${String(number)}`;
     const ip = `${network}.${String(number)}`;
     const settings = join(folder, `${name}.toml`);
+    const { address: storeAddress } = store;
     await writeFile(
       settings,
-      [
-        `node-name = "${name}"`,
-        'zone = "centro"',
-        `ip = "${ip}"`,
-        'port-range = [7420, 7429]',
-        '[listen-addresses]',
-        `frontend = "${ip}:8080"`,
-        `readiness = "${ip}:8081"`,
-        '[bounds]',
-        `grace-s = ${String(GRACE_S)}`,
-        '[platform]',
-        `address = "${store.address}"`,
-      ].join('\n'),
+      describeHostSettings({ name, ip, dataCentre: 'centro', storeAddress }),
     );
     const child = spawn(process.execPath, [DAEMON], {
       env: { ...process.env, [SETTINGS_VARIABLE]: settings },
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -42,6 +42,7 @@
   finalStates: new Map([['a1', 'completed']]),
   workerMillis: 6000,
   withdrawn: [],
+  faults: [],
   unaskedExits: [],
 };
 
@@ -73,6 +74,22 @@
       expect(judge({ ...SOUND, withdrawn })).to.deep.equal([]);
     });
 
+    it('accepts a late start of a cancelled job beside a fault', () => {
+      const starts = [
+        { ...FIRST, at: 10_100 },
+        { ...SECOND, at: 14_000 },
+      ];
+      const ends = [SOUND.ends[0], { ...SECOND, how: 'done' as const, at: 14_100 }];
+      const evidence = {
+        ...SOUND,
+        jobs: [{ ...JOB, cancelAcknowledgedAt: 10_150, told: [] }],
+        starts,
+        ends: ends.flatMap((end) => end ?? []),
+      };
+      expect(judge({ ...evidence, faults: [{ from: 11_000, to: 12_000 }] })).to.deep.equal([]);
+      expect(judge(evidence)).to.have.length(1);
+    });
+
     const broken: readonly [string, RegExp, Partial<Evidence>][] = [
       ['a lost job', /^lost: /, { finalStates: new Map([['a1', '410']]) }],
       ['a false refusal', /^refused: /, { jobs: [{ ...JOB, refused: true }] }],
