Cut the leader's cost of a round, a call and a report; never take its delay for a worker's

Late by its own fault, it stopped runs whose reports had waited for it, counted orders as overdue, and handed over to an equal host.

Stalls are judged on the worker's clock, overdue orders on a clock that stands still while the event loop is delayed, and only a host that gets less than half of its share of a core hands over. A refused ticket is dropped.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -15,7 +15,7 @@
   createRelayingService,
   createSubmissionBatcher,
 } from '../intake/index.js';
-import type { Election } from '../leadership/index.js';
+import type { Election, LoadSample } from '../leadership/index.js';
 import {
   createElection,
   createLoadMonitor,
@@ -49,6 +49,8 @@
   readonly peerPort: number;
   /** Processing capacity of this host in cores; the strongest hosts lead. */
   readonly processors: number;
+  /** Share of a core that one thread of this host gets. */
+  readonly coreShare: number;
   /** Shortest lease that the store grants, in milliseconds. */
   readonly minLeaseMs: number;
   readonly store: KeyValueStore;
@@ -67,6 +69,21 @@
 const LEADERSHIP_WATCH_WAIT_MS = 5000;
 const EVENT_LOOP_CHECK_MS = 100;
 
+/** Returns a function that measures the load of this process since its last call. */
+function createLoadMeter(): () => Omit<LoadSample, 'delayMs'> {
+  let utilization = performance.eventLoopUtilization();
+  let usage = process.cpuUsage();
+  return () => {
+    const nextUtilization = performance.eventLoopUtilization();
+    const nextUsage = process.cpuUsage();
+    const activeMs = nextUtilization.active - utilization.active;
+    const processorUs = nextUsage.user + nextUsage.system - usage.user - usage.system;
+    utilization = nextUtilization;
+    usage = nextUsage;
+    return { activeMs, processorMs: processorUs / 1000 };
+  };
+}
+
 export function createCellHost(options: CellHostOptions): CellHost {
   const { host, ip, processors, store, events, meters } = options;
   const configuration = createConfigurationHolder({ events });
@@ -135,7 +152,7 @@
     events,
   });
   hub.setCallHandler((call) => answerRelayedCall(local, call));
-  const loadMonitor = createLoadMonitor();
+  const loadMonitor = createLoadMonitor({ coreShare: options.coreShare });
   const strengthMonitor = createStrengthMonitor(processors);
   let controller: Controller | undefined;
   let stopping = false;
@@ -227,16 +244,18 @@
   });
   election.start();
 
+  const measureLoad = createLoadMeter();
   let expected = performance.now() + EVENT_LOOP_CHECK_MS;
   const eventLoopTimer = setInterval(() => {
     const now = performance.now();
     const delayMs = Math.max(0, now - expected);
     meters.eventLoopDelaySeconds.observe(delayMs / 1000);
     expected = now + EVENT_LOOP_CHECK_MS;
-    const isLate = controller !== undefined && loadMonitor.note(delayMs, now);
+    const load = measureLoad();
+    const isSlow = controller !== undefined && loadMonitor.note({ delayMs, ...load }, now);
     const othersMayLead = hub.callers().length > 0 && !stopping;
     if (controller === undefined || !othersMayLead) return;
-    if (isLate) void handOver('the event loop of this host is delayed most of the time');
+    if (isSlow) void handOver('this host has become slow and its event loop is delayed');
     else if (strengthMonitor.shouldYield(hub.maxProcessors, now)) {
       void handOver('a host with more processors is connected');
     }
--- a/src/controller/cell.ts
+++ b/src/controller/cell.ts
@@ -38,6 +38,8 @@
 export interface Cell {
   readonly jobs: Map<string, JobEntry>;
   readonly ready: ReadonlyMap<string, ReadyStep>;
+  /** Jobs with occurrences that begin at set times. */
+  readonly scheduled: ReadonlySet<JobEntry>;
   add(entry: JobEntry): void;
   remove(job: string): void;
   /** Updates the index of ready steps from the job's progress. */
@@ -59,6 +61,7 @@
 export function createCell(options: CellOptions): Cell {
   const jobs = new Map<string, JobEntry>();
   const ready = new Map<string, ReadyStep>();
+  const scheduled = new Set<JobEntry>();
   const used = new Map<string, Resources>();
 
   function refreshStep(entry: JobEntry, occurrence: OccurrenceProgress, step: StepProgress) {
@@ -86,12 +89,16 @@
   return {
     jobs,
     ready,
+    scheduled,
     refresh,
     add: (entry) => {
       jobs.set(entry.progress.job.id, entry);
+      if (entry.progress.job.schedule !== undefined) scheduled.add(entry);
       refresh(entry);
     },
     remove: (job) => {
+      const entry = jobs.get(job);
+      if (entry !== undefined) scheduled.delete(entry);
       jobs.delete(job);
     },
     charge: (team, size) => {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -21,7 +21,8 @@
 import { createJobLifecycle, stopStalledRuns } from './job-lifecycle.js';
 import { createPermitClient } from './permit-client.js';
 import { createProgressLog } from './progress-log.js';
-import type { Run } from './run.js';
+import { createResponsiveClock } from './responsive-clock.js';
+import { stepNameOf } from './run.js';
 import { createShareMeter } from './share-meter.js';
 import { createWorkerSession, LEASE_MS } from './worker-session.js';
 import type { WorkerSession } from './worker-session-types.js';
@@ -92,6 +93,7 @@
   const finishedBefore = new Map<string, number>();
 
   const health = createWorkerHealth({ now });
+  const responsiveClock = createResponsiveClock();
   const cell = createCell({
     now,
     onStepSettled: (key) => {
@@ -190,6 +192,10 @@
       onEnd: (session, run, end, checkpoint) =>
         closed ? Promise.resolve(false) : lifecycle.applyEnd(run, end, checkpoint),
       onReport: checkStalls,
+      onTicketRefused: (run) => {
+        permits.invalidate(stepNameOf(run), run.session.incarnation.id);
+      },
+      responsiveNow: () => responsiveClock.now(),
       onStaleEpoch: (id) => {
         options.onLeadershipLost(`worker ${id} has seen a higher epoch`);
       },
@@ -199,28 +205,21 @@
     return session;
   }
 
-  function checkStalls(session: WorkerSession) {
+  function checkStalls(session: WorkerSession, clockMs: number) {
     stopStalledRuns(session, {
-      nowMs: now(),
+      clockMs,
       health,
       stop: (run, reason) => {
         lifecycle.stop(run, reason);
       },
-      isGangRunning: (step) =>
+      isGangRunning: ({ progress, step }) =>
         lifecycle
-          .runsOf(jobOf(step.tasks, session))
+          .runsOf(progress.job.id)
           .filter((run) => run.step === step)
           .every(({ status }) => status === 'running'),
     });
   }
 
-  function jobOf(tasks: Run['step']['tasks'], session: WorkerSession): string {
-    for (const run of session.runs.values()) {
-      if (run.step.tasks === tasks) return run.progress.job.id;
-    }
-    return '';
-  }
-
   /** Stops runs that would not finish before the worker leaves, so that they restart elsewhere. */
   function evacuate(session: WorkerSession) {
     const leavesInMs = session.worker.leavesInMs ?? 0;
@@ -339,6 +338,7 @@
     },
     close: () => {
       closed = true;
+      responsiveClock.stop();
       dispatcher.stop();
       housekeeping.close();
       feed.stop();
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -14,7 +14,7 @@
 import type { JobLifecycle } from './job-lifecycle.js';
 import type { PermitClient, PermitRequest } from './permit-client.js';
 import { pauseAfterRound } from './round-pace.js';
-import { createRun } from './run.js';
+import { createRun, stepNameOf } from './run.js';
 import type { Run } from './run.js';
 import type { WorkerSession } from './worker-session-types.js';
 
@@ -89,7 +89,10 @@
       queues: new Map(configuration.queues.map((queue) => [queue.name, queue])),
       sessionsById: new Map(usable.map((session) => [session.incarnation.id, session])),
     };
-    const steps = [...cell.ready.values()].map((ready) => describeStep(ready, round));
+    const steps = orderSteps(
+      [...cell.ready.values()].map((ready) => describeStep(ready, round)),
+      round.nowMs,
+    );
     const placements = planRound({
       nowMs: round.nowMs,
       workers: usable.map((session) => describeWorker(session)),
@@ -97,11 +100,7 @@
       budgets: describeBudgets(configuration),
     });
     orderPlacements(placements, round);
-    // Steps without waiting tasks need no further permits.
-    requestPermits(
-      steps.filter(({ key }) => cell.ready.has(key)),
-      round,
-    );
+    requestPermits(steps, round);
     const tookMs = performance.now() - startedAt;
     meters.planSeconds.observe(tookMs / 1000);
     pauseMs = pauseAfterRound(tookMs);
@@ -134,6 +133,7 @@
         placed.set(worker.id, (placed.get(worker.id) ?? 0) + 1);
       }
     }
+    let waitingTasks: readonly number[] | undefined;
     return {
       key,
       service: queue?.service ?? job.service,
@@ -144,45 +144,59 @@
       uselessAtMs: entry.uselessAtMs,
       remainingMs: entry.criticalPathMs[step.number] ?? 0,
       size: step.step.size,
-      tasks: step.tasks.filter(({ phase }) => phase === 'waiting').map(({ index }) => index),
+      // Listed only if the planner gets to place them.
+      get tasks() {
+        waitingTasks ??= step.tasks
+          .filter(({ phase }) => phase === 'waiting')
+          .map(({ index }) => index);
+        return waitingTasks;
+      },
       gang: step.step.gang,
       rackSensitive: step.step.rackSensitive,
       dataRack: step.step.dataRack,
       requiredLabel: step.step.requiredLabel,
       maxPerWorker: step.step.maxPerWorker,
       placed,
-      mayStart: (worker) =>
-        !permitRequired ||
-        permits.ticket(key, worker, incarnationStart(round, worker)) !== undefined,
-      mayRun: (worker) => !permitRequired || permits.isAllowed(key, worker) === true,
+      limits: permitRequired
+        ? {
+            startable: () =>
+              permits.startable(key, (worker) => round.sessionsById.get(worker)?.incarnation.born),
+            runnable: () => permits.allowed(key),
+          }
+        : undefined,
       avoids: (task, worker) => step.tasks[task]?.failedOn.includes(worker) === true,
     };
   }
 
-  function incarnationStart(round: Round, worker: string): number {
-    return round.sessionsById.get(worker)?.incarnation.born ?? 0;
-  }
-
   function describeBudgets(configuration: CellConfiguration): Map<string, TeamBudget> {
     return new Map(
       configuration.teams.map(({ name, limit }) => [name, { limit, used: cell.usedBy(name) }]),
     );
   }
 
-  /** Requests permits for all waiting steps, and renews the tickets of the first steps of each queue. */
+  /** Requests permits for the waiting steps, and renews the tickets of the first steps of each queue. */
   function requestPermits(steps: readonly WaitingStep[], round: Round) {
     const queuePositions = new Map<string, number>();
     const workersOf = createWorkerLookup(round);
     const requests: PermitRequest[] = [];
-    for (const step of orderSteps(steps, round.nowMs)) {
-      const queueName = cell.ready.get(step.key)?.entry.progress.job.queue ?? '';
+    for (const step of steps) {
+      const ready = cell.ready.get(step.key);
+      // Steps without waiting tasks need no further permits.
+      if (ready === undefined) continue;
+      const queueName = ready.entry.progress.job.queue;
       const timing = round.queues.get(queueName)?.advice;
       if (timing === undefined) continue;
       const position = queuePositions.get(queueName) ?? 0;
       queuePositions.set(queueName, position + 1);
-      const renew = position < RENEWED_STEPS;
-      const tasks = step.tasks.length;
-      requests.push({ step: step.key, timing, tasks, workers: workersOf(step), renew });
+      const { born, freeProcessors } = workersOf(step);
+      requests.push({
+        step: step.key,
+        timing,
+        tasks: ready.step.waitingCount,
+        workers: born,
+        roomy: countAtLeast(freeProcessors, step.size.processors),
+        renew: position < RENEWED_STEPS,
+      });
     }
     permits.requestMissing(requests);
   }
@@ -249,10 +263,9 @@
     const withdrawn = new Set<Run>();
     const tickets = new Map<Run, string | undefined>();
     for (const run of runs) {
-      const key = run.name.slice(0, run.name.lastIndexOf('.'));
       const permitRequired = needsPermit(run);
       const ticket = permitRequired
-        ? permits.ticket(key, run.session.incarnation.id, run.session.incarnation.born)
+        ? permits.ticket(stepNameOf(run), run.session.incarnation.id, run.session.incarnation.born)
         : undefined;
       tickets.set(run, ticket);
       if (run.status !== 'logging' || stopped || (permitRequired && ticket === undefined))
@@ -296,30 +309,51 @@
   };
 }
 
-/**
- * Returns a function that maps a step to its eligible workers, by id with the start of the incarnation and with the
- * most free processors first. Steps with the same service and label share one result.
- */
-function createWorkerLookup({
-  sessionsById,
-}: Round): (step: WaitingStep) => ReadonlyMap<string, number> {
-  const freeProcessors = ({ worker, used }: WorkerSession) =>
-    worker.room.processors - used.processors;
-  const byFreeProcessors = [...sessionsById.values()].sort(
-    (left, right) => freeProcessors(right) - freeProcessors(left),
-  );
-  const lists = new Map<string, ReadonlyMap<string, number>>();
+/** Workers that are eligible for a step, those with the most free processors first. */
+interface EligibleWorkers {
+  /** Start of each worker's incarnation, by the worker's id. */
+  readonly born: ReadonlyMap<string, number>;
+  /** Free processors of each worker, in the same order. */
+  readonly freeProcessors: readonly number[];
+}
+
+/** Returns a function that maps a step to its eligible workers. Steps with the same service and label share a result. */
+function createWorkerLookup({ sessionsById }: Round): (step: WaitingStep) => EligibleWorkers {
+  const byFreeProcessors = [...sessionsById.values()]
+    .map((session) => ({
+      session,
+      free: session.worker.room.processors - session.used.processors,
+    }))
+    .sort((left, right) => right.free - left.free);
+  const lists = new Map<string, EligibleWorkers>();
   return ({ service, requiredLabel }) => {
     const key = `${service} ${requiredLabel ?? ''}`;
     const known = lists.get(key);
     if (known !== undefined) return known;
-    const list = new Map<string, number>();
-    for (const { worker, incarnation } of byFreeProcessors) {
-      if (worker.service !== service) continue;
-      if (requiredLabel !== undefined && !worker.labels.includes(requiredLabel)) continue;
-      list.set(incarnation.id, incarnation.born);
-    }
+    const eligible = byFreeProcessors.filter(
+      ({ session: { worker } }) =>
+        worker.service === service &&
+        (requiredLabel === undefined || worker.labels.includes(requiredLabel)),
+    );
+    const list = {
+      born: new Map(
+        eligible.map(({ session: { incarnation } }) => [incarnation.id, incarnation.born]),
+      ),
+      freeProcessors: eligible.map(({ free }) => free),
+    };
     lists.set(key, list);
     return list;
   };
 }
+
+/** Number of values, sorted from the largest, that are at least `least`. */
+function countAtLeast(sorted: readonly number[], least: number): number {
+  let low = 0;
+  let high = sorted.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((sorted[middle] ?? 0) >= least) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -36,26 +36,47 @@
 export function createFleetSessions(options: FleetSessionsOptions): FleetSessions {
   const { events } = options;
   const sessions = new Map<string, WorkerSession>();
+  /** Keys of the sessions with incarnations of a worker, by its id; one, except after a restart. */
+  const keysById = new Map<string, Set<string>>();
   const unlistedSince = new Map<string, number>();
 
   const keyOf = ({ id, born }: WorkerIncarnation) => `${id}@${String(born)}`;
 
-  function endOlderIncarnations(incarnation: WorkerIncarnation) {
-    for (const [key, session] of sessions) {
-      if (session.incarnation.id !== incarnation.id || session.incarnation.born >= incarnation.born)
-        continue;
+  function addSession(key: string, worker: FleetWorker): WorkerSession {
+    const session = options.open(worker);
+    sessions.set(key, session);
+    const { id } = worker.incarnation;
+    const keys = keysById.get(id);
+    if (keys === undefined) keysById.set(id, new Set([key]));
+    else keys.add(key);
+    return session;
+  }
+
+  function removeSession(key: string) {
+    const id = sessions.get(key)?.incarnation.id;
+    sessions.delete(key);
+    unlistedSince.delete(key);
+    if (id === undefined) return;
+    const keys = keysById.get(id);
+    keys?.delete(key);
+    if (keys?.size === 0) keysById.delete(id);
+  }
+
+  function endOlderIncarnations({ id, born }: WorkerIncarnation) {
+    for (const key of [...(keysById.get(id) ?? [])]) {
+      const session = sessions.get(key);
+      if (session === undefined || session.incarnation.born >= born) continue;
       session.end('a later incarnation is listed under its id');
-      sessions.delete(key);
-      unlistedSince.delete(key);
+      removeSession(key);
     }
   }
 
   function update(id: string, worker: FleetWorker | undefined) {
     if (worker === undefined) {
-      for (const [key, session] of sessions) {
-        if (session.incarnation.id !== id || unlistedSince.has(key)) continue;
+      for (const key of keysById.get(id) ?? []) {
+        if (unlistedSince.has(key)) continue;
         unlistedSince.set(key, performance.now());
-        events.info('worker-unlisted', { worker: id, runs: session.runs.size });
+        events.info('worker-unlisted', { worker: id, runs: sessions.get(key)?.runs.size });
       }
       options.onChange();
       return;
@@ -66,7 +87,7 @@
     const session = sessions.get(key);
     if (session === undefined || session.ended) {
       if (session?.ended === true) return;
-      sessions.set(key, options.open(worker));
+      addSession(key, worker);
       events.info('worker-listed', {
         worker: id,
         born: worker.incarnation.born,
@@ -97,7 +118,7 @@
       if (session !== undefined && session.runs.size > 0) continue;
       if (now - since < UNLISTED_GRACE_MS * 2) continue;
       session?.close();
-      sessions.delete(key);
+      removeSession(key);
       unlistedSince.delete(key);
     }
   }
@@ -128,8 +149,7 @@
       const key = keyOf(incarnation);
       let session = sessions.get(key);
       if (session === undefined) {
-        session = options.open(describeUnlisted(incarnation));
-        sessions.set(key, session);
+        session = addSession(key, describeUnlisted(incarnation));
         unlistedSince.set(key, performance.now() - UNLISTED_GRACE_MS);
         events.warn('worker-not-listed', { worker: incarnation.id, born: incarnation.born });
       }
--- a/src/controller/housekeeping.ts
+++ b/src/controller/housekeeping.ts
@@ -47,9 +47,7 @@
   }
 
   function beginAllDue() {
-    for (const entry of cell.jobs.values()) {
-      if (entry.progress.job.schedule !== undefined) beginDueOccurrences(entry);
-    }
+    for (const entry of cell.scheduled) beginDueOccurrences(entry);
   }
 
   let publishedBacklog = '';
--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -1,13 +1,13 @@
 /**
  * Applies the ends of runs, cancellations and completions to tasks, gangs and jobs.
  */
-import type { Job, JobProgress, JobState, StepProgress, TaskProgress } from '../jobs/index.js';
+import type { Job, JobProgress, JobState, TaskProgress } from '../jobs/index.js';
 import { completeOccurrences, isFinal, setPhase } from '../jobs/index.js';
 import type { EventLog } from '../observability/index.js';
 import type { WorkerHealth } from '../planner/index.js';
 import type { Cell, JobEntry } from './cell.js';
 import type { WriteUrgency } from './progress-log.js';
-import { stallTimeoutMs } from './run.js';
+import { hasStalled, stallTimeoutMs } from './run.js';
 import type { Run, RunEnd } from './run.js';
 import type { WorkerSession } from './worker-session-types.js';
 
@@ -210,22 +210,23 @@
   return tasks.find(({ checkpoint }) => checkpoint !== '')?.checkpoint ?? '';
 }
 
-/** Stops the runs of a worker that have made no progress for too long, and excludes the worker. */
+/** Stops the runs of a worker that have stalled by a report made at `clockMs`, and excludes the worker. */
 export function stopStalledRuns(
   session: WorkerSession,
   options: {
-    readonly nowMs: number;
+    /** The worker's clock when it made the report. */
+    readonly clockMs: number;
     readonly health: WorkerHealth;
     readonly stop: (run: Run, reason: string) => void;
-    readonly isGangRunning: (step: StepProgress) => boolean;
+    /** Whether all members of the run's gang are running. */
+    readonly isGangRunning: (run: Run) => boolean;
   },
 ): void {
   for (const run of session.runs.values()) {
     if (run.status !== 'running' || run.percent >= 100 || run.step.step.longRunning) continue;
-    const stallMs = stallTimeoutMs(run);
-    if (options.nowMs - Math.max(run.progressedAt, run.since) < stallMs) continue;
-    if (run.step.step.gang && !options.isGangRunning(run.step)) continue;
+    if (!hasStalled(run, options.clockMs)) continue;
+    if (run.step.step.gang && !options.isGangRunning(run)) continue;
     options.health.exclude(session.incarnation.id);
-    options.stop(run, `no progress for ${String(stallMs)} ms`);
+    options.stop(run, `no progress for ${String(stallTimeoutMs(run))} ms`);
   }
 }
--- a/src/controller/permit-client.ts
+++ b/src/controller/permit-client.ts
@@ -8,7 +8,10 @@
  * - More queries arrive than the service can answer. They are sent in the order in which their steps get workers, and
  *   each host has the next short call in flight while the service decides the current one.
  * - A pool has hundreds of workers. A query names only the workers with the most free processors, and asks about others
- *   when nothing else waits.
+ *   when nothing else waits and they have room for a task.
+ *
+ * In an overload hundreds of steps wait in every round. The leader prepares only as many queries as the hosts can take
+ * soon, because preparing a query for each step would cost it more than the placements themselves.
  */
 import type { EventLog, Meters } from '../observability/index.js';
 import type { AdviceAnswer, AdviceCaller } from '../peers/index.js';
@@ -28,6 +31,12 @@
 const MAX_IN_FLIGHT_MS = 40;
 /** Time for which a caller is not used after a failed call. */
 const FAILURE_BACKOFF_MS = 300;
+/**
+ * Decision time of the short queries that are prepared for each host, and the number of long ones. Others would be
+ * replaced by the next planning round before they are sent.
+ */
+const PREPARED_MS = 100;
+const PREPARED_LONG_CALLS = 1;
 /** Most workers in a query for a narrow step. With 70, naming them takes as long as the decision itself. */
 const DEFAULT_WORKERS_PER_CALL = 48;
 /** Workers per task in a query for a wide step. A third of the workers may run it, each with room for a task or two. */
@@ -81,8 +90,10 @@
   requestMissing(requests: readonly PermitRequest[]): void;
   /** A ticket that is valid long enough to order a start; undefined if there is none. */
   ticket(step: string, worker: string, born: number): string | undefined;
-  /** Whether the worker may run the step; undefined if the service was not asked. */
-  isAllowed(step: string, worker: string): boolean | undefined;
+  /** Workers for which `ticket` returns a ticket, given the start of each usable worker's incarnation. */
+  startable(step: string, bornOf: (worker: string) => number | undefined): readonly string[];
+  /** Workers that may run the step, as far as the service was asked. */
+  allowed(step: string): readonly string[];
   /** Invalidates a ticket that a worker has refused. */
   invalidate(step: string, worker: string): void;
   forget(step: string): void;
@@ -97,6 +108,8 @@
   readonly tasks: number;
   /** Start of the incarnation of each usable worker by id, those with the most free processors first. */
   readonly workers: ReadonlyMap<string, number>;
+  /** Number of workers at the head of `workers` that have free processors for a task of the step. */
+  readonly roomy: number;
   readonly renew: boolean;
 }
 
@@ -118,16 +131,20 @@
   function dispatchQueued() {
     const remaining: Query[] = [];
     const callers = options.callers().filter(({ name }) => !loadOf(name).inBackoff);
-    let saturated = false;
+    let takesShort = true;
+    let takesLong = true;
     for (const query of queue) {
-      const caller = saturated ? undefined : chooseCaller(callers, query);
+      const caller = (isLong(query) ? takesLong : takesShort)
+        ? chooseCaller(callers, query)
+        : undefined;
       if (caller !== undefined) {
         void sendQuery(caller, query);
         continue;
       }
       remaining.push(query);
+      takesLong = false;
       // If no host can take a short call, none can take the others.
-      if (!isLong(query)) saturated = true;
+      if (!isLong(query)) takesShort = false;
     }
     queue = remaining;
   }
@@ -140,9 +157,12 @@
     const share = Math.ceil(callers.length * RESERVED_FRACTION);
     const reserved = Math.min(Math.max(MIN_RESERVED_CALLERS, share), callers.length - 1);
     if (isLong(query) && candidates.length <= reserved) return undefined;
-    return candidates.sort(
-      (left, right) => loadOf(left.name).expectedMs - loadOf(right.name).expectedMs,
-    )[0];
+    let best: AdviceCaller | undefined;
+    for (const candidate of candidates) {
+      if (best === undefined || loadOf(candidate.name).expectedMs < loadOf(best.name).expectedMs)
+        best = candidate;
+    }
+    return best;
   }
 
   function isIdle({ name }: AdviceCaller): boolean {
@@ -223,27 +243,48 @@
   }
 
   /** Workers to name in the next query for the step; none while a call is in flight. */
-  function findMissing({ step, timing, workers, tasks, renew }: PermitRequest): MissingPermits {
-    const unrequested = new Map<string, number>();
-    const expiring = new Map<string, number>();
+  function findMissing({ step, timing, workers, ...request }: PermitRequest): MissingPermits {
     const known = steps.get(step) ?? { permits: new Map<string, Permit>(), pending: false };
     steps.set(step, known);
-    if (known.pending) return { workers: unrequested, additional: false };
+    if (known.pending) return { workers: new Map(), additional: false };
+    if (request.renew) {
+      const leadMs = TICKET_MARGIN_MS + estimateCallMs(timing, known.permits.size);
+      const expiring = findExpiring(known, workers, leadMs);
+      if (expiring.size > 0) return { workers: expiring, additional: false };
+    }
+    const additional = known.permits.size > 0;
     const limit = Math.min(
       MAX_WORKERS_PER_CALL,
-      Math.max(DEFAULT_WORKERS_PER_CALL, tasks * WORKERS_PER_TASK),
+      Math.max(DEFAULT_WORKERS_PER_CALL, request.tasks * WORKERS_PER_TASK),
     );
-    const leadMs = TICKET_MARGIN_MS + estimateCallMs(timing, known.permits.size);
+    const unrequested = new Map<string, number>();
+    // A full worker is of use to a step only once it has room, and the permit may have expired by then.
+    let left = additional ? request.roomy : workers.size;
     for (const [worker, born] of workers) {
-      const permit = known.permits.get(worker);
-      if (permit === undefined) {
-        if (unrequested.size < limit) unrequested.set(worker, born);
-      } else if (permit.allowed && renew && !isFresh(permit, born, leadMs)) {
-        if (expiring.size < MAX_WORKERS_PER_CALL) expiring.set(worker, born);
-      }
+      if (left <= 0 || unrequested.size >= limit) break;
+      left -= 1;
+      if (!known.permits.has(worker)) unrequested.set(worker, born);
     }
-    if (expiring.size > 0) return { workers: expiring, additional: false };
-    return { workers: unrequested, additional: known.permits.size > 0 };
+    return { workers: unrequested, additional };
+  }
+
+  function findExpiring(
+    { permits }: StepPermits,
+    workers: ReadonlyMap<string, number>,
+    leadMs: number,
+  ): Map<string, number> {
+    const expiring = new Map<string, number>();
+    for (const [worker, permit] of permits) {
+      const born = workers.get(worker);
+      if (born === undefined || !permit.allowed || isFresh(permit, born, leadMs)) continue;
+      expiring.set(worker, born);
+      if (expiring.size >= MAX_WORKERS_PER_CALL) break;
+    }
+    return expiring;
+  }
+
+  function isUsable(permit: Permit, born: number | undefined): boolean {
+    return born !== undefined && permit.allowed && isFresh(permit, born, TICKET_MARGIN_MS);
   }
 
   return {
@@ -251,29 +292,57 @@
       const queuedAt = new Map(queue.map((query) => [query.step, query.queuedAt]));
       const initial: Query[] = [];
       const additional: Query[] = [];
+      const callers = Math.max(1, options.callers().length);
+      let shortMs = 0;
+      let longCalls = 0;
       for (const request of requests) {
+        const usualMs = estimateCallMs(request.timing, DEFAULT_WORKERS_PER_CALL);
+        const enough =
+          usualMs > LONG_CALL_MS
+            ? longCalls >= callers * PREPARED_LONG_CALLS
+            : shortMs >= callers * PREPARED_MS;
+        if (enough) continue;
         const missing = findMissing(request);
         const { workers } = missing;
         if (workers.size === 0) continue;
         const expectedMs = estimateCallMs(request.timing, workers.size);
         // A short additional query costs little, and the workers named before may be full by now.
         const isAdditional = missing.additional && expectedMs > LONG_CALL_MS;
-        (isAdditional ? additional : initial).push({
+        const query = {
           step: request.step,
           workers,
           queuedAt: queuedAt.get(request.step) ?? now(),
           expectedMs,
-        });
+        };
+        if (isAdditional) {
+          if (additional.length < callers) additional.push(query);
+          continue;
+        }
+        initial.push(query);
+        if (usualMs > LONG_CALL_MS) longCalls += 1;
+        else shortMs += expectedMs;
       }
       queue = [...initial, ...additional];
       dispatchQueued();
     },
     ticket: (step, worker, born) => {
       const permit = steps.get(step)?.permits.get(worker);
-      if (permit?.allowed !== true || !isFresh(permit, born, TICKET_MARGIN_MS)) return undefined;
-      return permit.ticket;
+      return permit !== undefined && isUsable(permit, born) ? permit.ticket : undefined;
+    },
+    startable: (step, bornOf) => {
+      const startable: string[] = [];
+      for (const [worker, permit] of steps.get(step)?.permits ?? []) {
+        if (isUsable(permit, bornOf(worker))) startable.push(worker);
+      }
+      return startable;
+    },
+    allowed: (step) => {
+      const allowed: string[] = [];
+      for (const [worker, permit] of steps.get(step)?.permits ?? []) {
+        if (permit.allowed) allowed.push(worker);
+      }
+      return allowed;
     },
-    isAllowed: (step, worker) => steps.get(step)?.permits.get(worker)?.allowed,
     invalidate: (step, worker) => {
       const known = steps.get(step);
       const permit = known?.permits.get(worker);
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -32,8 +32,13 @@
   /** Monotonic time at which the worker accepted the stop; undefined before. */
   stopAnsweredAt: number | undefined;
   percent: number;
-  /** Monotonic time of the last change of `percent`. */
+  /** Monotonic time at which the last change of `percent` was learned. */
   progressedAt: number;
+  /**
+   * The worker's clock at its start or, later, in the report with the last change of `percent`. Undefined until the
+   * worker has confirmed the run.
+   */
+  progressedClockMs: number | undefined;
   startedAt: number;
   stopReason: string;
 }
@@ -48,6 +53,11 @@
   readonly inherited: boolean;
 }
 
+/** Name of the step that the run's task belongs to. */
+export function stepNameOf({ name }: Run): string {
+  return name.slice(0, name.lastIndexOf('.'));
+}
+
 /** Creates a run of the task with the task's current run number. */
 export function createRun({ name, progress, step, task, session, inherited }: RunOptions): Run {
   const now = performance.now();
@@ -66,6 +76,7 @@
     stopAnsweredAt: undefined,
     percent: 0,
     progressedAt: now,
+    progressedClockMs: undefined,
     startedAt: now,
     stopReason: '',
   };
@@ -82,6 +93,15 @@
 /** Additional time to resume from a checkpoint. */
 const RESUME_MS = 600;
 
+/**
+ * Whether a run makes no progress, by a report of its worker that was made at `clockMs` on the worker's clock. Reports
+ * can be delayed on their way or wait for a busy leader, so the leader's own clock says nothing about the run.
+ */
+export function hasStalled(run: Run, clockMs: number): boolean {
+  if (run.progressedClockMs === undefined) return false;
+  return clockMs - run.progressedClockMs >= stallTimeoutMs(run);
+}
+
 /** Milliseconds without a change of `percent` after which a run counts as stalled. */
 export function stallTimeoutMs({ step, task }: Run): number {
   const bound = Math.min(
--- a/src/controller/worker-reports.ts
+++ b/src/controller/worker-reports.ts
@@ -2,7 +2,7 @@
  * Applies the reports of a worker to the runs that the leader has there, and tracks up to which end the reports may be
  * acknowledged.
  */
-import type { EndedTask, WorkerReport } from '../fleet/index.js';
+import type { EndedTask, RunningTask, WorkerReport } from '../fleet/index.js';
 import type { EventLog } from '../observability/index.js';
 import { pause } from '../records/index.js';
 import type { Run, RunEnd } from './run.js';
@@ -37,7 +37,7 @@
   /** Stops a run that this leader did not order. */
   readonly stopForeign: (task: string, run: number) => void;
   /** Called when the progress of runs has been applied. */
-  readonly onReport: () => void;
+  readonly onReport: (clockMs: number) => void;
   readonly onChange: () => void;
   readonly events: EventLog;
 }
@@ -58,7 +58,7 @@
     const listed = new Map(report.running.map((entry) => [entry.task, entry]));
     for (const run of [...runs.values()]) {
       const entry = listed.get(run.name);
-      if (entry?.run === run.number) applyRunning(run, entry.percent, entry.checkpoint);
+      if (entry?.run === run.number) applyRunning(run, entry, report.clockMs);
       else applyUnlisted(run, requestedAt);
     }
     const foreign = report.running.filter(({ task, run }) => runs.get(task)?.number !== run);
@@ -69,7 +69,7 @@
     // Foreign runs, such as those of a job that a previous leader cancelled, use resources until they have stopped.
     if (foreignRuns > 0 && foreign.length === 0) options.onChange();
     foreignRuns = foreign.length;
-    options.onReport();
+    options.onReport(report.clockMs);
     if (durable.length > 0) acknowledgeWhenDurable(Promise.all(durable), processedThrough);
     // Does not wait longer during an outage of the store, so that renewals continue and report further ends.
     await Promise.race([acknowledgement, pause(DURABLE_WAIT_MS)]);
@@ -99,14 +99,16 @@
     return endRun(run, end.how, end.checkpoint);
   }
 
-  function applyRunning(run: Run, percent: number, checkpoint: string) {
+  function applyRunning(run: Run, { percent, checkpoint }: RunningTask, clockMs: number) {
     if (run.status === 'in-doubt' || run.status === 'starting') {
       run.status = 'running';
       run.since = performance.now();
     }
     if (checkpoint !== '') run.task.checkpoint = checkpoint;
+    run.progressedClockMs ??= clockMs;
     if (percent === run.percent) return;
     run.percent = percent;
+    run.progressedClockMs = clockMs;
     run.progressedAt = performance.now();
   }
 
--- a/src/controller/worker-session-types.ts
+++ b/src/controller/worker-session-types.ts
@@ -24,8 +24,12 @@
     end: RunEnd,
     checkpoint: string,
   ) => Promise<boolean>;
-  /** Called when a report has updated the progress of runs. */
-  readonly onReport: (session: WorkerSession) => void;
+  /** Called when a report, made at `clockMs` on the worker's clock, has updated the progress of runs. */
+  readonly onReport: (session: WorkerSession, clockMs: number) => void;
+  /** Called when the worker has refused the ticket of a start. */
+  readonly onTicketRefused: (run: Run) => void;
+  /** Time in milliseconds during which this process was able to receive answers; see `responsive-clock.ts`. */
+  readonly responsiveNow: () => number;
   /** Called when a worker has seen a higher epoch. */
   readonly onStaleEpoch: (worker: string) => void;
   readonly onChange: () => void;
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -65,7 +65,7 @@
     inheritedLeaseUntil: options.inheritedLeaseUntil,
     isConfirmed: () => confirmed,
   });
-  /** Starts that are not answered yet, with the time at which they were sent. */
+  /** Starts that are not answered yet, with the time on the responsive clock at which they were sent. */
   const pendingOrders = new Map<Run, number>();
   let wake: () => void = () => undefined;
   const reports = createWorkerReports({
@@ -77,8 +77,8 @@
     stopForeign: (task, run) => {
       void connection.stop({ task, run, epoch });
     },
-    onReport: () => {
-      options.onReport(session);
+    onReport: (clockMs) => {
+      options.onReport(session, clockMs);
     },
     onChange: options.onChange,
     events,
@@ -138,7 +138,7 @@
 
   function hasOverdueOrder(): boolean {
     const [oldest] = pendingOrders.values();
-    return oldest !== undefined && performance.now() - oldest > OVERDUE_ORDER_MS;
+    return oldest !== undefined && options.responsiveNow() - oldest > OVERDUE_ORDER_MS;
   }
 
   async function start(run: Run, spec: string, ticket: string | undefined): Promise<void> {
@@ -149,7 +149,7 @@
     run.since = performance.now();
     run.startedAt = run.since;
     run.progressedAt = run.since;
-    pendingOrders.set(run, run.since);
+    pendingOrders.set(run, options.responsiveNow());
     const outcome = await connection.start({
       task: run.name,
       run: run.number,
@@ -164,6 +164,7 @@
     if (runs.get(run.name) !== run) return;
     if (outcome.kind === 'accepted') {
       clock.note(outcome.clockMs);
+      run.progressedClockMs ??= outcome.clockMs;
       transition(run, 'starting', 'running');
       return;
     }
@@ -178,6 +179,7 @@
     clock.note(outcome.clockMs);
     // A refused start has extended the lease, too.
     if (outcome.reason === 'stale-epoch') options.onStaleEpoch(incarnation.id);
+    if (outcome.reason === 'no-permit') options.onTicketRefused(run);
     await endRun(run, 'never-ran', '');
   }
 
--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -24,6 +24,14 @@
   runs: number;
 }
 
+/** Workers that a step is limited to. */
+export interface PlacementLimits {
+  /** Workers on which the step may start now. */
+  startable(): readonly string[];
+  /** Workers on which the step may ever run, as far as is known. */
+  runnable(): readonly string[];
+}
+
 /** A step with tasks that are ready to run. */
 export interface WaitingStep {
   /** Unique name of the step. */
@@ -50,10 +58,11 @@
   readonly maxPerWorker: number | undefined;
   /** Number of tasks of the step on each worker, by worker id. */
   readonly placed: ReadonlyMap<string, number>;
-  /** Whether the step may start on the worker now. */
-  readonly mayStart: (worker: string) => boolean;
-  /** Whether the step may ever run on the worker, as far as is known. */
-  readonly mayRun: (worker: string) => boolean;
+  /**
+   * Workers that the step is limited to; undefined if it may run on any. A limited step names a few of hundreds of
+   * workers, so the planner looks at no others.
+   */
+  readonly limits: PlacementLimits | undefined;
   /** Whether a retry of the task should avoid the worker. */
   readonly avoids: (task: number, worker: string) => boolean;
 }
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -6,7 +6,7 @@
  * wide gang in a full cell. Tasks go to the fullest worker that fits them (best fit), which keeps large
  * blocks of capacity free for wide work.
  */
-import { addResources, fitsWithin, subtractResources } from '../model/index.js';
+import { addResources, fitsWithin, maxResources, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
 import type { CandidateWorker, Placement, TeamBudget, WaitingStep } from './candidates.js';
 import { isLate, orderSteps } from './order.js';
@@ -25,24 +25,29 @@
 /** Assigns workers to tasks and charges the placements to the given workers and budgets. */
 export function planRound(options: PlanOptions): Placement[] {
   const { nowMs, workers, steps, budgets, maxReservingGangs = MAX_RESERVING_GANGS } = options;
-  const byService = groupByService(workers);
+  const pools = groupByService(workers);
   const reserved = new Set<string>();
   const placements: Placement[] = [];
   let reservingGangs = 0;
 
   for (const step of orderSteps(steps, nowMs)) {
-    const pool = byService.get(step.service) ?? [];
+    const pool = pools.get(step.service);
+    if (pool === undefined) continue;
     // Urgent work is short and may use workers that a gang has reserved.
-    const open =
+    const withoutReserved = (candidates: readonly CandidateWorker[]) =>
       step.priority === 0 || reserved.size === 0
-        ? pool
-        : pool.filter(({ id }) => !reserved.has(id));
-    const placed = step.gang ? placeGang(step, open, budgets) : placeTasks(step, open, budgets);
+        ? candidates
+        : candidates.filter(({ id }) => !reserved.has(id));
+    const place = step.gang ? placeGang : placeTasks;
+    const placed = fitsWithin(step.size, pool.largestFree)
+      ? place(step, withoutReserved(membersOf(pool, step.limits?.startable())), budgets)
+      : [];
     placements.push(...placed);
     const mustWait = step.gang && placed.length === 0;
     if (!mustWait || reservingGangs >= maxReservingGangs || isLate(step, nowMs)) continue;
     if (!withinBudget(step, budgets, step.tasks.length)) continue;
-    const reservation = workersToReserve(step, open);
+    const runnable = withoutReserved(membersOf(pool, step.limits?.runnable()));
+    const reservation = workersToReserve(step, runnable);
     if (reservation.length === 0) continue;
     reservingGangs += 1;
     for (const id of reservation) reserved.add(id);
@@ -50,16 +55,34 @@
   return placements;
 }
 
-function groupByService(workers: readonly CandidateWorker[]): Map<string, CandidateWorker[]> {
-  const groups = new Map<string, CandidateWorker[]>();
+/** The workers of a service that can be given tasks. */
+interface Pool {
+  readonly workers: CandidateWorker[];
+  readonly byId: Map<string, CandidateWorker>;
+  /** The most that any worker had free of each resource at the start of the round; nothing larger fits anywhere. */
+  largestFree: Resources;
+}
+
+function groupByService(workers: readonly CandidateWorker[]): Map<string, Pool> {
+  const pools = new Map<string, Pool>();
   for (const worker of workers) {
     if (worker.healthStatus === 'avoided') continue;
     if (worker.healthStatus === 'trial' && worker.runs > 0) continue;
-    const group = groups.get(worker.service);
-    if (group === undefined) groups.set(worker.service, [worker]);
-    else group.push(worker);
+    let pool = pools.get(worker.service);
+    if (pool === undefined) {
+      pool = { workers: [], byId: new Map(), largestFree: worker.free };
+      pools.set(worker.service, pool);
+    }
+    pool.workers.push(worker);
+    pool.byId.set(worker.id, worker);
+    pool.largestFree = maxResources(pool.largestFree, worker.free);
   }
-  return groups;
+  return pools;
+}
+
+function membersOf(pool: Pool, ids: readonly string[] | undefined): readonly CandidateWorker[] {
+  if (ids === undefined) return pool.workers;
+  return ids.flatMap((id) => pool.byId.get(id) ?? []);
 }
 
 function placeTasks(
@@ -120,7 +143,7 @@
   let bestCost = Infinity;
   for (const worker of pool) {
     if (!fitsWithin(step.size, worker.free)) continue;
-    if (!isAllowed(step, worker, added) || !step.mayStart(worker.id)) continue;
+    if (!isAllowed(step, worker, added)) continue;
     if (worker.healthStatus === 'trial' && worker.runs > 0) continue;
     const cost = placementCost(step, task, worker, added);
     if (cost >= bestCost) continue;
@@ -167,12 +190,12 @@
 }
 
 /**
- * Chooses the workers that a gang reserves: those that may run it, the emptiest first, until the gang would
+ * Chooses the workers that a gang reserves among those that may run it, the emptiest first, until the gang would
  * fit if they were empty. Returns nothing if it would fit on no set of workers.
  */
 function workersToReserve(step: WaitingStep, pool: readonly CandidateWorker[]): string[] {
   const fitting = pool
-    .filter((worker) => step.mayRun(worker.id) && isAllowed(step, worker, new Map()))
+    .filter((worker) => isAllowed(step, worker, new Map()))
     .map((worker) => ({ worker, slots: slotsIn(worker.room, step.size) }))
     .filter(({ slots }) => slots > 0)
     .sort((left, right) => freeShare(right.worker) - freeShare(left.worker));
--- a/test/controller/permit-client.test.ts
+++ b/test/controller/permit-client.test.ts
@@ -44,7 +44,7 @@
 }
 
 function ask(step: string, timing = SHORT): PermitRequest {
-  return { step, timing, workers: WORKERS, tasks: 1, renew: true };
+  return { step, timing, workers: WORKERS, roomy: WORKERS.size, tasks: 1, renew: true };
 }
 
 const GRANTED: AdviceAnswer = { permits: [{ worker: 'w1', ticket: 't' }], validMs: 2000 };
@@ -110,7 +110,7 @@
   describe('with a pool of hundreds of workers', () => {
     const POOL = new Map(Array.from({ length: 245 }, (_, index) => [`w${String(index)}`, 1]));
     const askPool = (step: string, tasks = 1, timing = SHORT): PermitRequest => {
-      return { step, timing, workers: POOL, tasks, renew: true };
+      return { step, timing, workers: POOL, roomy: POOL.size, tasks, renew: true };
     };
 
     it('names only the workers with the most room, and more of them for a wide step', () => {
@@ -146,6 +146,35 @@
       });
     });
 
+    it('names no other workers while none has room for a task', async () => {
+      // In an overload the service decided about full workers while new work waited for its first answer.
+      const { client, calls, asked } = createClient(['a']);
+      client.requestMissing([{ ...askPool('s1'), roomy: 0 }]);
+      calls[0]?.answer(GRANTED);
+      await settled();
+      client.requestMissing([{ ...askPool('s1'), roomy: 48 }]);
+      expect(asked()).to.deep.equal(['s1']);
+      client.requestMissing([{ ...askPool('s1'), roomy: 50 }]);
+      expect(calls[1]?.workers).to.deep.equal(['w48', 'w49']);
+    });
+
+    it('prepares only the queries that the hosts can take soon, urgent ones also behind long ones', () => {
+      const { client } = createClient(['a', 'b']);
+      const prepared = { long: 0, short: 0 };
+      const counted = (step: string, kind: 'long' | 'short') => ({
+        ...askPool(step, 1, kind === 'long' ? LONG : SHORT),
+        get workers() {
+          prepared[kind] += 1;
+          return POOL;
+        },
+      });
+      const steps = (kind: 'long' | 'short') =>
+        Array.from({ length: 400 }, (_, index) => counted(`${kind}${String(index)}`, kind));
+      client.requestMissing([...steps('long'), ...steps('short')]);
+      expect(prepared.long).to.be.within(1, 4);
+      expect(prepared.short).to.be.within(20, 40);
+    });
+
     it('reserves a fraction of many hosts for short queries', () => {
       const { client, calls } = createClient(
         Array.from({ length: 40 }, (_, index) => String(index)),
--- /dev/null
+++ b/test/controller/stalled-runs.test.ts
@@ -0,0 +1,120 @@
+/**
+ * Guards against stopping the work of a sound worker because its reports were late, on their way or at a leader that
+ * was busy or paused. Only the worker's own clock shows how long a run has made no progress.
+ */
+import { expect } from 'chai';
+import { stopStalledRuns } from '../../src/controller/job-lifecycle.js';
+import { createRun, hasStalled } from '../../src/controller/run.js';
+import type { Run } from '../../src/controller/run.js';
+import { createWorkerReports } from '../../src/controller/worker-reports.js';
+import type { WorkerSession } from '../../src/controller/worker-session-types.js';
+import { createProgress } from '../../src/jobs/index.js';
+import { SILENT_EVENTS } from '../../src/observability/index.js';
+import { createWorkerHealth } from '../../src/planner/index.js';
+
+const ESTIMATE_MS = 2000;
+/** Time without progress after which a run of this estimate counts as stalled. */
+const STALL_MS = 600;
+
+function createCase() {
+  const progress = createProgress({
+    id: 'job',
+    team: 'lawns',
+    queue: 'lookup',
+    service: 'rota',
+    spec: '',
+    steps: [
+      {
+        count: 1,
+        size: { processors: 1, memoryMb: 1, accelerators: 0 },
+        estimateMs: ESTIMATE_MS,
+        after: [],
+        gang: false,
+        checkpointing: false,
+        rackSensitive: false,
+        speculative: false,
+        longRunning: false,
+      },
+    ],
+    acceptedAtMs: 0,
+    acceptedBy: 'h1',
+  });
+  const step = progress.occurrences.get(0)?.steps[0];
+  const task = step?.tasks[0];
+  if (step === undefined || task === undefined) throw new Error('no task');
+  task.run = 1;
+  const runs = new Map<string, Run>();
+  const session = { incarnation: { id: 'w1', born: 1 }, runs } as unknown as WorkerSession;
+  const run = createRun({ name: 'job.0.0.0', progress, step, task, session, inherited: false });
+  runs.set(run.name, run);
+  run.status = 'running';
+  const stopped: string[] = [];
+  const health = createWorkerHealth({ now: () => 0 });
+  const reports = createWorkerReports({
+    worker: 'w1',
+    epoch: 1,
+    runs,
+    endRun: () => Promise.resolve(true),
+    stop: () => undefined,
+    stopForeign: () => undefined,
+    onReport: (clockMs) => {
+      stopStalledRuns(session, {
+        clockMs,
+        health,
+        stop: ({ name }) => {
+          stopped.push(name);
+        },
+        isGangRunning: () => true,
+      });
+    },
+    onChange: () => undefined,
+    events: SILENT_EVENTS,
+  });
+  const report = (clockMs: number, percent: number) =>
+    reports.apply(
+      {
+        born: 1,
+        clockMs,
+        running: [{ task: run.name, run: 1, checkpoint: '', percent }],
+        ended: [],
+      },
+      performance.now(),
+    );
+  return { run, report, stopped, health };
+}
+
+describe('stalled runs', () => {
+  it('keeps a run whose reports reach the leader long after they were made', async () => {
+    const { run, report, stopped, health } = createCase();
+    await report(1000, 5);
+    // The leader was busy or paused for ten seconds; both reports had been made 0.1 s apart and waited for it.
+    run.progressedAt -= 10_000;
+    run.since -= 10_000;
+    await report(1100, 5);
+    expect(stopped).to.deep.equal([]);
+    expect(health.statusOf('w1')).to.equal('trusted');
+  });
+
+  it('stops a run that has made no progress on the clock of its worker', async () => {
+    const { report, stopped, health } = createCase();
+    await report(1000, 5);
+    await report(1000 + STALL_MS - 1, 5);
+    expect(stopped).to.deep.equal([]);
+    await report(1000 + STALL_MS, 5);
+    expect(stopped).to.deep.equal(['job.0.0.0']);
+    expect(health.statusOf('w1')).to.equal('avoided');
+  });
+
+  it('counts from the last progress', async () => {
+    const { report, stopped } = createCase();
+    await report(1000, 5);
+    await report(1500, 20);
+    await report(2000, 20);
+    expect(stopped).to.deep.equal([]);
+  });
+
+  it('knows nothing of a run that its worker has not confirmed', () => {
+    const { run } = createCase();
+    expect(hasStalled(run, 100_000)).to.equal(false);
+  });
+});
--- a/test/planner/plan.test.ts
+++ b/test/planner/plan.test.ts
@@ -75,24 +75,50 @@
     });
   });
 
-  describe('a wide step that cannot start', () => {
-    it('is tried for one task only', () => {
-      // A leader with hundreds of waiting steps spent most of its time on tasks after the first of a step.
-      let checks = 0;
-      const step = waiting('wide', {
-        tasks: Array.from({ length: 50 }, (_, index) => index),
-        mayStart: () => {
-          checks += 1;
-          return false;
+  describe('steps that are limited to a few workers of a large pool', () => {
+    const workers = () => Array.from({ length: 10 }, (_, index) => candidate(`w${String(index)}`));
+
+    it('asks for the workers of a wide step once, whether or not any may start it', () => {
+      // A leader with hundreds of waiting steps spent most of its time on looking up workers for each task.
+      for (const startable of [[], ['w3', 'w4']]) {
+        let lookups = 0;
+        const limits = {
+          startable: () => {
+            lookups += 1;
+            return startable;
+          },
+          runnable: () => startable,
+        };
+        const tasks = Array.from({ length: 50 }, (_, index) => index);
+        const steps = [waiting('wide', { tasks, limits })];
+        const placed = planRound({ nowMs: 0, workers: workers(), steps, budgets: new Map() });
+        expect(lookups).to.equal(1);
+        expect(new Set(placed.map(({ worker }) => worker))).to.deep.equal(new Set(startable));
+      }
+    });
+
+    it('does not look up the workers of a step that is larger than any free space', () => {
+      const full = workers().map((worker) => ({ ...worker, free: amount(4) }));
+      const limits = {
+        startable: (): readonly string[] => {
+          throw new Error('looked up');
         },
-      });
-      planRound({
-        nowMs: 0,
-        workers: Array.from({ length: 10 }, (_, index) => candidate(`w${String(index)}`)),
-        steps: [step],
-        budgets: new Map(),
-      });
-      expect(checks).to.equal(10);
+        runnable: () => [],
+      };
+      const steps = [waiting('large', { size: amount(5), limits })];
+      expect(planRound({ nowMs: 0, workers: full, steps, budgets: new Map() })).to.deep.equal([]);
+    });
+
+    it('reserves workers for a gang only where it may run', () => {
+      const full = workers().map((worker) => ({ ...worker, free: amount(4) }));
+      const limits = { startable: () => [], runnable: () => ['w0', 'w1'] };
+      const gang = waiting('gang', { gang: true, size: amount(20), tasks: [0, 1], limits });
+      const narrow = waiting('narrow', { objectiveAtMs: 20_000, size: amount(4), tasks: [0] });
+      const options = { nowMs: 0, steps: [gang, narrow], budgets: new Map() };
+      const placed = planRound({ ...options, workers: full });
+      expect(placed.map(({ step, worker }) => [step.key, worker])).to.deep.equal([
+        ['narrow', 'w2'],
+      ]);
     });
   });
 
--- a/test/planner/support.ts
+++ b/test/planner/support.ts
@@ -40,8 +40,7 @@
     requiredLabel: undefined,
     maxPerWorker: undefined,
     placed: new Map(),
-    mayStart: () => true,
-    mayRun: () => true,
+    limits: undefined,
     avoids: () => false,
     ...options,
   };
--- a/test/platform-path/support.ts
+++ b/test/platform-path/support.ts
@@ -97,6 +97,7 @@
       ip: '127.0.0.1',
       peerPort: await findFreePort(),
       processors,
+      coreShare: 1,
       minLeaseMs: 1000,
       store: rejectCallsWhile(client, () => rejectedHosts.has(name)),
       fleet: { prefix: WORKER_PREFIX, decode: decodeWorker },
