Report the leader's load once a second, and log accepted orders at level debug

Cause: what takes a leader to its limit could not be told from its log, and it wrote three lines a run. Change: leader-load with the time with work, the processor time got, the longest delay, rounds and amounts; the end of a run tells how long its start took to be accepted.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -15,7 +15,7 @@
   createRelayingService,
   createSubmissionBatcher,
 } from '../intake/index.js';
-import type { Election, LoadSample } from '../leadership/index.js';
+import type { Election } from '../leadership/index.js';
 import {
   createElection,
   createLoadMonitor,
@@ -29,6 +29,7 @@
 import { createConfigurationHolder } from '../queues/index.js';
 import type { Condition, KeyValueStore } from '../records/index.js';
 import { createReachability, followPrefix, pause } from '../records/index.js';
+import { createLoadMeter, createLoadReport } from './load-report.js';
 
 export interface CellHost {
   readonly service: CallerService;
@@ -69,21 +70,6 @@
 const LEADERSHIP_WATCH_WAIT_MS = 5000;
 const EVENT_LOOP_CHECK_MS = 100;
 
-/** Returns a function that measures the load of this process since its last call. */
-function createLoadMeter(): () => Omit<LoadSample, 'delayMs'> {
-  let utilization = performance.eventLoopUtilization();
-  let usage = process.cpuUsage();
-  return () => {
-    const nextUtilization = performance.eventLoopUtilization();
-    const nextUsage = process.cpuUsage();
-    const activeMs = nextUtilization.active - utilization.active;
-    const processorUs = nextUsage.user + nextUsage.system - usage.user - usage.system;
-    utilization = nextUtilization;
-    usage = nextUsage;
-    return { activeMs, processorMs: processorUs / 1000 };
-  };
-}
-
 export function createCellHost(options: CellHostOptions): CellHost {
   const { host, ip, processors, store, events, meters } = options;
   const configuration = createConfigurationHolder({ events });
@@ -154,6 +140,7 @@
   hub.setCallHandler((call) => answerRelayedCall(local, call));
   const loadMonitor = createLoadMonitor({ coreShare: options.coreShare });
   const strengthMonitor = createStrengthMonitor(processors);
+  const loadReport = createLoadReport({ events });
   let controller: Controller | undefined;
   let stopping = false;
 
@@ -248,13 +235,14 @@
   let expected = performance.now() + EVENT_LOOP_CHECK_MS;
   const eventLoopTimer = setInterval(() => {
     const now = performance.now();
-    const delayMs = Math.max(0, now - expected);
-    meters.eventLoopDelaySeconds.observe(delayMs / 1000);
+    const sample = { delayMs: Math.max(0, now - expected), ...measureLoad() };
+    meters.eventLoopDelaySeconds.observe(sample.delayMs / 1000);
     expected = now + EVENT_LOOP_CHECK_MS;
-    const load = measureLoad();
-    const isSlow = controller !== undefined && loadMonitor.note({ delayMs, ...load }, now);
-    const othersMayLead = hub.callers().length > 0 && !stopping;
-    if (controller === undefined || !othersMayLead) return;
+    if (controller === undefined) return;
+    const leading = controller;
+    loadReport.add(sample, now, () => leading.describeLoad());
+    const isSlow = loadMonitor.note(sample, now);
+    if (hub.callers().length === 0 || stopping) return;
     if (isSlow) void handOver('this host has become slow and its event loop is delayed');
     else if (strengthMonitor.shouldYield(hub.maxProcessors, now)) {
       void handOver('a host with more processors is connected');
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -15,6 +15,7 @@
 import { createCell } from './cell.js';
 import { createCellFeed } from './cell-feed.js';
 import { createDispatcher } from './dispatcher.js';
+import type { PlanningEffort } from './dispatcher.js';
 import { createFleetSessions } from './fleet-sessions.js';
 import { createHousekeeping } from './housekeeping.js';
 import { createJobIntake } from './job-intake.js';
@@ -36,11 +37,20 @@
   addAcceptedJob(job: Job): void;
   /** Marks jobs as completed that hosts know to be so from a previous leader. */
   completeJobs(jobs: readonly string[]): void;
+  /** Amount of work in the cell, and what planning has cost in this term. */
+  describeLoad(): CellLoad;
   /** Stops placement and waits until all progress is durable, before a planned stop. */
   quiesce(timeoutMs: number): Promise<void>;
   close(): void;
 }
 
+export interface CellLoad extends PlanningEffort {
+  readonly waitingSteps: number;
+  readonly runs: number;
+  readonly workers: number;
+  readonly pendingWrites: number;
+}
+
 export interface ControllerOptions {
   readonly store: KeyValueStore;
   readonly reachability: Reachability;
@@ -332,6 +342,16 @@
         if (entry !== undefined) lifecycle.complete(entry);
       }
     },
+    describeLoad: () => {
+      const all = [...sessions.all()];
+      return {
+        ...dispatcher.effort,
+        waitingSteps: cell.ready.size,
+        runs: all.reduce((sum, { runs }) => sum + runs.size, 0),
+        workers: all.length,
+        pendingWrites: log.pending,
+      };
+    },
     quiesce: async (timeoutMs) => {
       dispatcher.stop();
       await Promise.race([log.drain(), pause(timeoutMs)]);
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -28,6 +28,13 @@
   request(): void;
   /** Sends no further orders, before a planned stop. */
   stop(): void;
+  /** Planning rounds of this term and their total duration. */
+  readonly effort: PlanningEffort;
+}
+
+export interface PlanningEffort {
+  readonly rounds: number;
+  readonly tookMs: number;
 }
 
 export interface DispatcherOptions {
@@ -55,6 +62,7 @@
   let roundRequested = false;
   let stopped = false;
   let pauseMs = pauseAfterRound(0);
+  let effort: PlanningEffort = { rounds: 0, tookMs: 0 };
 
   function schedule(delayMs: number) {
     if (stopped) return;
@@ -103,6 +111,7 @@
     requestPermits(steps, round);
     const tookMs = performance.now() - startedAt;
     meters.planSeconds.observe(tookMs / 1000);
+    effort = { rounds: effort.rounds + 1, tookMs: effort.tookMs + tookMs };
     pauseMs = pauseAfterRound(tookMs);
   }
 
@@ -302,6 +311,9 @@
   schedule(IDLE_INTERVAL_MS);
   return {
     request,
+    get effort() {
+      return effort;
+    },
     stop: () => {
       stopped = true;
       if (timer !== undefined) clearTimeout(timer);
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -40,6 +40,8 @@
    */
   progressedClockMs: number | undefined;
   startedAt: number;
+  /** Milliseconds until the worker accepted the start; undefined if it has not. */
+  answeredMs: number | undefined;
   stopReason: string;
 }
 
@@ -78,6 +80,7 @@
     progressedAt: now,
     progressedClockMs: undefined,
     startedAt: now,
+    answeredMs: undefined,
     stopReason: '',
   };
 }
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -163,6 +163,7 @@
     logOrder('start', run, outcome, { ticketed: ticket !== undefined });
     if (runs.get(run.name) !== run) return;
     if (outcome.kind === 'accepted') {
+      run.answeredMs = performance.now() - run.startedAt;
       clock.note(outcome.clockMs);
       run.progressedClockMs ??= outcome.clockMs;
       transition(run, 'starting', 'running');
@@ -246,7 +247,8 @@
       outcome: result,
       ...fields,
     };
-    if (outcome.kind === 'accepted') events.info(`${order}-answered`, line);
+    // Nearly every order is accepted; the end of the run then tells how long the answer took.
+    if (outcome.kind === 'accepted') events.debug(`${order}-answered`, line);
     else events.warn(`${order}-not-accepted`, line);
   }
 
@@ -262,6 +264,8 @@
       run: run.number,
       worker: incarnation.id,
       end,
+      epoch,
+      answeredMs: run.answeredMs === undefined ? undefined : Math.round(run.answeredMs),
       tookMs: Math.round(performance.now() - run.startedAt),
       percent: run.percent,
     });
