Repeat a start whose answer was lost, so that one lost answer does not end a gang

Change: the same order is sent once more. The worker accepts it also if it has the run already; any other answer leaves the run in doubt as before.

--- a/src/controller/permit-client.ts
+++ b/src/controller/permit-client.ts
@@ -238,8 +238,8 @@
     }
   }
 
-  function isFresh(permit: Permit, born: number, leadMs: number): boolean {
-    return permit.born === born && permit.validUntil - now() > leadMs;
+  function isFresh(permit: Permit, born: number, leadMs: number, nowMs = now()): boolean {
+    return permit.born === born && permit.validUntil - nowMs > leadMs;
   }
 
   /** Workers to name in the next query for the step; none while a call is in flight. */
@@ -283,8 +283,9 @@
     return expiring;
   }
 
-  function isUsable(permit: Permit, born: number | undefined): boolean {
-    return born !== undefined && permit.allowed && isFresh(permit, born, TICKET_MARGIN_MS);
+  function isUsable(permit: Permit, born: number | undefined, nowMs = now()): boolean {
+    if (born === undefined || !permit.allowed) return false;
+    return isFresh(permit, born, TICKET_MARGIN_MS, nowMs);
   }
 
   return {
@@ -331,8 +332,9 @@
     },
     startable: (step, bornOf) => {
       const startable: string[] = [];
+      const nowMs = now();
       for (const [worker, permit] of steps.get(step)?.permits ?? []) {
-        if (isUsable(permit, bornOf(worker))) startable.push(worker);
+        if (permit.allowed && isUsable(permit, bornOf(worker), nowMs)) startable.push(worker);
       }
       return startable;
     },
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -5,7 +5,7 @@
  * A worker that does not answer may continue until its lease expires on its own clock, which may run 2 % slow. Until
  * then its runs stay charged and are not started elsewhere.
  */
-import type { OrderOutcome, WorkerConnection } from '../fleet/index.js';
+import type { OrderOutcome, StartOrder, WorkerConnection } from '../fleet/index.js';
 import { addResources, NO_RESOURCES, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
 import { pause } from '../records/index.js';
@@ -150,7 +150,7 @@
     run.startedAt = run.since;
     run.progressedAt = run.since;
     pendingOrders.set(run, options.responsiveNow());
-    const outcome = await connection.start({
+    const order: StartOrder = {
       task: run.name,
       run: run.number,
       spec,
@@ -158,25 +158,28 @@
       epoch,
       checkpoint: run.task.checkpoint,
       ticket,
-    });
-    pendingOrders.delete(run);
+    };
+    let outcome = await connection.start(order);
     logOrder('start', run, outcome, { ticketed: ticket !== undefined });
+    const isOpen = !closed && !ended && runs.get(run.name) === run;
+    if (outcome.kind === 'unknown' && isOpen && transition(run, 'starting', 'in-doubt')) {
+      outcome = await repeatStart(run, order);
+    }
+    pendingOrders.delete(run);
     if (runs.get(run.name) !== run) return;
     if (outcome.kind === 'accepted') {
       run.answeredMs = performance.now() - run.startedAt;
       clock.note(outcome.clockMs);
       run.progressedClockMs ??= outcome.clockMs;
       transition(run, 'starting', 'running');
+      transition(run, 'in-doubt', 'running');
       return;
     }
     if (outcome.kind === 'other-life') {
       endIncarnation('another incarnation answers at its address');
       return;
     }
-    if (outcome.kind === 'unknown') {
-      transition(run, 'starting', 'in-doubt');
-      return;
-    }
+    if (outcome.kind === 'unknown') return;
     clock.note(outcome.clockMs);
     // A refused start has extended the lease, too.
     if (outcome.reason === 'stale-epoch') options.onStaleEpoch(incarnation.id);
@@ -184,6 +187,20 @@
     await endRun(run, 'never-ran', '');
   }
 
+  /**
+   * Sends a start again whose answer was lost. The worker accepts it also if it has the run already, so one lost answer
+   * does not end a whole gang. Any other answer leaves the run in doubt, because the first order may still arrive or
+   * the run may have ended; the reports of the worker decide.
+   */
+  async function repeatStart(run: Run, order: StartOrder): Promise<OrderOutcome> {
+    const outcome = await connection.start(order);
+    logOrder('start', run, outcome, { repeated: true });
+    if (outcome.kind !== 'refused') return outcome;
+    clock.note(outcome.clockMs);
+    if (outcome.reason === 'stale-epoch') options.onStaleEpoch(incarnation.id);
+    return { kind: 'unknown', detail: `then refused: ${outcome.reason}` };
+  }
+
   function stop(run: Run, reason: string) {
     if (run.status === 'stopping' || runs.get(run.name) !== run) return;
     const ordered = run.status !== 'logging';
@@ -223,11 +240,12 @@
     }
   }
 
-  /** Changes the status unless a stop, for instance, has changed it in the meantime. */
-  function transition(run: Run, from: RunStatus, to: RunStatus) {
-    if (run.status !== from) return;
+  /** Changes the status unless a stop, for instance, has changed it in the meantime; returns whether it did. */
+  function transition(run: Run, from: RunStatus, to: RunStatus): boolean {
+    if (run.status !== from) return false;
     run.status = to;
     run.since = performance.now();
+    return true;
   }
 
   function logOrder(
--- /dev/null
+++ b/test/controller/repeated-starts.test.ts
@@ -0,0 +1,124 @@
+/**
+ * Guards against ending a gang because one answer to a start was lost, and against taking a run for one that never
+ * ran because the repeated order was refused.
+ */
+import { expect } from 'chai';
+import { createRun } from '../../src/controller/run.js';
+import { createWorkerSession } from '../../src/controller/worker-session.js';
+import type { OrderOutcome, StartOrder } from '../../src/fleet/index.js';
+import { createProgress } from '../../src/jobs/index.js';
+import { createMeters, SILENT_EVENTS } from '../../src/observability/index.js';
+
+const UNKNOWN = { kind: 'unknown', detail: 'the connection was reset' } as const;
+const ACCEPTED: OrderOutcome = { kind: 'accepted', clockMs: 50 };
+const refused = (reason: 'stale-run' | 'no-room' | 'stale-epoch'): OrderOutcome => {
+  return { kind: 'refused', reason, clockMs: 50 };
+};
+
+/** Starts a run on a worker that gives these answers, one for each start order. */
+async function startWith(...answers: readonly OrderOutcome[]) {
+  const orders: StartOrder[] = [];
+  const ends: string[] = [];
+  const stale: string[] = [];
+  const session = createWorkerSession({
+    worker: {
+      incarnation: { id: 'w1', born: 1 },
+      address: '127.0.0.1:1',
+      service: 'rota',
+      dataCentre: 'dc1',
+      state: 'ready',
+      room: { processors: 8, memoryMb: 100, accelerators: 0 },
+      labels: [],
+      rack: 'r1',
+      leavesInMs: undefined,
+    },
+    connect: () => ({
+      start: (order) => {
+        orders.push(order);
+        return Promise.resolve(answers[orders.length - 1] ?? UNKNOWN);
+      },
+      stop: () => Promise.resolve(ACCEPTED),
+      renew: () => Promise.resolve(UNKNOWN),
+      close: () => undefined,
+    }),
+    events: SILENT_EVENTS,
+    meters: createMeters(),
+    epoch: 3,
+    mayExtendLeases: () => true,
+    inheritedLeaseUntil: 0,
+    onEnd: (_session, _run, end) => {
+      ends.push(end);
+      return Promise.resolve(true);
+    },
+    onReport: () => undefined,
+    onTicketRefused: () => undefined,
+    responsiveNow: () => performance.now(),
+    onStaleEpoch: (worker) => {
+      stale.push(worker);
+    },
+    onChange: () => undefined,
+  });
+  const progress = createProgress({
+    id: 'job',
+    team: 'lawns',
+    queue: 'lookup',
+    service: 'rota',
+    spec: 'text',
+    steps: [
+      {
+        count: 1,
+        size: { processors: 1, memoryMb: 1, accelerators: 0 },
+        estimateMs: 1000,
+        after: [],
+        gang: false,
+        checkpointing: false,
+        rackSensitive: false,
+        speculative: false,
+        longRunning: false,
+      },
+    ],
+    acceptedAtMs: 0,
+    acceptedBy: 'h1',
+  });
+  const step = progress.occurrences.get(0)?.steps[0];
+  const task = step?.tasks[0];
+  if (step === undefined || task === undefined) throw new Error('no task');
+  task.run = 1;
+  const run = createRun({ name: 'job.0.0.0', progress, step, task, session, inherited: false });
+  session.attach(run);
+  await session.start(run, 'text', 'ticket');
+  return { run, orders, ends, stale };
+}
+
+describe('start orders', () => {
+  it('are repeated once when their answer is lost', async () => {
+    const { run, orders, ends } = await startWith(UNKNOWN, ACCEPTED);
+    expect(orders).to.have.length(2);
+    expect(orders[1]).to.deep.equal(orders[0]);
+    expect(run.status).to.equal('running');
+    expect(ends).to.deep.equal([]);
+  });
+
+  it('are not repeated when the worker has refused them', async () => {
+    const { orders, ends } = await startWith(refused('no-room'));
+    expect(orders).to.have.length(1);
+    expect(ends).to.deep.equal(['never-ran']);
+  });
+
+  for (const reason of ['stale-run', 'no-room', 'stale-epoch'] as const) {
+    it(`leave the run in doubt when the repeated order is refused as ${reason}`, async () => {
+      // The first order may have started the run, which may even have ended by now, or may still arrive.
+      const { run, ends, stale } = await startWith(UNKNOWN, refused(reason));
+      expect(run.status).to.equal('in-doubt');
+      expect(ends).to.deep.equal([]);
+      expect(stale).to.deep.equal(reason === 'stale-epoch' ? ['w1'] : []);
+    });
+  }
+
+  it('leave the run in doubt when both answers are lost', async () => {
+    const { run, orders, ends } = await startWith(UNKNOWN, UNKNOWN);
+    expect(orders).to.have.length(2);
+    expect(run.status).to.equal('in-doubt');
+    expect(ends).to.deep.equal([]);
+  });
+});
