Compare waiting steps only with workers that have room, and space rounds by their cost

Change: workers are sorted by free processors once a round; a step sees those with room. The pause after a round keeps planning to a quarter of the time up to rounds of 40 ms. Renewals are 20 ms apart instead of 5, so that one reports the ends of a gang. A host counts as slow below 0.6 of its share of a core, because at 0.5 a host of two cores that runs at a quarter of its speed would not.

--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -5,7 +5,7 @@
 import type { EventLog, Meters } from '../observability/index.js';
 import type { Placement, TeamBudget, WaitingStep, WorkerHealth } from '../planner/index.js';
 import type { CandidateWorker } from '../planner/index.js';
-import { orderSteps, planRound } from '../planner/index.js';
+import { countAtLeast, orderSteps, planRound } from '../planner/index.js';
 import type { CellConfiguration, Queue } from '../queues/index.js';
 import { setPhase } from '../jobs/index.js';
 import { subtractResources } from '../model/index.js';
@@ -168,9 +168,13 @@
       placed,
       limits: permitRequired
         ? {
-            startable: () =>
-              permits.startable(key, (worker) => round.sessionsById.get(worker)?.incarnation.born),
-            runnable: () => permits.allowed(key),
+            startable: (workers) =>
+              permits.startable(
+                key,
+                workers,
+                ({ id }) => round.sessionsById.get(id)?.incarnation.born,
+              ),
+            runnable: (workers) => permits.runnable(key, workers),
           }
         : undefined,
       avoids: (task, worker) => step.tasks[task]?.failedOn.includes(worker) === true,
@@ -357,15 +361,3 @@
     return list;
   };
 }
-
-/** Number of values, sorted from the largest, that are at least `least`. */
-function countAtLeast(sorted: readonly number[], least: number): number {
-  let low = 0;
-  let high = sorted.length;
-  while (low < high) {
-    const middle = (low + high) >> 1;
-    if ((sorted[middle] ?? 0) >= least) low = middle + 1;
-    else high = middle;
-  }
-  return low;
-}
--- a/src/controller/permit-client.ts
+++ b/src/controller/permit-client.ts
@@ -90,10 +90,14 @@
   requestMissing(requests: readonly PermitRequest[]): void;
   /** A ticket that is valid long enough to order a start; undefined if there is none. */
   ticket(step: string, worker: string, born: number): string | undefined;
-  /** Workers for which `ticket` returns a ticket, given the start of each usable worker's incarnation. */
-  startable(step: string, bornOf: (worker: string) => number | undefined): readonly string[];
-  /** Workers that may run the step, as far as the service was asked. */
-  allowed(step: string): readonly string[];
+  /** Those of the workers for which `ticket` returns a ticket. */
+  startable<Worker extends NamedWorker>(
+    step: string,
+    workers: readonly Worker[],
+    bornOf: (worker: Worker) => number | undefined,
+  ): readonly Worker[];
+  /** Those of the workers that may run the step, as far as the service was asked. */
+  runnable<Worker extends NamedWorker>(step: string, workers: readonly Worker[]): readonly Worker[];
   /** Invalidates a ticket that a worker has refused. */
   invalidate(step: string, worker: string): void;
   forget(step: string): void;
@@ -101,6 +105,10 @@
   dispatchQueued(): void;
 }
 
+export interface NamedWorker {
+  readonly id: string;
+}
+
 export interface PermitRequest {
   readonly step: string;
   readonly timing: AdviceTiming;
@@ -330,20 +338,18 @@
       const permit = steps.get(step)?.permits.get(worker);
       return permit !== undefined && isUsable(permit, born) ? permit.ticket : undefined;
     },
-    startable: (step, bornOf) => {
-      const startable: string[] = [];
+    startable: (step, workers, bornOf) => {
+      const known = steps.get(step)?.permits;
+      if (known === undefined) return [];
       const nowMs = now();
-      for (const [worker, permit] of steps.get(step)?.permits ?? []) {
-        if (permit.allowed && isUsable(permit, bornOf(worker), nowMs)) startable.push(worker);
-      }
-      return startable;
+      return workers.filter((worker) => {
+        const permit = known.get(worker.id);
+        return permit?.allowed === true && isUsable(permit, bornOf(worker), nowMs);
+      });
     },
-    allowed: (step) => {
-      const allowed: string[] = [];
-      for (const [worker, permit] of steps.get(step)?.permits ?? []) {
-        if (permit.allowed) allowed.push(worker);
-      }
-      return allowed;
+    runnable: (step, workers) => {
+      const known = steps.get(step)?.permits;
+      return workers.filter(({ id }) => known?.get(id)?.allowed === true);
     },
     invalidate: (step, worker) => {
       const known = steps.get(step);
--- a/src/controller/round-pace.ts
+++ b/src/controller/round-pace.ts
@@ -6,8 +6,8 @@
 
 /** Changes that arrive within this time share a planning round. */
 const MIN_PAUSE_MS = 3;
-/** Longest time that a change waits for a round; small against the 250 ms within which urgent work should start. */
-const MAX_PAUSE_MS = 40;
+/** Longest time that a change waits for a round; urgent work has 750 ms of slack at best. */
+const MAX_PAUSE_MS = 120;
 /** Pause as a multiple of the round's duration, so that planning takes at most a quarter of the processor. */
 const PAUSE_PER_ROUND = 3;
 
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -29,8 +29,11 @@
 /** Time that a renewal waits while the effect of a start or stop is uncertain, so that the next report comes soon. */
 const UNCERTAIN_WAIT_MS = 100;
 const STOP_RETRY_MS = 200;
-/** Least interval between renewals, which are answered at once while runs end. */
-const MIN_PAUSE_MS = 5;
+/**
+ * Least interval between renewals, which are answered at once while runs end. Members of a gang and tasks of a step end
+ * within milliseconds of each other, and one answer then reports them all.
+ */
+const MIN_PAUSE_MS = 20;
 /** A worker that has not answered a start for this long is given no new work; workers answer within 3 ms. */
 const OVERDUE_ORDER_MS = 200;
 /**
--- a/src/leadership/load-monitor.ts
+++ b/src/leadership/load-monitor.ts
@@ -12,7 +12,7 @@
 /** Share of the window in which the event loop is late. */
 const OVERLOADED_SHARE = 0.5;
 /** A host that gets less than this fraction of its share of a core while it has work is slow. */
-const SLOW_FRACTION = 0.5;
+const SLOW_FRACTION = 0.6;
 /** Start of a term that is ignored: a new leader reads all jobs at once, which says nothing about its host. */
 const SETTLING_MS = 1500;
 /** Shortest time between two hand-overs, so that hosts that are slow in turn do not pass the leadership around. */
--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -24,12 +24,12 @@
   runs: number;
 }
 
-/** Workers that a step is limited to. */
+/** Selects workers for a step that may not run on all of them. */
 export interface PlacementLimits {
-  /** Workers on which the step may start now. */
-  startable(): readonly string[];
-  /** Workers on which the step may ever run, as far as is known. */
-  runnable(): readonly string[];
+  /** Those of the workers on which the step may start now. */
+  startable(workers: readonly CandidateWorker[]): readonly CandidateWorker[];
+  /** Those of the workers on which the step may ever run, as far as is known. */
+  runnable(workers: readonly CandidateWorker[]): readonly CandidateWorker[];
 }
 
 /** A step with tasks that are ready to run. */
@@ -58,10 +58,7 @@
   readonly maxPerWorker: number | undefined;
   /** Number of tasks of the step on each worker, by worker id. */
   readonly placed: ReadonlyMap<string, number>;
-  /**
-   * Workers that the step is limited to; undefined if it may run on any. A limited step names a few of hundreds of
-   * workers, so the planner looks at no others.
-   */
+  /** Undefined if the step may run on any worker. */
   readonly limits: PlacementLimits | undefined;
   /** Whether a retry of the task should avoid the worker. */
   readonly avoids: (task: number, worker: string) => boolean;
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -6,7 +6,7 @@
  * wide gang in a full cell. Tasks go to the fullest worker that fits them (best fit), which keeps large
  * blocks of capacity free for wide work.
  */
-import { addResources, fitsWithin, maxResources, subtractResources } from '../model/index.js';
+import { addResources, fitsWithin, ROUNDING_TOLERANCE, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
 import type { CandidateWorker, Placement, TeamBudget, WaitingStep } from './candidates.js';
 import { isLate, orderSteps } from './order.js';
@@ -34,19 +34,17 @@
     const pool = pools.get(step.service);
     if (pool === undefined) continue;
     // Urgent work is short and may use workers that a gang has reserved.
-    const withoutReserved = (candidates: readonly CandidateWorker[]) =>
-      step.priority === 0 || reserved.size === 0
-        ? candidates
-        : candidates.filter(({ id }) => !reserved.has(id));
+    const isOpen = ({ id }: CandidateWorker) => step.priority === 0 || !reserved.has(id);
+    const roomy = workersWithRoom(pool, step.size).filter(isOpen);
+    const startable = step.limits === undefined ? roomy : step.limits.startable(roomy);
     const place = step.gang ? placeGang : placeTasks;
-    const placed = fitsWithin(step.size, pool.largestFree)
-      ? place(step, withoutReserved(membersOf(pool, step.limits?.startable())), budgets)
-      : [];
+    const placed = startable.length === 0 ? [] : place(step, startable, budgets);
     placements.push(...placed);
     const mustWait = step.gang && placed.length === 0;
     if (!mustWait || reservingGangs >= maxReservingGangs || isLate(step, nowMs)) continue;
     if (!withinBudget(step, budgets, step.tasks.length)) continue;
-    const runnable = withoutReserved(membersOf(pool, step.limits?.runnable()));
+    const open = pool.workers.filter(isOpen);
+    const runnable = step.limits === undefined ? open : step.limits.runnable(open);
     const reservation = workersToReserve(step, runnable);
     if (reservation.length === 0) continue;
     reservingGangs += 1;
@@ -55,12 +53,11 @@
   return placements;
 }
 
-/** The workers of a service that can be given tasks. */
+/** The workers of a service that can be given tasks, those with the most free processors first. */
 interface Pool {
   readonly workers: CandidateWorker[];
-  readonly byId: Map<string, CandidateWorker>;
-  /** The most that any worker had free of each resource at the start of the round; nothing larger fits anywhere. */
-  largestFree: Resources;
+  /** Free processors of each worker at the start of the round. Placements only reduce what is free. */
+  freeAtStart: readonly number[];
 }
 
 function groupByService(workers: readonly CandidateWorker[]): Map<string, Pool> {
@@ -68,21 +65,34 @@
   for (const worker of workers) {
     if (worker.healthStatus === 'avoided') continue;
     if (worker.healthStatus === 'trial' && worker.runs > 0) continue;
-    let pool = pools.get(worker.service);
-    if (pool === undefined) {
-      pool = { workers: [], byId: new Map(), largestFree: worker.free };
-      pools.set(worker.service, pool);
-    }
-    pool.workers.push(worker);
-    pool.byId.set(worker.id, worker);
-    pool.largestFree = maxResources(pool.largestFree, worker.free);
+    const pool = pools.get(worker.service);
+    if (pool === undefined) pools.set(worker.service, { workers: [worker], freeAtStart: [] });
+    else pool.workers.push(worker);
+  }
+  for (const pool of pools.values()) {
+    pool.workers.sort((left, right) => right.free.processors - left.free.processors);
+    pool.freeAtStart = pool.workers.map(({ free }) => free.processors);
   }
   return pools;
 }
 
-function membersOf(pool: Pool, ids: readonly string[] | undefined): readonly CandidateWorker[] {
-  if (ids === undefined) return pool.workers;
-  return ids.flatMap((id) => pool.byId.get(id) ?? []);
+/** In a full cell few workers have room, so that hundreds of waiting steps are not compared with all workers. */
+function workersWithRoom({ workers, freeAtStart }: Pool, size: Resources): CandidateWorker[] {
+  return workers
+    .slice(0, countAtLeast(freeAtStart, size.processors - ROUNDING_TOLERANCE))
+    .filter(({ free }) => fitsWithin(size, free));
+}
+
+/** Number of values, sorted from the largest, that are at least `least`. */
+export function countAtLeast(sorted: readonly number[], least: number): number {
+  let low = 0;
+  let high = sorted.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((sorted[middle] ?? 0) >= least) low = middle + 1;
+    else high = middle;
+  }
+  return low;
 }
 
 function placeTasks(
--- a/test/planner/support.ts
+++ b/test/planner/support.ts
@@ -1,6 +1,6 @@
 /** Builders for the planner's inputs. */
 import type { Resources } from '../../src/model/index.js';
-import type { CandidateWorker, WaitingStep } from '../../src/planner/index.js';
+import type { CandidateWorker, PlacementLimits, WaitingStep } from '../../src/planner/index.js';
 
 export function amount(processors: number, memoryMb = processors * 100): Resources {
   return { processors, memoryMb, accelerators: 0 };
@@ -45,3 +45,19 @@
     ...options,
   };
 }
+
+/** Limits a step to the named workers; `onStartable` gets the workers that the planner asks about. */
+export function limitTo(
+  ids: readonly string[],
+  onStartable: (workers: readonly CandidateWorker[]) => void = () => undefined,
+): PlacementLimits {
+  const select = (workers: readonly CandidateWorker[]) =>
+    workers.filter(({ id }) => ids.includes(id));
+  return {
+    startable: (workers) => {
+      onStartable(workers);
+      return select(workers);
+    },
+    runnable: select,
+  };
+}
