End a planning round after 150 steps that fit nowhere, and name further workers for the first steps only

Change: a round ends after 150 steps that fit nowhere; those that wait for the advice service or for their team's limit do not count. A gang is tried only if enough slots are free. Further workers are named for 24 steps a queue.

--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -22,6 +22,8 @@
 const IDLE_INTERVAL_MS = 100;
 /** Number of steps at the head of each queue whose tickets are renewed before they expire. */
 const RENEWED_STEPS = 6;
+/** Number of steps at the head of each queue for which further workers are named; those behind start after them. */
+const EXTENDED_STEPS = 24;
 
 export interface Dispatcher {
   /** Requests a planning round after the pause that the last round asks for. */
@@ -153,6 +155,7 @@
       uselessAtMs: entry.uselessAtMs,
       remainingMs: entry.criticalPathMs[step.number] ?? 0,
       size: step.step.size,
+      waiting: step.waitingCount,
       // Listed only if the planner gets to place them.
       get tasks() {
         waitingTasks ??= step.tasks
@@ -168,6 +171,7 @@
       placed,
       limits: permitRequired
         ? {
+            known: permits.isKnown(key),
             startable: (workers) =>
               permits.startable(
                 key,
@@ -209,6 +213,7 @@
         workers: born,
         roomy: countAtLeast(freeProcessors, step.size.processors),
         renew: position < RENEWED_STEPS,
+        extend: position < EXTENDED_STEPS,
       });
     }
     permits.requestMissing(requests);
--- a/src/controller/permit-client.ts
+++ b/src/controller/permit-client.ts
@@ -90,6 +90,8 @@
   requestMissing(requests: readonly PermitRequest[]): void;
   /** A ticket that is valid long enough to order a start; undefined if there is none. */
   ticket(step: string, worker: string, born: number): string | undefined;
+  /** Whether the service has answered for the step. */
+  isKnown(step: string): boolean;
   /** Those of the workers for which `ticket` returns a ticket. */
   startable<Worker extends NamedWorker>(
     step: string,
@@ -119,6 +121,8 @@
   /** Number of workers at the head of `workers` that have free processors for a task of the step. */
   readonly roomy: number;
   readonly renew: boolean;
+  /** Whether to name further workers if permits for some are known. */
+  readonly extend: boolean;
 }
 
 export interface PermitClientOptions {
@@ -261,6 +265,7 @@
       if (expiring.size > 0) return { workers: expiring, additional: false };
     }
     const additional = known.permits.size > 0;
+    if (additional && !request.extend) return { workers: new Map(), additional };
     const limit = Math.min(
       MAX_WORKERS_PER_CALL,
       Math.max(DEFAULT_WORKERS_PER_CALL, request.tasks * WORKERS_PER_TASK),
@@ -338,6 +343,7 @@
       const permit = steps.get(step)?.permits.get(worker);
       return permit !== undefined && isUsable(permit, born) ? permit.ticket : undefined;
     },
+    isKnown: (step) => (steps.get(step)?.permits.size ?? 0) > 0,
     startable: (step, workers, bornOf) => {
       const known = steps.get(step)?.permits;
       if (known === undefined) return [];
--- a/src/controller/progress-log.ts
+++ b/src/controller/progress-log.ts
@@ -53,8 +53,8 @@
  * renewal.
  */
 const BATCH_DELAY_MS = { order: 4, outcome: 15, note: 60 } as const;
-/** Transactions in flight at a time; more would only help while the store is slow. */
-const MAX_IN_FLIGHT = 4;
+/** Transactions in flight at a time; more than four help while the store is slow or this process is busy. */
+const MAX_IN_FLIGHT = 8;
 /** Each job takes a condition and a write. */
 const ENTRIES_PER_JOB = 2;
 const RETRY_MS = 60;
--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -26,6 +26,8 @@
 
 /** Selects workers for a step that may not run on all of them. */
 export interface PlacementLimits {
+  /** Whether any worker is known on which the step may run. */
+  readonly known: boolean;
   /** Those of the workers on which the step may start now. */
   startable(workers: readonly CandidateWorker[]): readonly CandidateWorker[];
   /** Those of the workers on which the step may ever run, as far as is known. */
@@ -49,6 +51,8 @@
   /** Estimated remaining work of the job, in milliseconds. */
   readonly remainingMs: number;
   readonly size: Resources;
+  /** Number of waiting tasks. */
+  readonly waiting: number;
   /** Indexes of the waiting tasks; for a gang, all of its tasks. */
   readonly tasks: readonly number[];
   readonly gang: boolean;
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -5,6 +5,10 @@
  * reservation, smaller tasks behind the gang would take each piece of capacity as it becomes free and starve a
  * wide gang in a full cell. Tasks go to the fullest worker that fits them (best fit), which keeps large
  * blocks of capacity free for wide work.
+ *
+ * In an overload hundreds of steps wait, and nearly all of them fit nowhere. A round ends after a number of such steps,
+ * so that its cost does not grow with the backlog; the steps behind them are less valuable and have their turn in a
+ * later round.
  */
 import { addResources, fitsWithin, ROUNDING_TOLERANCE, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
@@ -14,25 +18,40 @@
 /** Number of gangs that may reserve workers at the same time; each reservation leaves capacity idle. */
 const MAX_RESERVING_GANGS = 2;
 
+/** Steps that fit nowhere, or only in part, after which a round ends. */
+const MAX_UNPLACED_STEPS = 150;
+
 export interface PlanOptions {
   readonly nowMs: number;
   readonly workers: readonly CandidateWorker[];
   readonly steps: readonly WaitingStep[];
   readonly budgets: ReadonlyMap<string, TeamBudget>;
   readonly maxReservingGangs?: number;
+  readonly maxUnplacedSteps?: number;
 }
 
 /** Assigns workers to tasks and charges the placements to the given workers and budgets. */
 export function planRound(options: PlanOptions): Placement[] {
-  const { nowMs, workers, steps, budgets, maxReservingGangs = MAX_RESERVING_GANGS } = options;
+  const {
+    nowMs,
+    workers,
+    steps,
+    budgets,
+    maxReservingGangs = MAX_RESERVING_GANGS,
+    maxUnplacedSteps = MAX_UNPLACED_STEPS,
+  } = options;
   const pools = groupByService(workers);
   const reserved = new Set<string>();
   const placements: Placement[] = [];
   let reservingGangs = 0;
+  let unplacedSteps = 0;
 
   for (const step of orderSteps(steps, nowMs)) {
     const pool = pools.get(step.service);
-    if (pool === undefined) continue;
+    // Steps that wait for an answer of the advice service or for their team's other work cost next to nothing.
+    if (pool === undefined || step.limits?.known === false) continue;
+    if (!withinBudget(step, budgets, 1)) continue;
+    if (unplacedSteps >= maxUnplacedSteps) break;
     // Urgent work is short and may use workers that a gang has reserved.
     const isOpen = ({ id }: CandidateWorker) => step.priority === 0 || !reserved.has(id);
     const roomy = workersWithRoom(pool, step.size).filter(isOpen);
@@ -40,9 +59,10 @@
     const place = step.gang ? placeGang : placeTasks;
     const placed = startable.length === 0 ? [] : place(step, startable, budgets);
     placements.push(...placed);
+    if (placed.length < step.waiting) unplacedSteps += 1;
     const mustWait = step.gang && placed.length === 0;
     if (!mustWait || reservingGangs >= maxReservingGangs || isLate(step, nowMs)) continue;
-    if (!withinBudget(step, budgets, step.tasks.length)) continue;
+    if (!withinBudget(step, budgets, step.waiting)) continue;
     const open = pool.workers.filter(isOpen);
     const runnable = step.limits === undefined ? open : step.limits.runnable(open);
     const reservation = workersToReserve(step, runnable);
@@ -119,8 +139,10 @@
   pool: readonly CandidateWorker[],
   budgets: ReadonlyMap<string, TeamBudget>,
 ): Placement[] {
-  if (!withinBudget(step, budgets, step.tasks.length)) return [];
+  if (!withinBudget(step, budgets, step.waiting)) return [];
   const usable = pool.filter(({ healthStatus }) => healthStatus === 'trusted');
+  const slots = usable.reduce((sum, { free }) => sum + slotsIn(free, step.size), 0);
+  if (slots < step.waiting) return [];
   const placements: Placement[] = [];
   const added = new Map<string, number>();
   const touched: { worker: CandidateWorker; free: Resources }[] = [];
@@ -212,22 +234,23 @@
   const reserved: string[] = [];
   let slots = 0;
   for (const { worker, slots: more } of fitting) {
-    if (slots >= step.tasks.length) break;
+    if (slots >= step.waiting) break;
     slots += more;
     reserved.push(worker.id);
   }
-  return slots >= step.tasks.length ? reserved : [];
+  return slots >= step.waiting ? reserved : [];
 }
 
-/** Number of tasks of this size that fit into the given resources. */
+/** Number of tasks of this size that fit into the given resources; infinite for a size of zero. */
 function slotsIn(room: Resources, size: Resources): number {
-  const ratio = (whole: number, part: number) => (part > 0 ? Math.floor(whole / part) : Infinity);
+  const ratio = (whole: number, part: number) =>
+    part > 0 ? Math.floor((whole + ROUNDING_TOLERANCE) / part) : Infinity;
   const slots = Math.min(
     ratio(room.processors, size.processors),
     ratio(room.memoryMb, size.memoryMb),
     ratio(room.accelerators, size.accelerators),
   );
-  return Number.isFinite(slots) ? slots : 0;
+  return Math.max(0, slots);
 }
 
 function charge(
--- a/test/controller/permit-client.test.ts
+++ b/test/controller/permit-client.test.ts
@@ -44,7 +44,15 @@
 }
 
 function ask(step: string, timing = SHORT): PermitRequest {
-  return { step, timing, workers: WORKERS, roomy: WORKERS.size, tasks: 1, renew: true };
+  return {
+    step,
+    timing,
+    workers: WORKERS,
+    roomy: WORKERS.size,
+    tasks: 1,
+    renew: true,
+    extend: true,
+  };
 }
 
 const GRANTED: AdviceAnswer = { permits: [{ worker: 'w1', ticket: 't' }], validMs: 2000 };
@@ -110,7 +118,7 @@
   describe('with a pool of hundreds of workers', () => {
     const POOL = new Map(Array.from({ length: 245 }, (_, index) => [`w${String(index)}`, 1]));
     const askPool = (step: string, tasks = 1, timing = SHORT): PermitRequest => {
-      return { step, timing, workers: POOL, roomy: POOL.size, tasks, renew: true };
+      return { step, timing, workers: POOL, roomy: POOL.size, tasks, renew: true, extend: true };
     };
 
     it('names only the workers with the most room, and more of them for a wide step', () => {
@@ -158,6 +166,15 @@
       expect(calls[1]?.workers).to.deep.equal(['w48', 'w49']);
     });
 
+    it('names other workers only for the first steps of a queue', async () => {
+      const { client, calls, asked } = createClient(['a']);
+      client.requestMissing([askPool('s1')]);
+      calls[0]?.answer(GRANTED);
+      await settled();
+      client.requestMissing([{ ...askPool('s1'), extend: false }]);
+      expect(asked()).to.deep.equal(['s1']);
+    });
+
     it('prepares only the queries that the hosts can take soon, urgent ones also behind long ones', () => {
       const { client } = createClient(['a', 'b']);
       const prepared = { long: 0, short: 0 };
--- a/test/planner/plan.test.ts
+++ b/test/planner/plan.test.ts
@@ -5,6 +5,7 @@
 import fc from 'fast-check';
 import { fitsWithin } from '../../src/model/index.js';
 import { orderSteps, planRound } from '../../src/planner/index.js';
+import type { WaitingStep } from '../../src/planner/index.js';
 import { amount, candidate, limitTo, waiting } from './support.js';
 
 describe('planning', () => {
@@ -82,9 +83,12 @@
       // A leader with hundreds of waiting steps spent most of its time on looking up workers for each task.
       for (const startable of [[], ['w3', 'w4']]) {
         let lookups = 0;
-        const limits = limitTo(startable, (candidates) => {
-          lookups += candidates.length;
-        });
+        const limits = {
+          ...limitTo(startable, (candidates) => {
+            lookups += candidates.length;
+          }),
+          known: true,
+        };
         const tasks = Array.from({ length: 50 }, (_, index) => index);
         const steps = [waiting('wide', { tasks, limits })];
         const placed = planRound({ nowMs: 0, workers: workers(), steps, budgets: new Map() });
@@ -96,9 +100,12 @@
     it('asks only for workers that have room for a task', () => {
       const mixed = workers().map((worker, index) => ({ ...worker, free: amount(index) }));
       const asked: string[] = [];
-      const limits = limitTo([], (candidates) => {
-        asked.push(...candidates.map(({ id }) => id));
-      });
+      const limits = {
+        ...limitTo([], (candidates) => {
+          asked.push(...candidates.map(({ id }) => id));
+        }),
+        known: true,
+      };
       const steps = [waiting('large', { size: amount(8), limits })];
       planRound({ nowMs: 0, workers: mixed, steps, budgets: new Map() });
       expect(asked).to.have.members(['w8', 'w9']);
@@ -117,6 +124,35 @@
     });
   });
 
+  describe('a backlog of hundreds of steps in a full cell', () => {
+    /** Plans a backlog that fits nowhere, with one small step at its end; returns what was placed. */
+    function planBehind(backlog: Partial<WaitingStep>, count = 400) {
+      const full = candidate('full', { free: amount(2) });
+      const steps = Array.from({ length: count }, (_, index) =>
+        waiting(`b${String(index)}`, { size: amount(9), ...backlog }),
+      );
+      const small = waiting('small', { objectiveAtMs: 20_000 });
+      const budgets = new Map([['capped', { limit: amount(5), used: amount(5) }]]);
+      return planRound({ nowMs: 0, workers: [full], steps: [...steps, small], budgets });
+    }
+
+    it('ends the round, so that its cost does not grow with the backlog', () => {
+      expect(planBehind({})).to.deep.equal([]);
+    });
+
+    it('fills holes behind fewer steps', () => {
+      expect(planBehind({}, 100)).to.have.length(1);
+    });
+
+    it('does not hold up others behind a team that is at its limit', () => {
+      expect(planBehind({ team: 'capped' })).to.have.length(1);
+    });
+
+    it('does not hold up others behind steps that wait for the advice service', () => {
+      expect(planBehind({ limits: limitTo([]) })).to.have.length(1);
+    });
+  });
+
   describe('choice of a worker', () => {
     it('takes the fullest worker that fits', () => {
       const workers = [candidate('empty'), candidate('half', { free: amount(16) })];
--- a/test/planner/support.ts
+++ b/test/planner/support.ts
@@ -34,6 +34,7 @@
     remainingMs: 1000,
     size: amount(1),
     tasks: [0],
+    waiting: options.tasks?.length ?? 1,
     gang: false,
     rackSensitive: false,
     dataRack: undefined,
@@ -54,6 +55,7 @@
   const select = (workers: readonly CandidateWorker[]) =>
     workers.filter(({ id }) => ids.includes(id));
   return {
+    known: ids.length > 0,
     startable: (workers) => {
       onStartable(workers);
       return select(workers);
