Try a fraction of a long backlog in each round, and withdraw orders of a leader that was paused

Cause: a round that ends after 150 steps would let steps that can never run hold up all others, also those of other services. A leader that was paused between the record of an order and the order sent it, although its lease could have run out. Change: behind 150 steps of a service that fit nowhere, one step in eight is tried, another one each round; the same for naming further workers. Orders are sent only within a lease's time of their write or of the last renewal.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -163,6 +163,7 @@
     meters,
     configuration: () => (feed.restored ? configuration.current?.configuration : undefined),
     write: (job) => log.write(job, 'order'),
+    renewedAt: options.renewedAt,
   });
 
   function requestPlan() {
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -13,6 +13,7 @@
 import type { FleetSessions } from './fleet-sessions.js';
 import type { JobLifecycle } from './job-lifecycle.js';
 import type { PermitClient, PermitRequest } from './permit-client.js';
+import { mayOrder } from './order-permission.js';
 import { pauseAfterRound } from './round-pace.js';
 import { createRun, stepNameOf } from './run.js';
 import type { Run } from './run.js';
@@ -24,6 +25,8 @@
 const RENEWED_STEPS = 6;
 /** Number of steps at the head of each queue for which further workers are named; those behind start after them. */
 const EXTENDED_STEPS = 24;
+/** One in so many of the other steps has further workers named too, so that none depends on those ahead of it. */
+const EXTEND_STRIDE = 8;
 
 export interface Dispatcher {
   /** Requests a planning round after the pause that the last round asks for. */
@@ -49,6 +52,8 @@
   readonly meters: Meters;
   readonly configuration: () => CellConfiguration | undefined;
   readonly write: (job: string) => Promise<boolean>;
+  /** Monotonic milliseconds of the last confirmed renewal of the leader's lease. */
+  readonly renewedAt: () => number | undefined;
 }
 
 interface Round {
@@ -108,6 +113,7 @@
       workers: usable.map((session) => describeWorker(session)),
       steps,
       budgets: describeBudgets(configuration),
+      round: effort.rounds,
     });
     orderPlacements(placements, round);
     requestPermits(steps, round);
@@ -213,7 +219,7 @@
         workers: born,
         roomy: countAtLeast(freeProcessors, step.size.processors),
         renew: position < RENEWED_STEPS,
-        extend: position < EXTENDED_STEPS,
+        extend: position < EXTENDED_STEPS || (position + effort.rounds) % EXTEND_STRIDE === 0,
       });
     }
     permits.requestMissing(requests);
@@ -234,8 +240,9 @@
       if (entry === undefined) continue;
       if (entry.progress.state === 'queued') entry.progress.state = 'running';
       cell.refresh(entry);
+      const writtenAt = performance.now();
       void options.write(job).then((durable) => {
-        sendOrders(runs, durable);
+        sendOrders(runs, durable, writtenAt);
       });
     }
   }
@@ -276,8 +283,13 @@
   }
 
   /** Sends the start orders of one job, or withdraws them. If any run of a gang is withdrawn, all of them are. */
-  function sendOrders(runs: readonly Run[], durable: boolean) {
+  function sendOrders(runs: readonly Run[], durable: boolean, writtenAt: number) {
     if (!durable) return;
+    const permitted = mayOrder({
+      nowMs: performance.now(),
+      writtenAt,
+      renewedAt: options.renewedAt(),
+    });
     const withdrawn = new Set<Run>();
     const tickets = new Map<Run, string | undefined>();
     for (const run of runs) {
@@ -286,8 +298,8 @@
         ? permits.ticket(stepNameOf(run), run.session.incarnation.id, run.session.incarnation.born)
         : undefined;
       tickets.set(run, ticket);
-      if (run.status !== 'logging' || stopped || (permitRequired && ticket === undefined))
-        withdrawn.add(run);
+      const isAllowed = permitted && !stopped && (!permitRequired || ticket !== undefined);
+      if (run.status !== 'logging' || !isAllowed) withdrawn.add(run);
     }
     for (const run of runs) {
       if (!run.step.step.gang || !withdrawn.has(run)) continue;
@@ -302,6 +314,7 @@
           worker: run.session.incarnation.id,
           status: run.status,
           ticketed: tickets.get(run) !== undefined,
+          permitted,
         });
         run.session.withdraw(run);
       } else {
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -6,9 +6,9 @@
  * wide gang in a full cell. Tasks go to the fullest worker that fits them (best fit), which keeps large
  * blocks of capacity free for wide work.
  *
- * In an overload hundreds of steps wait, and nearly all of them fit nowhere. A round ends after a number of such steps,
- * so that its cost does not grow with the backlog; the steps behind them are less valuable and have their turn in a
- * later round.
+ * In an overload hundreds of steps wait, and nearly all of them fit nowhere. After a number of such steps a round tries
+ * only a fraction of those behind them, a different one each time, so that its cost grows slowly with the backlog and
+ * steps that can never run do not hold up the others.
  */
 import { addResources, fitsWithin, ROUNDING_TOLERANCE, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
@@ -18,8 +18,10 @@
 /** Number of gangs that may reserve workers at the same time; each reservation leaves capacity idle. */
 const MAX_RESERVING_GANGS = 2;
 
-/** Steps that fit nowhere, or only in part, after which a round ends. */
+/** Steps of a service that fit nowhere, or only in part, before a round tries only a fraction of the rest. */
 const MAX_UNPLACED_STEPS = 150;
+/** One in so many of the steps behind them is tried; with rounds 0.15 s apart each has its turn within about a second. */
+const BACKLOG_STRIDE = 8;
 
 export interface PlanOptions {
   readonly nowMs: number;
@@ -28,6 +30,8 @@
   readonly budgets: ReadonlyMap<string, TeamBudget>;
   readonly maxReservingGangs?: number;
   readonly maxUnplacedSteps?: number;
+  /** Number of the round, which selects the fraction of a long backlog that is tried. */
+  readonly round?: number;
 }
 
 /** Assigns workers to tasks and charges the placements to the given workers and budgets. */
@@ -39,19 +43,20 @@
     budgets,
     maxReservingGangs = MAX_RESERVING_GANGS,
     maxUnplacedSteps = MAX_UNPLACED_STEPS,
+    round = 0,
   } = options;
   const pools = groupByService(workers);
   const reserved = new Set<string>();
   const placements: Placement[] = [];
   let reservingGangs = 0;
-  let unplacedSteps = 0;
 
-  for (const step of orderSteps(steps, nowMs)) {
+  for (const [position, step] of orderSteps(steps, nowMs).entries()) {
     const pool = pools.get(step.service);
     // Steps that wait for an answer of the advice service or for their team's other work cost next to nothing.
     if (pool === undefined || step.limits?.known === false) continue;
     if (!withinBudget(step, budgets, 1)) continue;
-    if (unplacedSteps >= maxUnplacedSteps) break;
+    const isBehind = pool.unplacedSteps >= maxUnplacedSteps;
+    if (isBehind && (position + round) % BACKLOG_STRIDE !== 0) continue;
     // Urgent work is short and may use workers that a gang has reserved.
     const isOpen = ({ id }: CandidateWorker) => step.priority === 0 || !reserved.has(id);
     const roomy = workersWithRoom(pool, step.size).filter(isOpen);
@@ -59,7 +64,7 @@
     const place = step.gang ? placeGang : placeTasks;
     const placed = startable.length === 0 ? [] : place(step, startable, budgets);
     placements.push(...placed);
-    if (placed.length < step.waiting) unplacedSteps += 1;
+    if (placed.length < step.waiting) pool.unplacedSteps += 1;
     const mustWait = step.gang && placed.length === 0;
     if (!mustWait || reservingGangs >= maxReservingGangs || isLate(step, nowMs)) continue;
     if (!withinBudget(step, budgets, step.waiting)) continue;
@@ -78,6 +83,8 @@
   readonly workers: CandidateWorker[];
   /** Free processors of each worker at the start of the round. Placements only reduce what is free. */
   freeAtStart: readonly number[];
+  /** Steps that were tried in this round and have tasks left. */
+  unplacedSteps: number;
 }
 
 function groupByService(workers: readonly CandidateWorker[]): Map<string, Pool> {
@@ -86,8 +93,9 @@
     if (worker.healthStatus === 'avoided') continue;
     if (worker.healthStatus === 'trial' && worker.runs > 0) continue;
     const pool = pools.get(worker.service);
-    if (pool === undefined) pools.set(worker.service, { workers: [worker], freeAtStart: [] });
-    else pool.workers.push(worker);
+    if (pool === undefined) {
+      pools.set(worker.service, { workers: [worker], freeAtStart: [], unplacedSteps: 0 });
+    } else pool.workers.push(worker);
   }
   for (const pool of pools.values()) {
     pool.workers.sort((left, right) => right.free.processors - left.free.processors);
