--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -217,7 +217,7 @@
         timing,
         tasks: ready.step.waitingCount,
         workers: born,
-        roomy: countAtLeast(freeProcessors, step.size.processors),
+        withRoom: countAtLeast(freeProcessors, step.size.processors),
         renew: position < RENEWED_STEPS,
         extend: position < EXTENDED_STEPS || (position + effort.rounds) % EXTEND_STRIDE === 0,
       });
--- a/src/controller/permit-client.ts
+++ b/src/controller/permit-client.ts
@@ -119,7 +119,7 @@
   /** Start of the incarnation of each usable worker by id, those with the most free processors first. */
   readonly workers: ReadonlyMap<string, number>;
   /** Number of workers at the head of `workers` that have free processors for a task of the step. */
-  readonly roomy: number;
+  readonly withRoom: number;
   readonly renew: boolean;
   /** Whether to name further workers if permits for some are known. */
   readonly extend: boolean;
@@ -254,6 +254,38 @@
     return permit.born === born && permit.validUntil - nowMs > leadMs;
   }
 
+  /** The queries that hosts can take soon, further queries for steps with permits last. */
+  function prepareQueries(requests: readonly PermitRequest[]): Query[] {
+    const queuedAt = new Map(queue.map((query) => [query.step, query.queuedAt]));
+    const callers = Math.max(1, options.callers().length);
+    const initial: Query[] = [];
+    const additional: Query[] = [];
+    let shortMs = 0;
+    let longCalls = 0;
+    for (const request of requests) {
+      const { step, timing } = request;
+      const usuallyLong = estimateCallMs(timing, DEFAULT_WORKERS_PER_CALL) > LONG_CALL_MS;
+      const isEnough = usuallyLong
+        ? longCalls >= callers * PREPARED_LONG_CALLS
+        : shortMs >= callers * PREPARED_MS;
+      if (isEnough) continue;
+      const missing = findMissing(request);
+      const { workers } = missing;
+      if (workers.size === 0) continue;
+      const expectedMs = estimateCallMs(timing, workers.size);
+      const query = { step, workers, queuedAt: queuedAt.get(step) ?? now(), expectedMs };
+      // A short additional query costs little, and the workers named before may be full by now.
+      if (missing.additional && expectedMs > LONG_CALL_MS) {
+        if (additional.length < callers) additional.push(query);
+        continue;
+      }
+      initial.push(query);
+      if (usuallyLong) longCalls += 1;
+      else shortMs += expectedMs;
+    }
+    return [...initial, ...additional];
+  }
+
   /** Workers to name in the next query for the step; none while a call is in flight. */
   function findMissing({ step, timing, workers, ...request }: PermitRequest): MissingPermits {
     const known = steps.get(step) ?? { permits: new Map<string, Permit>(), pending: false };
@@ -272,7 +304,7 @@
     );
     const unrequested = new Map<string, number>();
     // A full worker is of use to a step only once it has room, and the permit may have expired by then.
-    let left = additional ? request.roomy : workers.size;
+    let left = additional ? request.withRoom : workers.size;
     for (const [worker, born] of workers) {
       if (left <= 0 || unrequested.size >= limit) break;
       left -= 1;
@@ -303,40 +335,7 @@
 
   return {
     requestMissing: (requests) => {
-      const queuedAt = new Map(queue.map((query) => [query.step, query.queuedAt]));
-      const initial: Query[] = [];
-      const additional: Query[] = [];
-      const callers = Math.max(1, options.callers().length);
-      let shortMs = 0;
-      let longCalls = 0;
-      for (const request of requests) {
-        const usualMs = estimateCallMs(request.timing, DEFAULT_WORKERS_PER_CALL);
-        const enough =
-          usualMs > LONG_CALL_MS
-            ? longCalls >= callers * PREPARED_LONG_CALLS
-            : shortMs >= callers * PREPARED_MS;
-        if (enough) continue;
-        const missing = findMissing(request);
-        const { workers } = missing;
-        if (workers.size === 0) continue;
-        const expectedMs = estimateCallMs(request.timing, workers.size);
-        // A short additional query costs little, and the workers named before may be full by now.
-        const isAdditional = missing.additional && expectedMs > LONG_CALL_MS;
-        const query = {
-          step: request.step,
-          workers,
-          queuedAt: queuedAt.get(request.step) ?? now(),
-          expectedMs,
-        };
-        if (isAdditional) {
-          if (additional.length < callers) additional.push(query);
-          continue;
-        }
-        initial.push(query);
-        if (usualMs > LONG_CALL_MS) longCalls += 1;
-        else shortMs += expectedMs;
-      }
-      queue = [...initial, ...additional];
+      queue = prepareQueries(requests);
       dispatchQueued();
     },
     ticket: (step, worker, born) => {
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -59,8 +59,8 @@
     if (isBehind && (position + round) % BACKLOG_STRIDE !== 0) continue;
     // Urgent work is short and may use workers that a gang has reserved.
     const isOpen = ({ id }: CandidateWorker) => step.priority === 0 || !reserved.has(id);
-    const roomy = workersWithRoom(pool, step.size).filter(isOpen);
-    const startable = step.limits === undefined ? roomy : step.limits.startable(roomy);
+    const candidates = workersWithRoom(pool, step.size).filter(isOpen);
+    const startable = step.limits === undefined ? candidates : step.limits.startable(candidates);
     const place = step.gang ? placeGang : placeTasks;
     const placed = startable.length === 0 ? [] : place(step, startable, budgets);
     placements.push(...placed);
--- a/test/controller/permit-client.test.ts
+++ b/test/controller/permit-client.test.ts
@@ -48,7 +48,7 @@
     step,
     timing,
     workers: WORKERS,
-    roomy: WORKERS.size,
+    withRoom: WORKERS.size,
     tasks: 1,
     renew: true,
     extend: true,
@@ -118,7 +118,7 @@
   describe('with a pool of hundreds of workers', () => {
     const POOL = new Map(Array.from({ length: 245 }, (_, index) => [`w${String(index)}`, 1]));
     const askPool = (step: string, tasks = 1, timing = SHORT): PermitRequest => {
-      return { step, timing, workers: POOL, roomy: POOL.size, tasks, renew: true, extend: true };
+      return { step, timing, workers: POOL, withRoom: POOL.size, tasks, renew: true, extend: true };
     };
 
     it('names only the workers with the most room, and more of them for a wide step', () => {
@@ -157,12 +157,12 @@
     it('names no other workers while none has room for a task', async () => {
       // In an overload the service decided about full workers while new work waited for its first answer.
       const { client, calls, asked } = createClient(['a']);
-      client.requestMissing([{ ...askPool('s1'), roomy: 0 }]);
+      client.requestMissing([{ ...askPool('s1'), withRoom: 0 }]);
       calls[0]?.answer(GRANTED);
       await settled();
-      client.requestMissing([{ ...askPool('s1'), roomy: 48 }]);
+      client.requestMissing([{ ...askPool('s1'), withRoom: 48 }]);
       expect(asked()).to.deep.equal(['s1']);
-      client.requestMissing([{ ...askPool('s1'), roomy: 50 }]);
+      client.requestMissing([{ ...askPool('s1'), withRoom: 50 }]);
       expect(calls[1]?.workers).to.deep.equal(['w48', 'w49']);
     });
 
--- a/test/controller/repeated-starts.test.ts
+++ b/test/controller/repeated-starts.test.ts
@@ -6,8 +6,8 @@
 import { createRun } from '../../src/controller/run.js';
 import { createWorkerSession } from '../../src/controller/worker-session.js';
 import type { OrderOutcome, StartOrder } from '../../src/fleet/index.js';
-import { createProgress } from '../../src/jobs/index.js';
 import { createMeters, SILENT_EVENTS } from '../../src/observability/index.js';
+import { createSingleTask } from './support.js';
 
 const UNKNOWN = { kind: 'unknown', detail: 'the connection was reset' } as const;
 const ACCEPTED: OrderOutcome = { kind: 'accepted', clockMs: 50 };
@@ -58,32 +58,7 @@
     },
     onChange: () => undefined,
   });
-  const progress = createProgress({
-    id: 'job',
-    team: 'lawns',
-    queue: 'lookup',
-    service: 'rota',
-    spec: 'text',
-    steps: [
-      {
-        count: 1,
-        size: { processors: 1, memoryMb: 1, accelerators: 0 },
-        estimateMs: 1000,
-        after: [],
-        gang: false,
-        checkpointing: false,
-        rackSensitive: false,
-        speculative: false,
-        longRunning: false,
-      },
-    ],
-    acceptedAtMs: 0,
-    acceptedBy: 'h1',
-  });
-  const step = progress.occurrences.get(0)?.steps[0];
-  const task = step?.tasks[0];
-  if (step === undefined || task === undefined) throw new Error('no task');
-  task.run = 1;
+  const { progress, step, task } = createSingleTask(1000);
   const run = createRun({ name: 'job.0.0.0', progress, step, task, session, inherited: false });
   session.attach(run);
   await session.start(run, 'text', 'ticket');
--- a/test/controller/stalled-runs.test.ts
+++ b/test/controller/stalled-runs.test.ts
@@ -8,41 +8,16 @@
 import type { Run } from '../../src/controller/run.js';
 import { createWorkerReports } from '../../src/controller/worker-reports.js';
 import type { WorkerSession } from '../../src/controller/worker-session-types.js';
-import { createProgress } from '../../src/jobs/index.js';
 import { SILENT_EVENTS } from '../../src/observability/index.js';
 import { createWorkerHealth } from '../../src/planner/index.js';
+import { createSingleTask } from './support.js';
 
 const ESTIMATE_MS = 2000;
 /** Time without progress after which a run of this estimate counts as stalled. */
 const STALL_MS = 600;
 
 function createCase() {
-  const progress = createProgress({
-    id: 'job',
-    team: 'lawns',
-    queue: 'lookup',
-    service: 'rota',
-    spec: '',
-    steps: [
-      {
-        count: 1,
-        size: { processors: 1, memoryMb: 1, accelerators: 0 },
-        estimateMs: ESTIMATE_MS,
-        after: [],
-        gang: false,
-        checkpointing: false,
-        rackSensitive: false,
-        speculative: false,
-        longRunning: false,
-      },
-    ],
-    acceptedAtMs: 0,
-    acceptedBy: 'h1',
-  });
-  const step = progress.occurrences.get(0)?.steps[0];
-  const task = step?.tasks[0];
-  if (step === undefined || task === undefined) throw new Error('no task');
-  task.run = 1;
+  const { progress, step, task } = createSingleTask(ESTIMATE_MS);
   const runs = new Map<string, Run>();
   const session = { incarnation: { id: 'w1', born: 1 }, runs } as unknown as WorkerSession;
   const run = createRun({ name: 'job.0.0.0', progress, step, task, session, inherited: false });
