--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -20,7 +20,7 @@
 
 /** Steps of a service that fit nowhere, or only in part, before a round tries only a fraction of the rest. */
 const MAX_UNPLACED_STEPS = 150;
-/** One in so many of the steps behind them is tried; with rounds 0.15 s apart each has its turn within about a second. */
+/** One in so many of the steps behind them is tried. With rounds 0.15 s apart each has its turn in about a second. */
 const BACKLOG_STRIDE = 8;
 
 export interface PlanOptions {
