Split the orders of a session from its renewals, and use one name for each thing

Permission, next to permits, is now the freshness of the leadership and uses the election's own lease; limits of a step, next to those of a team, are its constraint; queries for further workers are additional ones everywhere. The step of two tests is shared. No behaviour is changed.

--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -13,7 +13,7 @@
 import type { FleetSessions } from './fleet-sessions.js';
 import type { JobLifecycle } from './job-lifecycle.js';
 import type { PermitClient, PermitRequest } from './permit-client.js';
-import { mayOrder } from './order-permission.js';
+import { isLeadershipFresh } from './leadership-freshness.js';
 import { pauseAfterRound } from './round-pace.js';
 import { createRun, stepNameOf } from './run.js';
 import type { Run } from './run.js';
@@ -23,10 +23,10 @@
 const IDLE_INTERVAL_MS = 100;
 /** Number of steps at the head of each queue whose tickets are renewed before they expire. */
 const RENEWED_STEPS = 6;
-/** Number of steps at the head of each queue for which further workers are named; those behind start after them. */
-const EXTENDED_STEPS = 24;
-/** One in so many of the other steps has further workers named too, so that none depends on those ahead of it. */
-const EXTEND_STRIDE = 8;
+/** Number of steps at the head of each queue for which additional queries are made; those behind start after them. */
+const ADDITIONAL_QUERY_STEPS = 24;
+/** One in so many of the other steps gets them too, so that none depends on those ahead of it. */
+const ADDITIONAL_QUERY_STRIDE = 8;
 
 export interface Dispatcher {
   /** Requests a planning round after the pause that the last round asks for. */
@@ -175,7 +175,7 @@
       requiredLabel: step.step.requiredLabel,
       maxPerWorker: step.step.maxPerWorker,
       placed,
-      limits: permitRequired
+      constraint: permitRequired
         ? {
             known: permits.isKnown(key),
             startable: (workers) =>
@@ -219,7 +219,9 @@
         workers: born,
         withRoom: countAtLeast(freeProcessors, step.size.processors),
         renew: position < RENEWED_STEPS,
-        extend: position < EXTENDED_STEPS || (position + effort.rounds) % EXTEND_STRIDE === 0,
+        additional:
+          position < ADDITIONAL_QUERY_STEPS ||
+          (position + effort.rounds) % ADDITIONAL_QUERY_STRIDE === 0,
       });
     }
     permits.requestMissing(requests);
@@ -285,7 +287,7 @@
   /** Sends the start orders of one job, or withdraws them. If any run of a gang is withdrawn, all of them are. */
   function sendOrders(runs: readonly Run[], durable: boolean, writtenAt: number) {
     if (!durable) return;
-    const permitted = mayOrder({
+    const leadershipFresh = isLeadershipFresh({
       nowMs: performance.now(),
       writtenAt,
       renewedAt: options.renewedAt(),
@@ -298,7 +300,7 @@
         ? permits.ticket(stepNameOf(run), run.session.incarnation.id, run.session.incarnation.born)
         : undefined;
       tickets.set(run, ticket);
-      const isAllowed = permitted && !stopped && (!permitRequired || ticket !== undefined);
+      const isAllowed = leadershipFresh && !stopped && (!permitRequired || ticket !== undefined);
       if (run.status !== 'logging' || !isAllowed) withdrawn.add(run);
     }
     for (const run of runs) {
@@ -314,7 +316,7 @@
           worker: run.session.incarnation.id,
           status: run.status,
           ticketed: tickets.get(run) !== undefined,
-          permitted,
+          leadershipFresh,
         });
         run.session.withdraw(run);
       } else {
--- a/src/controller/permit-client.ts
+++ b/src/controller/permit-client.ts
@@ -121,8 +121,8 @@
   /** Number of workers at the head of `workers` that have free processors for a task of the step. */
   readonly withRoom: number;
   readonly renew: boolean;
-  /** Whether to name further workers if permits for some are known. */
-  readonly extend: boolean;
+  /** Whether an additional query may name workers that were not named before. */
+  readonly additional: boolean;
 }
 
 export interface PermitClientOptions {
@@ -254,7 +254,7 @@
     return permit.born === born && permit.validUntil - nowMs > leadMs;
   }
 
-  /** The queries that hosts can take soon, further queries for steps with permits last. */
+  /** The queries that hosts can take soon, long additional ones last. */
   function prepareQueries(requests: readonly PermitRequest[]): Query[] {
     const queuedAt = new Map(queue.map((query) => [query.step, query.queuedAt]));
     const callers = Math.max(1, options.callers().length);
@@ -297,7 +297,7 @@
       if (expiring.size > 0) return { workers: expiring, additional: false };
     }
     const additional = known.permits.size > 0;
-    if (additional && !request.extend) return { workers: new Map(), additional };
+    if (additional && !request.additional) return { workers: new Map(), additional };
     const limit = Math.min(
       MAX_WORKERS_PER_CALL,
       Math.max(DEFAULT_WORKERS_PER_CALL, request.tasks * WORKERS_PER_TASK),
--- a/src/controller/round-pace.ts
+++ b/src/controller/round-pace.ts
@@ -8,7 +8,7 @@
 const MIN_PAUSE_MS = 3;
 /** Longest time that a change waits for a round; urgent work has 750 ms of slack at best. */
 const MAX_PAUSE_MS = 120;
-/** Pause as a multiple of the round's duration, so that planning takes at most an eighth of the processor. */
+/** Pause as a multiple of the round's duration, so that planning takes at most an eighth of the processor unless the pause is limited. */
 const PAUSE_PER_ROUND = 7;
 
 /** Milliseconds to wait before the next round after one that took `roundMs`. */
--- /dev/null
+++ b/src/controller/worker-orders.ts
@@ -0,0 +1,190 @@
+/**
+ * Sends start and stop orders to one incarnation of a worker and tracks their outcome. A start is sent again once if its
+ * answer was lost, a stop until it is answered.
+ */
+import type { OrderOutcome, StartOrder, WorkerConnection } from '../fleet/index.js';
+import type { EventLog, Meters } from '../observability/index.js';
+import { pause } from '../records/index.js';
+import type { LeaseClock } from './lease-clock.js';
+import type { Run, RunEnd, RunStatus } from './run.js';
+
+/** A start must reach the worker within this time; a later one is refused there. */
+const START_WINDOW_MS = 2000;
+const STOP_RETRY_MS = 200;
+/** A worker that has not answered a start for this long is given no new work; workers answer within 3 ms. */
+const OVERDUE_START_MS = 200;
+
+export interface WorkerOrders {
+  readonly start: (run: Run, spec: string, ticket: string | undefined) => Promise<void>;
+  readonly stop: (run: Run, reason: string) => void;
+  /** Whether the worker has left a start unanswered for so long that it should get no new work. */
+  hasOverdueStart(): boolean;
+}
+
+export interface WorkerOrdersOptions {
+  readonly worker: string;
+  readonly epoch: number;
+  /** Runs that the leader has on this worker, by task. */
+  readonly runs: ReadonlyMap<string, Run>;
+  /** The present connection, which changes with the worker's address. */
+  readonly connection: () => WorkerConnection;
+  readonly clock: LeaseClock;
+  /** Whether the session is open and the incarnation has not ended. */
+  readonly isOpen: () => boolean;
+  /** Called before a start is sent. */
+  readonly onStart: () => void;
+  /** Removes a run whose end is certain; resolves to whether the end is durable. */
+  readonly endRun: (run: Run, end: RunEnd, checkpoint: string) => Promise<boolean>;
+  /** Called when another incarnation answers at the worker's address. */
+  readonly onOtherIncarnation: () => void;
+  /** Called when the worker has seen a higher epoch. */
+  readonly onStaleEpoch: () => void;
+  /** Called when the worker has refused the ticket of a start. */
+  readonly onTicketRefused: (run: Run) => void;
+  /** Time in milliseconds during which this process was able to receive answers; see `responsive-clock.ts`. */
+  readonly responsiveNow: () => number;
+  readonly events: EventLog;
+  readonly meters: Meters;
+}
+
+export function createWorkerOrders(options: WorkerOrdersOptions): WorkerOrders {
+  const { worker, epoch, runs, clock, events, meters } = options;
+  /** Starts that are not answered yet, with the time on the responsive clock at which they were sent. */
+  const pendingStarts = new Map<Run, number>();
+
+  function hasOverdueStart(): boolean {
+    const [oldest] = pendingStarts.values();
+    return oldest !== undefined && options.responsiveNow() - oldest > OVERDUE_START_MS;
+  }
+
+  async function start(run: Run, spec: string, ticket: string | undefined): Promise<void> {
+    const startBeforeMs = clock.now() + START_WINDOW_MS;
+    clock.extend(startBeforeMs);
+    run.status = 'starting';
+    options.onStart();
+    run.since = performance.now();
+    run.startedAt = run.since;
+    run.progressedAt = run.since;
+    pendingStarts.set(run, options.responsiveNow());
+    const order: StartOrder = {
+      task: run.name,
+      run: run.number,
+      spec,
+      startBeforeMs,
+      epoch,
+      checkpoint: run.task.checkpoint,
+      ticket,
+    };
+    let outcome = await options.connection().start(order);
+    logOrder('start', run, outcome, { ticketed: ticket !== undefined });
+    const isOpen = options.isOpen() && runs.get(run.name) === run;
+    if (outcome.kind === 'unknown' && isOpen && transition(run, 'starting', 'in-doubt')) {
+      outcome = await repeatStart(run, order);
+    }
+    pendingStarts.delete(run);
+    if (runs.get(run.name) !== run) return;
+    if (outcome.kind === 'accepted') {
+      run.answeredMs = performance.now() - run.startedAt;
+      clock.note(outcome.clockMs);
+      run.progressedClockMs ??= outcome.clockMs;
+      transition(run, 'starting', 'running');
+      transition(run, 'in-doubt', 'running');
+      return;
+    }
+    if (outcome.kind === 'other-life') {
+      options.onOtherIncarnation();
+      return;
+    }
+    if (outcome.kind === 'unknown') return;
+    clock.note(outcome.clockMs);
+    // A refused start has extended the lease, too.
+    if (outcome.reason === 'stale-epoch') options.onStaleEpoch();
+    if (outcome.reason === 'no-permit') options.onTicketRefused(run);
+    await options.endRun(run, 'never-ran', '');
+  }
+
+  /**
+   * Sends a start again whose answer was lost. The worker accepts it also if it has the run already, so one lost answer
+   * does not end a whole gang. Any other answer leaves the run in doubt, because the first order may still arrive or
+   * the run may have ended; the reports of the worker decide.
+   */
+  async function repeatStart(run: Run, order: StartOrder): Promise<OrderOutcome> {
+    const outcome = await options.connection().start(order);
+    logOrder('start', run, outcome, { repeated: true });
+    if (outcome.kind !== 'refused') return outcome;
+    clock.note(outcome.clockMs);
+    if (outcome.reason === 'stale-epoch') options.onStaleEpoch();
+    return { kind: 'unknown', detail: `then refused: ${outcome.reason}` };
+  }
+
+  function stop(run: Run, reason: string) {
+    if (run.status === 'stopping' || runs.get(run.name) !== run) return;
+    const ordered = run.status !== 'logging';
+    run.status = 'stopping';
+    run.since = performance.now();
+    run.stopReason = reason;
+    events.info('stop-decided', {
+      job: run.progress.job.id,
+      task: run.name,
+      run: run.number,
+      worker,
+      reason,
+      percent: run.percent,
+    });
+    if (ordered) void sendStop(run);
+    // The dispatcher withdraws an order that is not sent yet when it sees the status.
+  }
+
+  async function sendStop(run: Run) {
+    while (options.isOpen() && runs.get(run.name) === run && run.stopAnsweredAt === undefined) {
+      const outcome = await options.connection().stop({ task: run.name, run: run.number, epoch });
+      logOrder('stop', run, outcome, { reason: run.stopReason });
+      if (outcome.kind === 'accepted') {
+        clock.note(outcome.clockMs);
+        run.stopAnsweredAt = performance.now();
+        return;
+      }
+      if (outcome.kind === 'other-life') {
+        options.onOtherIncarnation();
+        return;
+      }
+      if (outcome.kind === 'refused' && outcome.reason === 'stale-epoch') {
+        options.onStaleEpoch();
+        return;
+      }
+      await pause(STOP_RETRY_MS);
+    }
+  }
+
+  /** Changes the status unless a stop, for instance, has changed it in the meantime; returns whether it did. */
+  function transition(run: Run, from: RunStatus, to: RunStatus): boolean {
+    if (run.status !== from) return false;
+    run.status = to;
+    run.since = performance.now();
+    return true;
+  }
+
+  function logOrder(
+    order: 'start' | 'stop',
+    run: Run,
+    outcome: OrderOutcome,
+    fields: Readonly<Record<string, unknown>>,
+  ) {
+    const result = outcome.kind === 'refused' ? outcome.reason : outcome.kind;
+    meters.orders.inc({ order, outcome: result });
+    const line = {
+      job: run.progress.job.id,
+      task: run.name,
+      run: run.number,
+      worker,
+      epoch,
+      outcome: result,
+      ...fields,
+    };
+    // Nearly every order is accepted; the end of the run then tells how long the answer took.
+    if (outcome.kind === 'accepted') events.debug(`${order}-answered`, line);
+    else events.warn(`${order}-not-accepted`, line);
+  }
+
+  return { start, stop, hasOverdueStart };
+}
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -1,17 +1,18 @@
 /**
- * The leader's session with one incarnation of a worker: renews its lease, collects the ends of runs, sends orders and
- * decides when a run has certainly ended.
+ * The leader's session with one incarnation of a worker: renews its lease, collects the ends of runs and decides when a
+ * run has certainly ended.
  *
  * A worker that does not answer may continue until its lease expires on its own clock, which may run 2 % slow. Until
  * then its runs stay charged and are not started elsewhere.
  */
-import type { OrderOutcome, StartOrder, WorkerConnection } from '../fleet/index.js';
+import type { WorkerConnection } from '../fleet/index.js';
 import { addResources, NO_RESOURCES, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
 import { pause } from '../records/index.js';
 import { createLeaseClock } from './lease-clock.js';
 import { stallTimeoutMs } from './run.js';
-import type { Run, RunEnd, RunStatus } from './run.js';
+import type { Run, RunEnd } from './run.js';
+import { createWorkerOrders } from './worker-orders.js';
 import { createWorkerReports } from './worker-reports.js';
 import type { WorkerSessionOptions, WorkerSession } from './worker-session-types.js';
 
@@ -24,18 +25,13 @@
 const RENEWAL_WAIT_MS = 900;
 /** Least interval between renewals after one that failed. */
 const RETRY_MS = 150;
-/** A start must reach the worker within this time; a later one is refused there. */
-export const START_WINDOW_MS = 2000;
 /** Time that a renewal waits while the effect of a start or stop is uncertain, so that the next report comes soon. */
 const UNCERTAIN_WAIT_MS = 100;
-const STOP_RETRY_MS = 200;
 /**
  * Least interval between renewals, which are answered at once while runs end. Members of a gang and tasks of a step end
  * within milliseconds of each other, and one answer then reports them all.
  */
 const MIN_PAUSE_MS = 20;
-/** A worker that has not answered a start for this long is given no new work; workers answer within 3 ms. */
-const OVERDUE_ORDER_MS = 200;
 /**
  * Least interval between renewals while ends are not durable. A worker answers at once as long as it has ends that are
  * not acknowledged.
@@ -68,15 +64,35 @@
     inheritedLeaseUntil: options.inheritedLeaseUntil,
     isConfirmed: () => confirmed,
   });
-  /** Starts that are not answered yet, with the time on the responsive clock at which they were sent. */
-  const pendingOrders = new Map<Run, number>();
   let wake: () => void = () => undefined;
+  const orders = createWorkerOrders({
+    worker: incarnation.id,
+    epoch,
+    runs,
+    connection: () => connection,
+    clock,
+    isOpen: () => !closed && !ended,
+    onStart: () => {
+      wake();
+    },
+    endRun,
+    onOtherIncarnation: () => {
+      endIncarnation('another incarnation answers at its address');
+    },
+    onStaleEpoch: () => {
+      options.onStaleEpoch(incarnation.id);
+    },
+    onTicketRefused: options.onTicketRefused,
+    responsiveNow: options.responsiveNow,
+    events,
+    meters,
+  });
   const reports = createWorkerReports({
     worker: incarnation.id,
     epoch,
     runs,
     endRun,
-    stop,
+    stop: orders.stop,
     stopForeign: (task, run) => {
       void connection.stop({ task, run, epoch });
     },
@@ -108,7 +124,7 @@
     },
     get reachable() {
       if (!confirmed || ended || reports.foreignRuns > 0) return false;
-      return silentRenewals < MAX_SILENT_RENEWALS && !hasOverdueOrder();
+      return silentRenewals < MAX_SILENT_RENEWALS && !orders.hasOverdueStart();
     },
     get ended() {
       return ended;
@@ -120,8 +136,8 @@
       runs.set(run.name, run);
       used = addResources(used, run.size);
     },
-    start,
-    stop,
+    start: orders.start,
+    stop: orders.stop,
     withdraw: (run) => {
       void endRun(run, 'never-ran', '');
     },
@@ -139,140 +155,6 @@
     return address === '' ? UNREACHABLE_CONNECTION : options.connect(address, incarnation);
   }
 
-  function hasOverdueOrder(): boolean {
-    const [oldest] = pendingOrders.values();
-    return oldest !== undefined && options.responsiveNow() - oldest > OVERDUE_ORDER_MS;
-  }
-
-  async function start(run: Run, spec: string, ticket: string | undefined): Promise<void> {
-    const startBeforeMs = clock.now() + START_WINDOW_MS;
-    clock.extend(startBeforeMs);
-    run.status = 'starting';
-    wake();
-    run.since = performance.now();
-    run.startedAt = run.since;
-    run.progressedAt = run.since;
-    pendingOrders.set(run, options.responsiveNow());
-    const order: StartOrder = {
-      task: run.name,
-      run: run.number,
-      spec,
-      startBeforeMs,
-      epoch,
-      checkpoint: run.task.checkpoint,
-      ticket,
-    };
-    let outcome = await connection.start(order);
-    logOrder('start', run, outcome, { ticketed: ticket !== undefined });
-    const isOpen = !closed && !ended && runs.get(run.name) === run;
-    if (outcome.kind === 'unknown' && isOpen && transition(run, 'starting', 'in-doubt')) {
-      outcome = await repeatStart(run, order);
-    }
-    pendingOrders.delete(run);
-    if (runs.get(run.name) !== run) return;
-    if (outcome.kind === 'accepted') {
-      run.answeredMs = performance.now() - run.startedAt;
-      clock.note(outcome.clockMs);
-      run.progressedClockMs ??= outcome.clockMs;
-      transition(run, 'starting', 'running');
-      transition(run, 'in-doubt', 'running');
-      return;
-    }
-    if (outcome.kind === 'other-life') {
-      endIncarnation('another incarnation answers at its address');
-      return;
-    }
-    if (outcome.kind === 'unknown') return;
-    clock.note(outcome.clockMs);
-    // A refused start has extended the lease, too.
-    if (outcome.reason === 'stale-epoch') options.onStaleEpoch(incarnation.id);
-    if (outcome.reason === 'no-permit') options.onTicketRefused(run);
-    await endRun(run, 'never-ran', '');
-  }
-
-  /**
-   * Sends a start again whose answer was lost. The worker accepts it also if it has the run already, so one lost answer
-   * does not end a whole gang. Any other answer leaves the run in doubt, because the first order may still arrive or
-   * the run may have ended; the reports of the worker decide.
-   */
-  async function repeatStart(run: Run, order: StartOrder): Promise<OrderOutcome> {
-    const outcome = await connection.start(order);
-    logOrder('start', run, outcome, { repeated: true });
-    if (outcome.kind !== 'refused') return outcome;
-    clock.note(outcome.clockMs);
-    if (outcome.reason === 'stale-epoch') options.onStaleEpoch(incarnation.id);
-    return { kind: 'unknown', detail: `then refused: ${outcome.reason}` };
-  }
-
-  function stop(run: Run, reason: string) {
-    if (run.status === 'stopping' || runs.get(run.name) !== run) return;
-    const ordered = run.status !== 'logging';
-    run.status = 'stopping';
-    run.since = performance.now();
-    run.stopReason = reason;
-    events.info('stop-decided', {
-      job: run.progress.job.id,
-      task: run.name,
-      run: run.number,
-      worker: incarnation.id,
-      reason,
-      percent: run.percent,
-    });
-    if (ordered) void sendStop(run);
-    // The dispatcher withdraws an order that is not sent yet when it sees the status.
-  }
-
-  async function sendStop(run: Run) {
-    while (!closed && !ended && runs.get(run.name) === run && run.stopAnsweredAt === undefined) {
-      const outcome = await connection.stop({ task: run.name, run: run.number, epoch });
-      logOrder('stop', run, outcome, { reason: run.stopReason });
-      if (outcome.kind === 'accepted') {
-        clock.note(outcome.clockMs);
-        run.stopAnsweredAt = performance.now();
-        return;
-      }
-      if (outcome.kind === 'other-life') {
-        endIncarnation('another incarnation answers at its address');
-        return;
-      }
-      if (outcome.kind === 'refused' && outcome.reason === 'stale-epoch') {
-        options.onStaleEpoch(incarnation.id);
-        return;
-      }
-      await pause(STOP_RETRY_MS);
-    }
-  }
-
-  /** Changes the status unless a stop, for instance, has changed it in the meantime; returns whether it did. */
-  function transition(run: Run, from: RunStatus, to: RunStatus): boolean {
-    if (run.status !== from) return false;
-    run.status = to;
-    run.since = performance.now();
-    return true;
-  }
-
-  function logOrder(
-    order: 'start' | 'stop',
-    run: Run,
-    outcome: OrderOutcome,
-    fields: Readonly<Record<string, unknown>>,
-  ) {
-    const result = outcome.kind === 'refused' ? outcome.reason : outcome.kind;
-    meters.orders.inc({ order, outcome: result });
-    const line = {
-      job: run.progress.job.id,
-      task: run.name,
-      run: run.number,
-      worker: incarnation.id,
-      epoch,
-      outcome: result,
-      ...fields,
-    };
-    // Nearly every order is accepted; the end of the run then tells how long the answer took.
-    if (outcome.kind === 'accepted') events.debug(`${order}-answered`, line);
-    else events.warn(`${order}-not-accepted`, line);
-  }
-
   /** Removes a run whose end is certain and reports the end to the controller. */
   function endRun(run: Run, end: RunEnd, checkpoint: string): Promise<boolean> {
     if (runs.get(run.name) !== run) return Promise.resolve(true);
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -22,7 +22,7 @@
  * Lifetime of the leader's lease, unless the store's minimum is longer; a silent leader is replaced after this time.
  * A new leader on a host that has just started can be busy for half a second with reading all jobs.
  */
-const LEASE_MS = 1200;
+export const LEADER_LEASE_MS = 1200;
 /** Allows several renewals in a lease, so that one lost response does not cost the leadership. */
 const RENEW_INTERVAL_MS = 250;
 /** Above the 240 ms of a slow store; after a lost response there must be time for another renewal. */
@@ -188,7 +188,7 @@
     const continues = held?.term.epoch === lastEpoch;
     if (held !== undefined && !continues) stepDown('another epoch has started');
     const epoch = continues ? lastEpoch : lastEpoch + 1;
-    const grant = await store.grantLease(Math.max(LEASE_MS, options.minLeaseMs));
+    const grant = await store.grantLease(Math.max(LEADER_LEASE_MS, options.minLeaseMs));
     if (grant.isErr()) return;
     const sentAt = performance.now();
     const outcome = await store.transact(
--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -25,7 +25,7 @@
 }
 
 /** Selects workers for a step that may not run on all of them. */
-export interface PlacementLimits {
+export interface PlacementConstraint {
   /** Whether any worker is known on which the step may run. */
   readonly known: boolean;
   /** Those of the workers on which the step may start now. */
@@ -63,7 +63,7 @@
   /** Number of tasks of the step on each worker, by worker id. */
   readonly placed: ReadonlyMap<string, number>;
   /** Undefined if the step may run on any worker. */
-  readonly limits: PlacementLimits | undefined;
+  readonly constraint: PlacementConstraint | undefined;
   /** Whether a retry of the task should avoid the worker. */
   readonly avoids: (task: number, worker: string) => boolean;
 }
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -21,7 +21,7 @@
 /** Steps of a service that fit nowhere, or only in part, before a round tries only a fraction of the rest. */
 const MAX_UNPLACED_STEPS = 150;
 /** One in so many of the steps behind them is tried. With rounds 0.15 s apart each has its turn in about a second. */
-const BACKLOG_STRIDE = 8;
+const TAIL_STRIDE = 8;
 
 export interface PlanOptions {
   readonly nowMs: number;
@@ -53,14 +53,15 @@
   for (const [position, step] of orderSteps(steps, nowMs).entries()) {
     const pool = pools.get(step.service);
     // Steps that wait for an answer of the advice service or for their team's other work cost next to nothing.
-    if (pool === undefined || step.limits?.known === false) continue;
+    if (pool === undefined || step.constraint?.known === false) continue;
     if (!withinBudget(step, budgets, 1)) continue;
     const isBehind = pool.unplacedSteps >= maxUnplacedSteps;
-    if (isBehind && (position + round) % BACKLOG_STRIDE !== 0) continue;
+    if (isBehind && (position + round) % TAIL_STRIDE !== 0) continue;
     // Urgent work is short and may use workers that a gang has reserved.
     const isOpen = ({ id }: CandidateWorker) => step.priority === 0 || !reserved.has(id);
     const candidates = workersWithRoom(pool, step.size).filter(isOpen);
-    const startable = step.limits === undefined ? candidates : step.limits.startable(candidates);
+    const startable =
+      step.constraint === undefined ? candidates : step.constraint.startable(candidates);
     const place = step.gang ? placeGang : placeTasks;
     const placed = startable.length === 0 ? [] : place(step, startable, budgets);
     placements.push(...placed);
@@ -69,7 +70,7 @@
     if (!mustWait || reservingGangs >= maxReservingGangs || isLate(step, nowMs)) continue;
     if (!withinBudget(step, budgets, step.waiting)) continue;
     const open = pool.workers.filter(isOpen);
-    const runnable = step.limits === undefined ? open : step.limits.runnable(open);
+    const runnable = step.constraint === undefined ? open : step.constraint.runnable(open);
     const reservation = workersToReserve(step, runnable);
     if (reservation.length === 0) continue;
     reservingGangs += 1;
--- a/test/controller/permit-client.test.ts
+++ b/test/controller/permit-client.test.ts
@@ -51,7 +51,7 @@
     withRoom: WORKERS.size,
     tasks: 1,
     renew: true,
-    extend: true,
+    additional: true,
   };
 }
 
@@ -118,7 +118,15 @@
   describe('with a pool of hundreds of workers', () => {
     const POOL = new Map(Array.from({ length: 245 }, (_, index) => [`w${String(index)}`, 1]));
     const askPool = (step: string, tasks = 1, timing = SHORT): PermitRequest => {
-      return { step, timing, workers: POOL, withRoom: POOL.size, tasks, renew: true, extend: true };
+      return {
+        step,
+        timing,
+        workers: POOL,
+        withRoom: POOL.size,
+        tasks,
+        renew: true,
+        additional: true,
+      };
     };
 
     it('names only the workers with the most room, and more of them for a wide step', () => {
@@ -171,7 +179,7 @@
       client.requestMissing([askPool('s1')]);
       calls[0]?.answer(GRANTED);
       await settled();
-      client.requestMissing([{ ...askPool('s1'), extend: false }]);
+      client.requestMissing([{ ...askPool('s1'), additional: false }]);
       expect(asked()).to.deep.equal(['s1']);
     });
 
--- a/test/controller/support.ts
+++ b/test/controller/support.ts
@@ -1,6 +1,7 @@
 /** Builds a job with one task, whose first run can be created at once. */
 import type { JobProgress, StepProgress, TaskProgress } from '../../src/jobs/index.js';
 import { createProgress } from '../../src/jobs/index.js';
+import { STEP } from '../jobs/support.js';
 
 export interface SingleTask {
   readonly progress: JobProgress;
@@ -15,19 +16,7 @@
     queue: 'lookup',
     service: 'rota',
     spec: 'text',
-    steps: [
-      {
-        count: 1,
-        size: { processors: 1, memoryMb: 1, accelerators: 0 },
-        estimateMs,
-        after: [],
-        gang: false,
-        checkpointing: false,
-        rackSensitive: false,
-        speculative: false,
-        longRunning: false,
-      },
-    ],
+    steps: [{ ...STEP, count: 1, estimateMs }],
     acceptedAtMs: 0,
     acceptedBy: 'h1',
   });
--- a/test/jobs/records.test.ts
+++ b/test/jobs/records.test.ts
@@ -19,19 +19,8 @@
   completeOccurrences,
 } from '../../src/jobs/index.js';
 import { expectDefined } from '../platform-path/support.js';
-import type { Job, Step } from '../../src/jobs/index.js';
-
-const STEP: Step = {
-  count: 3,
-  size: { processors: 1, memoryMb: 100, accelerators: 0 },
-  estimateMs: 100,
-  after: [],
-  gang: false,
-  checkpointing: false,
-  rackSensitive: false,
-  speculative: false,
-  longRunning: false,
-};
+import type { Job } from '../../src/jobs/index.js';
+import { STEP } from './support.js';
 
 const JOB: Job = {
   id: 'a1',
--- a/test/planner/plan.test.ts
+++ b/test/planner/plan.test.ts
@@ -6,7 +6,7 @@
 import { fitsWithin } from '../../src/model/index.js';
 import { orderSteps, planRound } from '../../src/planner/index.js';
 import type { WaitingStep } from '../../src/planner/index.js';
-import { amount, candidate, limitTo, waiting } from './support.js';
+import { amount, candidate, constrainTo, waiting } from './support.js';
 
 describe('planning', () => {
   describe('order of waiting steps', () => {
@@ -83,14 +83,14 @@
       // A leader with hundreds of waiting steps spent most of its time on looking up workers for each task.
       for (const startable of [[], ['w3', 'w4']]) {
         let lookups = 0;
-        const limits = {
-          ...limitTo(startable, (candidates) => {
+        const constraint = {
+          ...constrainTo(startable, (candidates) => {
             lookups += candidates.length;
           }),
           known: true,
         };
         const tasks = Array.from({ length: 50 }, (_, index) => index);
-        const steps = [waiting('wide', { tasks, limits })];
+        const steps = [waiting('wide', { tasks, constraint })];
         const placed = planRound({ nowMs: 0, workers: workers(), steps, budgets: new Map() });
         expect(lookups).to.equal(10);
         expect(new Set(placed.map(({ worker }) => worker))).to.deep.equal(new Set(startable));
@@ -100,21 +100,21 @@
     it('asks only for workers that have room for a task', () => {
       const mixed = workers().map((worker, index) => ({ ...worker, free: amount(index) }));
       const asked: string[] = [];
-      const limits = {
-        ...limitTo([], (candidates) => {
+      const constraint = {
+        ...constrainTo([], (candidates) => {
           asked.push(...candidates.map(({ id }) => id));
         }),
         known: true,
       };
-      const steps = [waiting('large', { size: amount(8), limits })];
+      const steps = [waiting('large', { size: amount(8), constraint })];
       planRound({ nowMs: 0, workers: mixed, steps, budgets: new Map() });
       expect(asked).to.have.members(['w8', 'w9']);
     });
 
     it('reserves workers for a gang only where it may run', () => {
       const full = workers().map((worker) => ({ ...worker, free: amount(4) }));
-      const limits = limitTo(['w0', 'w1']);
-      const gang = waiting('gang', { gang: true, size: amount(20), tasks: [0, 1], limits });
+      const constraint = constrainTo(['w0', 'w1']);
+      const gang = waiting('gang', { gang: true, size: amount(20), tasks: [0, 1], constraint });
       const narrow = waiting('narrow', { objectiveAtMs: 20_000, size: amount(4), tasks: [0] });
       const options = { nowMs: 0, steps: [gang, narrow], budgets: new Map() };
       const placed = planRound({ ...options, workers: full });
@@ -152,13 +152,13 @@
 
     it('looks at an eighth of the steps behind the first ones', () => {
       let lookups = 0;
-      const limits = {
-        ...limitTo([], () => {
+      const constraint = {
+        ...constrainTo([], () => {
           lookups += 1;
         }),
         known: true,
       };
-      planBehind({ limits }, { count: 950 });
+      planBehind({ constraint }, { count: 950 });
       expect(lookups).to.be.within(150 + 95, 150 + 105);
     });
 
@@ -177,7 +177,7 @@
 
     it('does not hold up others behind steps that wait for the advice service', () => {
       for (const round of [0, 1, 2])
-        expect(planBehind({ limits: limitTo([]) }, { round })).to.include('small');
+        expect(planBehind({ constraint: constrainTo([]) }, { round })).to.include('small');
     });
   });
 
--- a/test/planner/support.ts
+++ b/test/planner/support.ts
@@ -1,6 +1,6 @@
 /** Builders for the planner's inputs. */
 import type { Resources } from '../../src/model/index.js';
-import type { CandidateWorker, PlacementLimits, WaitingStep } from '../../src/planner/index.js';
+import type { CandidateWorker, PlacementConstraint, WaitingStep } from '../../src/planner/index.js';
 
 export function amount(processors: number, memoryMb = processors * 100): Resources {
   return { processors, memoryMb, accelerators: 0 };
@@ -41,17 +41,17 @@
     requiredLabel: undefined,
     maxPerWorker: undefined,
     placed: new Map(),
-    limits: undefined,
+    constraint: undefined,
     avoids: () => false,
     ...options,
   };
 }
 
 /** Limits a step to the named workers; `onStartable` gets the workers that the planner asks about. */
-export function limitTo(
+export function constrainTo(
   ids: readonly string[],
   onStartable: (workers: readonly CandidateWorker[]) => void = () => undefined,
-): PlacementLimits {
+): PlacementConstraint {
   const select = (workers: readonly CandidateWorker[]) =>
     workers.filter(({ id }) => ids.includes(id));
   return {
