--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -13,9 +13,10 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { startStore } from '../dist/stand-ins/platform/store.js';
+import { startProxy } from './proxy.mjs';
 import { startWorkerLife } from './worker.mjs';
 
-export { startProxy } from './proxy.mjs';
+export { startProxy };
 
 /** Disruptions are left out with TROUBLE=0. */
 export const TROUBLE = process.env.TROUBLE !== '0';
@@ -93,7 +94,15 @@
   }
 }
 
-function createCell({ note, now, hosts = 3, zones = ['centro'], routes, cap, storeProxy }) {
+function createCell({
+  note,
+  now,
+  hosts = 3,
+  zones = ['centro'],
+  routes,
+  cap,
+  storeProxies = false,
+}) {
   const folder = mkdtempSync(join(tmpdir(), 'review-'));
   const network = `127.${String(randomInt(10, 250))}.${String(randomInt(1, 250))}`;
   const agent = new Agent({ keepAlive: true });
@@ -102,8 +111,6 @@
   const runs = [];
   let store;
   let version = 0;
-  let storeAddress;
-  let proxy;
 
   function record(event) {
     runs.push({ ...event, at: now() });
@@ -130,7 +137,7 @@
     );
   }
 
-  function settingsOf({ name, ip, zone }) {
+  function settingsOf({ name, ip, zone, storeAddress }) {
     return `
 node-name = "${name}"
 role = "host"
@@ -179,12 +186,18 @@
 `;
   }
 
-  function createDaemon(number) {
+  async function createDaemon(number) {
     const name = `frontend-${String(number)}`;
     const ip = `${network}.${String(number)}`;
     const settings = join(folder, `${name}.toml`);
-    writeFileSync(settings, settingsOf({ name, ip, zone: zones[(number - 1) % zones.length] }));
-    const daemon = { name, ip, child: undefined, output: '', exits: [] };
+    const zone = zones[(number - 1) % zones.length];
+    const [storeHost, storePort] = store.address.split(':');
+    const storeProxy = storeProxies
+      ? await startProxy({ host: storeHost, port: Number(storePort) })
+      : undefined;
+    const storeAddress = storeProxy?.address ?? store.address;
+    writeFileSync(settings, settingsOf({ name, ip, zone, storeAddress }));
+    const daemon = { name, ip, zone, storeProxy, child: undefined, output: '' };
     daemon.launch = () => {
       const [program, ...args] = readRunCommand();
       const child = spawn(program === 'node' ? process.execPath : program, args, {
@@ -198,7 +211,6 @@
       child.stdout.on('data', keep);
       child.stderr.on('data', keep);
       child.on('exit', (code, signal) => {
-        daemon.exits.push(signal ?? code);
         note(`${name} ended: ${String(signal ?? code)}`);
       });
       note(`${name} started at ${ip}`);
@@ -261,19 +273,10 @@
     runs,
     write,
     call,
-    /** The proxy between the daemons and the store, with `storeProxy`. */
-    get storeProxy() {
-      return proxy;
-    },
     start: async () => {
       store = await startStore();
-      storeAddress = store.address;
-      if (storeProxy !== undefined) {
-        proxy = await storeProxy(store.address);
-        storeAddress = proxy.address;
-      }
       configure(routes);
-      for (let number = 1; number <= hosts; number += 1) createDaemon(number).launch();
+      for (let number = 1; number <= hosts; number += 1) (await createDaemon(number)).launch();
       await eventually(async () => {
         const ready = await Promise.all(daemons.map((daemon) => daemon.isReady()));
         return ready.every(Boolean);
@@ -331,9 +334,9 @@
     close: async () => {
       for (const { child } of daemons) child?.kill('SIGKILL');
       for (const life of workers) await life.crash();
-      proxy?.close();
       await store?.close();
       for (const daemon of daemons) {
+        daemon.storeProxy?.close();
         if (process.env.KEEP_LOGS !== undefined) {
           writeFileSync(join(process.env.KEEP_LOGS, `${daemon.name}.log`), daemon.output);
         }
--- a/review/proxy.mjs
+++ b/review/proxy.mjs
@@ -9,6 +9,9 @@
 export async function startProxy({ host, port }) {
   const pairs = new Set();
   let cut = false;
+  /** Connections on which the cut has no effect. */
+  const spared = new Set();
+  const isCut = (pair) => cut && !spared.has(pair);
 
   function openUpstream(pair) {
     pair.upstream = connect(port, host);
@@ -18,7 +21,7 @@
   }
 
   function deliver(pair, side, chunk) {
-    if (cut) pair.held[side].push(chunk);
+    if (isCut(pair)) pair.held[side].push(chunk);
     else pair[side].write(chunk);
   }
 
@@ -30,7 +33,7 @@
       pair.held.upstream = [];
       pair.upstream?.destroy();
       pairs.delete(pair);
-    } else if (!cut) {
+    } else if (!isCut(pair)) {
       pair.caller.resetAndDestroy();
       pairs.delete(pair);
     }
@@ -56,6 +59,11 @@
     get cut() {
       return cut;
     },
+    /** Cuts all but the connections that are open now, whose caller is on the same side of the partition. */
+    cutNewConnections: () => {
+      for (const pair of pairs) spared.add(pair);
+      cut = true;
+    },
     set cut(next) {
       if (next === cut) return;
       cut = next;
