--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,32 +1,50 @@
 /**
- * A job is accepted on a route with three attempts. While it runs, the operator removes the route from the config and
- * adds it again 4 s later; in between, the job's task fails once.
+ * The operator lowers a tenant's cap. A gang job that needs exactly the cap comes when nothing of the tenant runs.
  */
-import { eventually, runCase, route, sleep, TROUBLE } from '../harness.mjs';
+import { createGangs, eventually, runCase, route, sleep, spansOf, TROUBLE } from '../harness.mjs';
 
-const WORK_MS = 3000;
-const REMOVED_MS = 4000;
-const MAX_ATTEMPTS = 3;
+/** Cores of the jobs before, in thousandths: the sizes of ordinary work, in tenths of a core. */
+const SIZES = [3600, 2500, 2900, 2700, 3800, 2500, 3600, 4300, 3100, 2600, 1700, 1500];
+const CAP_BEFORE = 60_000;
+const CAP_AFTER = 24_000;
+const GANG_SIZE = 4;
+const FIRST_END_MS = 1500;
+/** The jobs end in the order in which they came. */
+const BETWEEN_ENDS_MS = 150;
+const FINISH_MS = 14_000;
+/** RULES.md, LOST: "for 3 s, a job has nothing running". */
+const IDLE_MS = 3000;
 
-await runCase(import.meta.url, { routes: [route('bookings'), route('seasons')] }, async (cell) => {
-  const workMs = () => WORK_MS;
-  // The first run fails, by its own fault or the worker's; all others succeed.
-  const outcome = (task, run) => (run === 1 ? 'failed' : 'done');
-  for (const id of ['w-1', 'w-2', 'w-3']) await cell.addWorker({ id, workMs, outcome });
+const options = { routes: [route('planning')], cap: { cpu: CAP_BEFORE } };
+await runCase(import.meta.url, options, async (cell) => {
+  const gangs = createGangs({ sizeOf: (spec) => (spec === 'gang' ? GANG_SIZE : 1) });
+  const workMs = (spec) => (spec === 'gang' ? 1000 : Number(spec));
+  for (const id of ['w-1', 'w-2', 'w-3']) await cell.addWorker({ id, gangs, workMs });
   const [host] = cell.daemons;
   await sleep(3500);
-  const steps = [{ count: 1, cpu: 2000, 'mem-mb': 4000, 'estimate-ms': WORK_MS }];
-  const job = await cell.submit(host, 'seasons', { spec: 'season', steps });
-  await eventually(() => cell.runs.length > 0, 'the start of the task');
-  if (TROUBLE) cell.configure([route('bookings')]);
-  await sleep(REMOVED_MS);
-  if (TROUBLE) cell.configure([route('bookings'), route('seasons')]);
-  // Longer than config-apply-ms and two more runs.
-  await sleep(3 * WORK_MS);
-  const state = await cell.state(host, 'seasons', job);
-  const failures = cell.runs.filter(({ how }) => how === 'failed').length;
-  if (state !== 'failed' || failures >= MAX_ATTEMPTS) return [];
+  const jobs = [];
+  for (const [index, cpu] of SIZES.entries()) {
+    const spec = String(FIRST_END_MS + index * BETWEEN_ENDS_MS);
+    const steps = [{ count: 1, cpu, 'mem-mb': 500, 'estimate-ms': Number(spec) }];
+    jobs.push(await cell.submit(host, 'planning', { spec, steps }));
+  }
+  await eventually(async () => {
+    const states = await Promise.all(jobs.map((id) => cell.state(host, 'planning', id)));
+    if (states.every((state) => state === 'completed')) return true;
+    await sleep(500);
+    return false;
+  }, 'the end of the jobs before');
+  if (TROUBLE) cell.configure([route('planning')], { cpu: CAP_AFTER });
+  await sleep(3000);
+
+  const cpu = CAP_AFTER / GANG_SIZE;
+  const gang = { count: GANG_SIZE, cpu, 'mem-mb': 500, 'estimate-ms': 1000, gang: true };
+  const job = await cell.submit(host, 'planning', { spec: 'gang', steps: [gang] });
+  await sleep(FINISH_MS + IDLE_MS);
+  const state = await cell.state(host, 'planning', job);
+  const spans = spansOf(cell.runs.filter(({ task }) => task.startsWith(job)));
+  if (state === 'completed' || spans.length > 0) return [];
   return [
-    `LOST: job ${job} is shown as failed after ${String(failures)} failed run; max-attempts of its route is ${String(MAX_ATTEMPTS)}`,
+    `LOST: gang job ${job} is ${String(state)} ${String(FINISH_MS + IDLE_MS)} ms after its acceptance, and nothing of it has run, while its tenant ran nothing and all three workers were idle`,
   ];
 });
--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -124,16 +124,16 @@
     store.items.apply([{ key, value: Buffer.from(value).toString('base64'), lease: 0 }], []);
   }
 
-  function configure(nextRoutes) {
+  function configure(nextRoutes, nextCap = cap) {
     version += 3;
-    const tenants = [{ name: 'lawns', 'api-keys': [KEY], weight: 50, cap: cap ?? {} }];
+    const tenants = [{ name: 'lawns', 'api-keys': [KEY], weight: 50, cap: nextCap }];
     const services = [{ name: SERVICE, 'admission-control': false }];
     write(
       'op/config',
       JSON.stringify({ version, routes: nextRoutes, services, limits: {}, tenants }),
     );
     note(
-      `operator: version ${String(version)} with routes ${nextRoutes.map(({ name }) => name).join(', ')}`,
+      `operator: version ${String(version)} with routes ${nextRoutes.map(({ name }) => name).join(', ')} and cap ${JSON.stringify(nextCap)}`,
     );
   }
 
