--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -81,6 +81,12 @@
     void finish(2);
   }, LIMIT_MS);
   for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => void finish(2));
+  for (const event of ['uncaughtException', 'unhandledRejection']) {
+    process.on(event, (error) => {
+      note(`could not run: ${String(error?.stack ?? error)}`);
+      void finish(2);
+    });
+  }
   try {
     await cell.start();
     const findings = await play(cell);
