Acknowledge the ends of a gang only once the job's end is durable

Cause: the first 'done' of a gang's member ends the whole job, and its write waits for the store. The ends of the other members found the job in a final state and counted as durable at once, so their workers were told to drop them while the store was away. A successor then finds the record with all members placed, no worker that runs or lists them but the first one, and with that worker gone it starts the gang again. Evidence: the new test failed before with 'expected [ false, true ] to deeply equal [ false, false ]', for ends 'done' and 'failed' and for a leader that loses its term. Change: an end that arrives after the job's final state resolves with the write of that state.

--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -50,6 +50,8 @@
 export function createJobLifecycle(options: JobLifecycleOptions): JobLifecycle {
   const { cell, health, events } = options;
   const runsByJob = new Map<string, Set<Run>>();
+  /** Writes of final states that are not durable yet, by job. */
+  const endWrites = new Map<string, Promise<boolean>>();
 
   function registerRun(run: Run) {
     const { id } = run.progress.job;
@@ -69,7 +71,8 @@
     const entry = cell.jobs.get(progress.job.id);
     if (entry === undefined || isFinal(progress.state)) {
       options.onChange();
-      return true;
+      // The final state includes this end, so the worker has to keep the end until that state is durable.
+      return endWrites.get(progress.job.id) ?? true;
     }
     if (end === 'done') health.record(run.session.incarnation.id, progress.job.id, true);
     if (end === 'failed') health.record(run.session.incarnation.id, progress.job.id, false);
@@ -88,8 +91,11 @@
 
   function writeEnd({ job, state }: JobProgress): Promise<boolean> {
     const durable = options.write(job.id, 'outcome');
+    endWrites.set(job.id, durable);
     void durable.then((written) => {
-      if (written) options.onEnded(job, state);
+      if (!written) return;
+      endWrites.delete(job.id);
+      options.onEnded(job, state);
     });
     return durable;
   }
--- /dev/null
+++ b/test/controller/job-lifecycle.test.ts
@@ -0,0 +1,91 @@
+/**
+ * Guards against ends that a worker may drop before the leader's record of them is durable. A successor then finds
+ * neither the run nor its end and starts the task again.
+ */
+import { expect } from 'chai';
+import { createCell, createJobEntry } from '../../src/controller/cell.js';
+import { createJobLifecycle } from '../../src/controller/job-lifecycle.js';
+import { createRun } from '../../src/controller/run.js';
+import type { Run } from '../../src/controller/run.js';
+import type { WorkerSession } from '../../src/controller/worker-session-types.js';
+import { createProgress } from '../../src/jobs/index.js';
+import { SILENT_EVENTS } from '../../src/observability/index.js';
+import { createWorkerHealth } from '../../src/planner/index.js';
+import { STEP } from '../jobs/support.js';
+
+/** A job of one gang of two tasks with a run each, and a store that answers only when told. */
+function createGang() {
+  const progress = createProgress({
+    id: 'job',
+    team: 'lawns',
+    queue: 'season',
+    service: 'rota',
+    spec: 'text',
+    steps: [{ ...STEP, count: 2, gang: true }],
+    acceptedAtMs: 0,
+    acceptedBy: 'h1',
+  });
+  const cell = createCell({ now: () => 0, onStepSettled: () => undefined });
+  cell.add(createJobEntry({ progress, queue: undefined, beyondShare: false }));
+  let confirmWrites: (durable: boolean) => void = () => undefined;
+  const written = new Promise<boolean>((resolve) => {
+    confirmWrites = resolve;
+  });
+  const lifecycle = createJobLifecycle({
+    cell,
+    health: createWorkerHealth({ now: () => 0 }),
+    events: SILENT_EVENTS,
+    maxAttempts: () => 1,
+    write: () => written,
+    onCompleted: () => undefined,
+    onEnded: () => undefined,
+    onChange: () => undefined,
+    now: () => 0,
+  });
+  const step = progress.occurrences.get(0)?.steps[0];
+  const runs = (step?.tasks ?? []).map((task): Run => {
+    if (step === undefined) throw new Error('the job has no step');
+    task.run = 1;
+    const session = {
+      incarnation: { id: `w${String(task.index)}`, born: 1 },
+      stop: () => undefined,
+    } as unknown as WorkerSession;
+    const name = `job.0.0.${String(task.index)}`;
+    const run = createRun({ name, progress, step, task, session, inherited: false });
+    lifecycle.registerRun(run);
+    return run;
+  });
+  return { lifecycle, runs, confirmWrites };
+}
+
+/** Whether the promise is settled once all pending microtasks have run. */
+async function isSettled(promise: Promise<unknown>): Promise<boolean> {
+  let settled = false;
+  void promise.finally(() => {
+    settled = true;
+  });
+  await new Promise((resolve) => setImmediate(resolve));
+  return settled;
+}
+
+describe('job lifecycle', () => {
+  describe('ends of a gang while the store is away', () => {
+    for (const end of ['done', 'failed'] as const) {
+      // Guards against a gang that starts again because members' ends were acknowledged before its end was durable.
+      it(`are durable only with the record of the job, whose members ended ${end}`, async () => {
+        const { lifecycle, runs, confirmWrites } = createGang();
+        const ends = runs.map((run) => lifecycle.applyEnd(run, end, ''));
+        expect(await Promise.all(ends.map(isSettled))).to.deep.equal([false, false]);
+        confirmWrites(true);
+        expect(await Promise.all(ends)).to.deep.equal([true, true]);
+      });
+    }
+
+    it('are never durable once the leader has lost its term', async () => {
+      const { lifecycle, runs, confirmWrites } = createGang();
+      const ends = runs.map((run) => lifecycle.applyEnd(run, 'done', ''));
+      confirmWrites(false);
+      expect(await Promise.all(ends)).to.deep.equal([false, false]);
+    });
+  });
+});
