Send orders only on a view of the workers of bounded age

Cause: the leader placed tasks on its copy of the workers' entries, however old. Nothing read `confirmedAt` of the follower. A watch without a response was given up after 2.2 s and the listing after it could take 1 s and fail, while writes on other connections, and so starts, went on.

The fix bounds the age of what an order rests on, whatever made it old: - `order-window.ts` derives from `drain-ms` of the settings until when an order may be carried out.

The lines task-placed, order-withdrawn, run-ended and leader-load give the age of the view, the first three also the revision of the worker's entry; the gauge sapphirewing_fleet_age_seconds shows the age. No new lines are written.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -56,6 +56,8 @@
   readonly minLeaseMs: number;
   readonly store: KeyValueStore;
   readonly fleet: FleetSource;
+  /** Time after a worker's report that it leaves from which no task may be started on it. */
+  readonly drainMs?: number;
   readonly connect: (address: string, incarnation: WorkerIncarnation) => WorkerConnection;
   readonly advise: (step: string, workers: readonly string[]) => Promise<AdviceAnswer | undefined>;
   readonly configurationKey: string;
@@ -175,6 +177,7 @@
         term,
         configuration,
         fleet: options.fleet,
+        ...(options.drainMs === undefined ? {} : { drainMs: options.drainMs }),
         connect: options.connect,
         callers: () => [localAdvice, ...hub.callers()],
         renewedAt: () => election.renewedAt,
@@ -204,6 +207,7 @@
       controller?.close();
       controller = undefined;
       meters.leader.set(0);
+      meters.fleetAgeSeconds.set(0);
       hub.disconnectAll();
     },
     onStoreRejection: () => {
@@ -240,6 +244,7 @@
     expected = now + EVENT_LOOP_CHECK_MS;
     if (controller === undefined) return;
     const leading = controller;
+    if (Number.isFinite(leading.fleetAgeMs)) meters.fleetAgeSeconds.set(leading.fleetAgeMs / 1000);
     loadReport.add(sample, now, () => leading.describeLoad());
     const isSlow = loadMonitor.note(sample, now);
     if (hub.callers().length === 0 || stopping) return;
--- a/src/controller/cell-feed.ts
+++ b/src/controller/cell-feed.ts
@@ -7,11 +7,12 @@
 import type { EventLog } from '../observability/index.js';
 import type { StoreChange, StoreEntry, Reachability, KeyValueStore } from '../records/index.js';
 import { followPrefix, pause } from '../records/index.js';
+import { followTiming } from './order-window.js';
 
 const RESTORE_RETRY_MS = 50;
 /**
- * Batch delay for changes of workers' entries. Each worker writes its entry every 1.5 s, and a worker that is
- * leaving has to be known within 2 s.
+ * Batch delay for changes of workers' entries, which adds to the age of the view. Each worker writes its entry every
+ * 1.5 s, and a worker that is leaving has to be known within 2 s.
  */
 const FLEET_BATCH_DELAY_MS = 150;
 /** Batch delay for new jobs. Hosts also announce the jobs that they accept directly, without this delay. */
@@ -20,6 +21,8 @@
 export interface CellFeed {
   /** Whether progress, workers and jobs have been read and applied. */
   readonly restored: boolean;
+  /** When the workers' entries were current for certain, in monotonic milliseconds. */
+  readonly fleetConfirmedAt: number;
   stop(): void;
 }
 
@@ -27,6 +30,8 @@
   readonly store: KeyValueStore;
   readonly reachability: Reachability;
   readonly fleetPrefix: string;
+  /** Age of the workers' entries that orders must not exceed. */
+  readonly fleetMaxAgeMs: number;
   readonly onProgress: (entries: readonly StoreEntry[]) => void;
   readonly onFleet: (entries: readonly StoreEntry[]) => void;
   readonly onFleetChange: (change: StoreChange) => void;
@@ -73,6 +78,7 @@
   const fleetFollower = followPrefix({
     store,
     prefix: options.fleetPrefix,
+    ...followTiming(options.fleetMaxAgeMs),
     batchDelayMs: FLEET_BATCH_DELAY_MS,
     events,
     reachability,
@@ -109,6 +115,9 @@
     get restored() {
       return restored;
     },
+    get fleetConfirmedAt() {
+      return fleetFollower.confirmedAt;
+    },
     stop: () => {
       stopped = true;
       fleetFollower.stop();
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -20,6 +20,7 @@
 import { createHousekeeping } from './housekeeping.js';
 import { createJobIntake } from './job-intake.js';
 import { createJobLifecycle, stopStalledRuns } from './job-lifecycle.js';
+import { createOrderWindow } from './order-window.js';
 import { createPermitClient } from './permit-client.js';
 import { createProgressLog } from './progress-log.js';
 import { createResponsiveClock } from './responsive-clock.js';
@@ -37,6 +38,8 @@
   addAcceptedJob(job: Job): void;
   /** Marks jobs as completed that hosts know to be so from a previous leader. */
   completeJobs(jobs: readonly string[]): void;
+  /** Age in milliseconds of what this leader knows of the workers; infinite before it has read them. */
+  readonly fleetAgeMs: number;
   /** Amount of work in the cell, and what planning has cost in this term. */
   describeLoad(): CellLoad;
   /** Stops placement and waits until all progress is durable, before a planned stop. */
@@ -49,6 +52,8 @@
   readonly runs: number;
   readonly workers: number;
   readonly pendingWrites: number;
+  /** Age of what this leader knows of the workers. */
+  readonly fleetAgeMs: number;
 }
 
 export interface ControllerOptions {
@@ -57,6 +62,8 @@
   readonly term: LeadershipTerm;
   readonly configuration: ConfigurationHolder;
   readonly fleet: FleetSource;
+  /** Time after a worker's report that it leaves from which no task may be started on it. */
+  readonly drainMs?: number;
   readonly connect: (address: string, incarnation: WorkerIncarnation) => WorkerConnection;
   readonly callers: () => readonly AdviceCaller[];
   /** Monotonic milliseconds of the last confirmed renewal of the leader's lease. */
@@ -84,6 +91,8 @@
  * declares its runs lost only after this time and the duration of a lease have passed.
  */
 const EXTEND_WITHOUT_STORE_MS = 10_000;
+/** Drain time of the platform where its settings do not give another. */
+export const DEFAULT_DRAIN_MS = 2000;
 /** Margin on the upper bound of inherited leases for the drift of workers' clocks. */
 const INHERITED_SLACK_MS = 800;
 /**
@@ -94,6 +103,7 @@
 
 export function createController(options: ControllerOptions): Controller {
   const { store, reachability, term, configuration, events, meters } = options;
+  const { drainMs = DEFAULT_DRAIN_MS } = options;
   const now = () => performance.now();
   const startedAt = now();
   let closed = false;
@@ -153,6 +163,10 @@
     onChange: requestPlan,
     onLeaving: evacuate,
   });
+  const orderWindow = createOrderWindow({
+    views: [{ confirmedAt: () => feed.fleetConfirmedAt, maxAgeMs: drainMs }],
+  });
+  const fleetAgeMs = () => Math.round(now() - feed.fleetConfirmedAt);
   const dispatcher = createDispatcher({
     cell,
     sessions,
@@ -164,6 +178,8 @@
     configuration: () => (feed.restored ? configuration.current?.configuration : undefined),
     write: (job) => log.write(job, 'order'),
     renewedAt: options.renewedAt,
+    orderWindow,
+    fleetAgeMs,
   });
 
   function requestPlan() {
@@ -207,6 +223,7 @@
         permits.invalidate(stepNameOf(run), run.session.incarnation.id);
       },
       responsiveNow: () => responsiveClock.now(),
+      startWindowMs: () => orderWindow.remainingMs(),
       onStaleEpoch: (id) => {
         options.onLeadershipLost(`worker ${id} has seen a higher epoch`);
       },
@@ -244,20 +261,20 @@
 
   function applyFleet(entries: readonly StoreEntry[]) {
     const workers = new Map<string, FleetWorker>();
-    for (const { key, value } of entries) {
+    for (const { key, value, revision } of entries) {
       const worker = options.fleet.decode(key, value);
       if (worker === undefined) events.warn('worker-entry-unreadable', { key });
-      else workers.set(worker.incarnation.id, worker);
+      else workers.set(worker.incarnation.id, { ...worker, revision });
     }
     sessions.replace(workers);
   }
 
-  function applyFleetChange({ key, value }: StoreChange) {
+  function applyFleetChange({ key, value, revision }: StoreChange) {
     const id = key.slice(options.fleet.prefix.length);
     const worker = value === undefined ? undefined : options.fleet.decode(key, value);
     if (worker === undefined && value !== undefined)
       events.warn('worker-entry-unreadable', { key });
-    sessions.update(id, worker);
+    sessions.update(id, worker === undefined ? undefined : { ...worker, revision });
   }
 
   /** Keeps only the ids of ended jobs, so that a takeover spends no time decoding their records. */
@@ -312,6 +329,7 @@
     store,
     reachability,
     fleetPrefix: options.fleet.prefix,
+    fleetMaxAgeMs: drainMs,
     onProgress: applyProgress,
     onFleet: applyFleet,
     onFleetChange: applyFleetChange,
@@ -343,6 +361,9 @@
         if (entry !== undefined) lifecycle.complete(entry);
       }
     },
+    get fleetAgeMs() {
+      return fleetAgeMs();
+    },
     describeLoad: () => {
       const all = [...sessions.all()];
       return {
@@ -351,6 +372,7 @@
         runs: all.reduce((sum, { runs }) => sum + runs.size, 0),
         workers: all.length,
         pendingWrites: log.pending,
+        fleetAgeMs: fleetAgeMs(),
       };
     },
     quiesce: async (timeoutMs) => {
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -14,6 +14,7 @@
 import type { JobLifecycle } from './job-lifecycle.js';
 import type { PermitClient, PermitRequest } from './permit-client.js';
 import { isLeadershipFresh } from './leadership-freshness.js';
+import type { OrderWindow } from './order-window.js';
 import { pauseAfterRound } from './round-pace.js';
 import { createRun, stepNameOf } from './run.js';
 import type { Run } from './run.js';
@@ -54,6 +55,9 @@
   readonly write: (job: string) => Promise<boolean>;
   /** Monotonic milliseconds of the last confirmed renewal of the leader's lease. */
   readonly renewedAt: () => number | undefined;
+  readonly orderWindow: OrderWindow;
+  /** Age in milliseconds of what this leader knows of the workers. */
+  readonly fleetAgeMs: () => number;
 }
 
 interface Round {
@@ -108,14 +112,17 @@
       [...cell.ready.values()].map((ready) => describeStep(ready, round)),
       round.nowMs,
     );
-    const placements = planRound({
-      nowMs: round.nowMs,
-      workers: usable.map((session) => describeWorker(session)),
-      steps,
-      budgets: describeBudgets(configuration),
-      round: effort.rounds,
-    });
-    orderPlacements(placements, round);
+    // Permits are requested all the same, so that placement can continue as soon as the workers are known again.
+    if (options.orderWindow.allowsPlacement) {
+      const placements = planRound({
+        nowMs: round.nowMs,
+        workers: usable.map((session) => describeWorker(session)),
+        steps,
+        budgets: describeBudgets(configuration),
+        round: effort.rounds,
+      });
+      orderPlacements(placements, round);
+    }
     requestPermits(steps, round);
     const tookMs = performance.now() - startedAt;
     meters.planSeconds.observe(tookMs / 1000);
@@ -280,6 +287,8 @@
       waitedMs: Math.round(waitedMs),
       slackMs: Math.round(placement.step.objectiveAtMs - round.nowMs - placement.step.remainingMs),
       beyondShare: entry.beyondShare,
+      fleetAgeMs: options.fleetAgeMs(),
+      entryRevision: session.worker.revision,
     });
     return run;
   }
@@ -292,6 +301,8 @@
       writtenAt,
       renewedAt: options.renewedAt(),
     });
+    const fleetFresh = options.orderWindow.remainingMs() > 0;
+    const maySend = leadershipFresh && fleetFresh && !stopped;
     const withdrawn = new Set<Run>();
     const tickets = new Map<Run, string | undefined>();
     for (const run of runs) {
@@ -300,7 +311,7 @@
         ? permits.ticket(stepNameOf(run), run.session.incarnation.id, run.session.incarnation.born)
         : undefined;
       tickets.set(run, ticket);
-      const isAllowed = leadershipFresh && !stopped && (!permitRequired || ticket !== undefined);
+      const isAllowed = maySend && (!permitRequired || ticket !== undefined);
       if (run.status !== 'logging' || !isAllowed) withdrawn.add(run);
     }
     for (const run of runs) {
@@ -317,10 +328,15 @@
           status: run.status,
           ticketed: tickets.get(run) !== undefined,
           leadershipFresh,
+          fleetFresh,
+          fleetAgeMs: options.fleetAgeMs(),
+          entryRevision: run.session.worker.revision,
         });
         run.session.withdraw(run);
       } else {
         run.progress.begun = true;
+        run.fleetAgeMs = options.fleetAgeMs();
+        run.orderedMs = Math.round(performance.now() - run.startedAt);
         void run.session.start(run, run.progress.job.spec, tickets.get(run));
       }
     }
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -40,6 +40,10 @@
    */
   progressedClockMs: number | undefined;
   startedAt: number;
+  /** Age of what the leader knew of the workers when it sent the order; undefined if it has not sent one. */
+  fleetAgeMs: number | undefined;
+  /** Milliseconds from the placement until the order was sent. */
+  orderedMs: number | undefined;
   /** Milliseconds until the worker accepted the start; undefined if it has not. */
   answeredMs: number | undefined;
   stopReason: string;
@@ -80,6 +84,8 @@
     progressedAt: now,
     progressedClockMs: undefined,
     startedAt: now,
+    fleetAgeMs: undefined,
+    orderedMs: undefined,
     answeredMs: undefined,
     stopReason: '',
   };
--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -43,6 +43,8 @@
   readonly onTicketRefused: (run: Run) => void;
   /** Time in milliseconds during which this process was able to receive answers; see `responsive-clock.ts`. */
   readonly responsiveNow: () => number;
+  /** Milliseconds within which an order that is sent now has to reach the worker; 0 if none may be sent. */
+  readonly startWindowMs: () => number;
   readonly events: EventLog;
   readonly meters: Meters;
 }
@@ -58,7 +60,8 @@
   }
 
   async function start(run: Run, spec: string, ticket: string | undefined): Promise<void> {
-    const startBeforeMs = clock.now() + START_WINDOW_MS;
+    // What the order rests on may be outdated by the time it gets through, and the worker refuses it then.
+    const startBeforeMs = clock.now() + Math.min(START_WINDOW_MS, options.startWindowMs());
     clock.extend(startBeforeMs);
     run.status = 'starting';
     options.onStart();
--- a/src/controller/worker-session-types.ts
+++ b/src/controller/worker-session-types.ts
@@ -30,6 +30,8 @@
   readonly onTicketRefused: (run: Run) => void;
   /** Time in milliseconds during which this process was able to receive answers; see `responsive-clock.ts`. */
   readonly responsiveNow: () => number;
+  /** Milliseconds within which an order that is sent now has to reach the worker, 0 if none may be; no limit by default. */
+  readonly startWindowMs?: (session: WorkerSession) => number;
   /** Called when a worker has seen a higher epoch. */
   readonly onStaleEpoch: (worker: string) => void;
   readonly onChange: () => void;
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -84,6 +84,7 @@
     },
     onTicketRefused: options.onTicketRefused,
     responsiveNow: options.responsiveNow,
+    startWindowMs: () => options.startWindowMs?.(session) ?? Infinity,
     events,
     meters,
   });
@@ -168,6 +169,9 @@
       worker: incarnation.id,
       end,
       epoch,
+      orderedMs: run.orderedMs,
+      fleetAgeMs: run.fleetAgeMs,
+      entryRevision: worker.revision,
       answeredMs: run.answeredMs === undefined ? undefined : Math.round(run.answeredMs),
       tookMs: Math.round(performance.now() - run.startedAt),
       percent: run.percent,
--- a/src/fleet/worker.ts
+++ b/src/fleet/worker.ts
@@ -19,6 +19,8 @@
   readonly rack: string;
   /** Shortest time until a leaving worker is gone, in milliseconds. */
   readonly leavesInMs: number | undefined;
+  /** Revision of the worker's entry in the store; undefined if it is not listed. */
+  readonly revision?: number;
 }
 
 /** A run in progress on a worker. */
--- a/src/observability/meters.ts
+++ b/src/observability/meters.ts
@@ -21,6 +21,8 @@
   readonly planSeconds: Histogram;
   readonly eventLoopDelaySeconds: Histogram;
   readonly leader: Gauge;
+  /** Age of what the leader knows of the workers; 0 on other hosts. */
+  readonly fleetAgeSeconds: Gauge;
   readonly waitingTasks: Gauge<'queue'>;
   readonly adviceCalls: Counter<'outcome'>;
   /** Errors that nothing handled. */
@@ -95,6 +97,11 @@
       help: '1 while this host leads',
       registers,
     }),
+    fleetAgeSeconds: new Gauge({
+      name: 'sapphirewing_fleet_age_seconds',
+      help: 'Age of what the leader knows of the workers',
+      registers,
+    }),
     waitingTasks: new Gauge({
       name: 'sapphirewing_waiting_tasks',
       help: 'Tasks that could run and have no worker',
--- a/src/records/follow-prefix.ts
+++ b/src/records/follow-prefix.ts
@@ -9,7 +9,7 @@
 import { abandonOnRecovery } from './reachability.js';
 import type { Reachability } from './reachability.js';
 
-/** Longest wait of one watch call; a dead connection is detected after this plus the call's slack. */
+/** Longest wait of one watch call; a dead connection is detected after this plus the call's slack, or its timeout. */
 const WATCH_WAIT_MS = 1500;
 /** Delay after a failed call. The store is rate-limited, so a follower must not retry in a tight loop. */
 const RETRY_MS = 100;
@@ -19,7 +19,10 @@
 export interface PrefixFollower {
   /** Revision up to which changes have been applied; 0 before the first listing. */
   readonly revision: number;
-  /** When the last successful call was sent, in monotonic milliseconds; the content was current then. */
+  /**
+   * When the last successful call was sent, in monotonic milliseconds; the content was current then. Minus infinity
+   * before the first listing.
+   */
   readonly confirmedAt: number;
   stop(): void;
 }
@@ -32,6 +35,9 @@
   readonly onListing: (entries: readonly StoreEntry[]) => void;
   readonly onChange: (change: StoreChange) => void;
   readonly waitMs?: number;
+  /** Timeouts of a watch, which includes its wait, and of a listing; by default those of the store. */
+  readonly watchTimeoutMs?: number;
+  readonly listTimeoutMs?: number;
   readonly refreshMs?: number;
   /** Delay between a batch of changes and the next call, so that changes share calls; 0 by default. */
   readonly batchDelayMs?: number;
@@ -49,7 +55,10 @@
     refreshMs = REFRESH_MS,
     batchDelayMs = 0,
   } = options;
-  const state = { revision: 0, confirmedAt: 0, listed: false, stopped: false, listedAt: 0 };
+  const state = { revision: 0, confirmedAt: -Infinity, listed: false, stopped: false, listedAt: 0 };
+  const { listTimeoutMs, watchTimeoutMs } = options;
+  const listOptions = listTimeoutMs === undefined ? {} : { timeoutMs: listTimeoutMs };
+  const watchOptions = watchTimeoutMs === undefined ? {} : { timeoutMs: watchTimeoutMs };
   let reachable = true;
   /** Number of the current call; the response to an abandoned call is ignored. */
   let currentCall = 0;
@@ -77,7 +86,7 @@
   async function listOnce(): Promise<boolean> {
     const sentAt = performance.now();
     const call = (currentCall += 1);
-    const listing = await store.list(prefix);
+    const listing = await store.list(prefix, listOptions);
     if (call !== currentCall) return false;
     if (listing.isErr()) {
       reportFailure('list', listing.error);
@@ -97,7 +106,7 @@
   async function watchOnce(): Promise<boolean> {
     const sentAt = performance.now();
     const call = (currentCall += 1);
-    const batch = await store.watch(prefix, state.revision, waitMs);
+    const batch = await store.watch(prefix, state.revision, waitMs, watchOptions);
     if (call !== currentCall) return false;
     if (batch.isErr()) {
       reportFailure('watch', batch.error);
--- a/src/records/key-value-store.ts
+++ b/src/records/key-value-store.ts
@@ -71,7 +71,12 @@
 export interface KeyValueStore {
   get(key: string, options?: CallOptions): Promise<Result<StoreEntry | undefined, StoreFailure>>;
   list(prefix: string, options?: CallOptions): Promise<Result<Listing, StoreFailure>>;
-  watch(prefix: string, after: number, waitMs: number): Promise<Result<ChangeBatch, StoreFailure>>;
+  watch(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    options?: CallOptions,
+  ): Promise<Result<ChangeBatch, StoreFailure>>;
   transact(
     transaction: Transaction,
     options?: CallOptions,
--- a/stand-ins/platform/store.ts
+++ b/stand-ins/platform/store.ts
@@ -29,6 +29,12 @@
   readonly faultInjector: FaultInjector;
   /** Applies the next `count` transactions, at once or after `delayMs`, without responding to them. */
   dropTransactionResponses(count: number, delayMs?: number): void;
+  /** While set, reads and watches of keys under this prefix get no response; all other calls are served. */
+  silentPrefix: string | undefined;
+  /** While set, watches get no response; all other calls are served. */
+  silentWatches: boolean;
+  /** While set, transactions are refused with 503; all other calls are served. */
+  rejectsTransactions: boolean;
   /** Number of transactions that were applied. */
   readonly committed: number;
 }
@@ -37,9 +43,18 @@
   const items = createItemStore();
   const faultInjector = createFaultInjector();
   const responseLoss = { left: 0, delayMs: 0 };
+  const state = {
+    silentPrefix: undefined as string | undefined,
+    silentWatches: false,
+    rejectsTransactions: false,
+  };
   let committed = 0;
 
+  const isSilent = ({ query }: Call) =>
+    state.silentPrefix !== undefined && query.get('prefix')?.startsWith(state.silentPrefix);
+
   function transact(call: Call): HandlerResult {
+    if (state.rejectsTransactions) return { status: 503, body: { error: 'rejected' } };
     const body = parseJson(call, transactionSchema);
     const entries = body.precondition.length + body['set-keys'].length + body.remove.length;
     if (entries > MAX_TRANSACTION_ENTRIES)
@@ -66,8 +81,19 @@
 
   const routes: readonly Route[] = [
     { method: 'GET', path: '/kv-key', handle: (call) => readKey(items, call) },
-    { method: 'GET', path: '/kv-range', handle: (call) => readRange(items, call) },
-    { method: 'GET', path: '/kv-watch', handle: (call) => watch(items, faultInjector, call) },
+    {
+      method: 'GET',
+      path: '/kv-range',
+      handle: (call) => (isSilent(call) ? HANDLED : readRange(items, call)),
+    },
+    {
+      method: 'GET',
+      path: '/kv-watch',
+      handle: async (call) => {
+        const answer = await watch(items, faultInjector, call);
+        return state.silentWatches || isSilent(call) ? HANDLED : answer;
+      },
+    },
     { method: 'POST', path: '/kv-txn', handle: transact },
     {
       method: 'POST',
@@ -104,6 +130,24 @@
       responseLoss.left = count;
       responseLoss.delayMs = delayMs;
     },
+    get silentPrefix() {
+      return state.silentPrefix;
+    },
+    set silentPrefix(prefix) {
+      state.silentPrefix = prefix;
+    },
+    get silentWatches() {
+      return state.silentWatches;
+    },
+    set silentWatches(value) {
+      state.silentWatches = value;
+    },
+    get rejectsTransactions() {
+      return state.rejectsTransactions;
+    },
+    set rejectsTransactions(value) {
+      state.rejectsTransactions = value;
+    },
     get committed() {
       return committed;
     },
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -33,6 +33,7 @@
 cores = 2
 [bounds]
 grace-s = 6
+drain-ms = 3000
 [platform]
 address = "10.200.1.7:8182"
 form = "kv"
@@ -99,6 +100,7 @@
         callerAddress: { ip: '10.1.0.17', port: 8183 },
         storeAddress: '10.200.1.7:8182',
         graceMs: 6000,
+        drainMs: 3000,
         processors: 1.35,
         minLeaseMs: 1500,
       });
