Ask again whether a worker accepts work when an order is sent or repeated

Cause: an order is decided, written to the store and then sent. When it was sent only the status of the run was looked at, and `evacuate` leaves short runs alone, also those whose order is not sent yet. A write that took seconds, for instance because the store refused writes while it served reads, so sent a start to a worker that had been leaving all the while. A start whose answer was lost was sent again, up to 0.8 s later, without any question.

The worker's entry is now asked at both places, by the same rule that placement uses. A withdrawn order frees its task at once; a start that is not repeated leaves its run in doubt, and the reports of the worker decide, as before.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -223,7 +223,7 @@
         permits.invalidate(stepNameOf(run), run.session.incarnation.id);
       },
       responsiveNow: () => responsiveClock.now(),
-      startWindowMs: () => orderWindow.remainingMs(),
+      startWindowMs: (asked) => (sessions.acceptsWork(asked) ? orderWindow.remainingMs() : 0),
       onStaleEpoch: (id) => {
         options.onLeadershipLost(`worker ${id} has seen a higher epoch`);
       },
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -311,7 +311,8 @@
         ? permits.ticket(stepNameOf(run), run.session.incarnation.id, run.session.incarnation.born)
         : undefined;
       tickets.set(run, ticket);
-      const isAllowed = maySend && (!permitRequired || ticket !== undefined);
+      const accepted = maySend && sessions.acceptsWork(run.session);
+      const isAllowed = accepted && (!permitRequired || ticket !== undefined);
       if (run.status !== 'logging' || !isAllowed) withdrawn.add(run);
     }
     for (const run of runs) {
@@ -329,6 +330,7 @@
           ticketed: tickets.get(run) !== undefined,
           leadershipFresh,
           fleetFresh,
+          acceptsWork: sessions.acceptsWork(run.session),
           fleetAgeMs: options.fleetAgeMs(),
           entryRevision: run.session.worker.revision,
         });
--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -14,6 +14,8 @@
 export interface FleetSessions {
   /** Sessions with workers that can be given work now. */
   usable(): WorkerSession[];
+  /** Whether the worker's entry allows to start tasks on it. */
+  acceptsWork(session: WorkerSession): boolean;
   all(): Iterable<WorkerSession>;
   /** Applies a complete listing of the fleet. */
   replace(workers: ReadonlyMap<string, FleetWorker>): void;
@@ -125,17 +127,16 @@
   const sweeper = setInterval(sweep, 1000);
   sweeper.unref();
 
-  function isUsable(key: string, session: WorkerSession): boolean {
-    if (!session.reachable || session.worker.state !== 'ready') return false;
-    const since = unlistedSince.get(key);
+  function acceptsWork({ worker, incarnation }: WorkerSession): boolean {
+    if (worker.state !== 'ready') return false;
+    const since = unlistedSince.get(keyOf(incarnation));
     return since === undefined || performance.now() - since < UNLISTED_GRACE_MS;
   }
 
   return {
     usable: () =>
-      [...sessions]
-        .filter(([key, session]) => isUsable(key, session))
-        .map(([, session]) => session),
+      [...sessions.values()].filter((session) => session.reachable && acceptsWork(session)),
+    acceptsWork,
     all: () => sessions.values(),
     replace: (workers) => {
       const listed = new Set([...workers.values()].map(({ incarnation }) => keyOf(incarnation)));
--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -82,7 +82,8 @@
     logOrder('start', run, outcome, { ticketed: ticket !== undefined });
     const isOpen = options.isOpen() && runs.get(run.name) === run;
     if (outcome.kind === 'unknown' && isOpen && transition(run, 'starting', 'in-doubt')) {
-      outcome = await repeatStart(run, order);
+      // The worker may have been leaving for a while by now; its reports tell whether it has the run.
+      if (options.startWindowMs() > 0) outcome = await repeatStart(run, order);
     }
     pendingStarts.delete(run);
     if (runs.get(run.name) !== run) return;
--- a/test/controller/repeated-starts.test.ts
+++ b/test/controller/repeated-starts.test.ts
@@ -16,7 +16,15 @@
 };
 
 /** Starts a run on a worker that gives these answers, one for each start order. */
-async function startWith(...answers: readonly OrderOutcome[]) {
+function startWith(...answers: readonly OrderOutcome[]) {
+  return startWithin(() => Infinity, ...answers);
+}
+
+/** Starts a run as above, with the time that is left to orders as the number of orders sent so far tells. */
+async function startWithin(
+  startWindowMs: (sent: number) => number,
+  ...answers: readonly OrderOutcome[]
+) {
   const orders: StartOrder[] = [];
   const ends: string[] = [];
   const stale: string[] = [];
@@ -53,6 +61,7 @@
     onReport: () => undefined,
     onTicketRefused: () => undefined,
     responsiveNow: () => performance.now(),
+    startWindowMs: () => startWindowMs(orders.length),
     onStaleEpoch: (worker) => {
       stale.push(worker);
     },
@@ -90,6 +99,20 @@
     });
   }
 
+  it('are not repeated to a worker that is leaving by then', async () => {
+    // The answer can be lost for 0.8 s, so the repeated start reached a worker that had been leaving for long.
+    const { run, orders, ends } = await startWithin((sent) => (sent === 0 ? 500 : 0), UNKNOWN);
+    expect(orders).to.have.length(1);
+    expect(run.status).to.equal('in-doubt');
+    expect(ends).to.deep.equal([]);
+  });
+
+  it('expire at the worker when what they rest on is outdated', async () => {
+    // A start that waits for a connection is carried out when it gets through, unless the worker refuses it as late.
+    const { orders } = await startWithin(() => 500, ACCEPTED);
+    expect(orders.map(({ startBeforeMs }) => startBeforeMs)).to.deep.equal([500]);
+  });
+
   it('leave the run in doubt when both answers are lost', async () => {
     const { run, orders, ends } = await startWith(UNKNOWN, UNKNOWN);
     expect(orders).to.have.length(2);
--- a/test/platform-path/leaving-workers.test.ts
+++ b/test/platform-path/leaving-workers.test.ts
@@ -10,6 +10,8 @@
 
 /** The platform's drain time on small sites, which is the default of a host. */
 const DRAIN_MS = 2000;
+/** All processors of a worker, so that a second task waits for the end of the first. */
+const ALL_PROCESSORS = 4000;
 const FLEET_PREFIX = 'servers/';
 
 describe('a leaving worker', () => {
@@ -58,6 +60,27 @@
     expect(lateStarts(worker, leftAt)).to.deep.equal([]);
   });
 
+  it('gets no late start by an order whose record became durable late', async () => {
+    // The order was decided before the worker was leaving and was sent as soon as its record was durable.
+    const host = expectDefined(cell.hosts[0]);
+    const worker = expectDefined(cell.workers[0]);
+    const blocking = await submit(host, { steps: [{ cpu: ALL_PROCESSORS }] });
+    const { id } = await submit(host, { steps: [{ cpu: ALL_PROCESSORS }] });
+    await eventually(() =>
+      worker.starts.some(({ task }) => task.startsWith(blocking.id)) ? true : undefined,
+    );
+    cell.store.rejectsTransactions = true;
+    // The end of the first task frees the worker, so the second one is placed and its record is not durable.
+    await pause(300);
+    worker.leave();
+    const leftAt = Date.now();
+    await pause(DRAIN_MS + 300);
+    cell.store.rejectsTransactions = false;
+    await cell.addWorker();
+    await awaitState(host, id, 'completed');
+    expect(lateStarts(worker, leftAt)).to.deep.equal([]);
+  });
+
   it('does not stop other work while watches get no response', async () => {
     // Guards against orders that wait for a confirmation although listings of the store show all workers.
     const worker = expectDefined(cell.workers[0]);
