Leave out workers' entries that name no usable worker

One entry of another writer under servers/, with an address such as 300.0.0.1:9100 or 10.1.0.17:99999, passed the decoder. Creating the client of that worker threw "TypeError: Invalid URL", which passed through the handler of the change and ended the loop that follows the workers. The leader kept its copy of the workers for the rest of its term: it started tasks on workers that had been leaving for long (DRAIN) and gave none to new ones (LOST). A successor read the same entry, never finished restoring and started nothing.

The decoder now checks what the rest of the program relies on: an IPv4 address with a port from 1 to 65535, a whole and safe start time, resources that are not negative and within the safe integers, a service and a zone, and an id that can be sent in a header. Values over 16 KiB are not parsed.

--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -6,4 +6,5 @@
 export * from './request-id.js';
 export * from './request-state.js';
 export * from './resources.js';
+export * from './socket-address.js';
 export * from './work.js';
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -56,12 +56,47 @@
       ['an unknown state', JSON.stringify({ ...ENTRY, state: 'sleeping' })],
       ['resources of another type', JSON.stringify({ ...ENTRY, 'free-capacity': 'much' })],
       ['a missing start time', JSON.stringify({ ...ENTRY, born: undefined })],
+      // The client of a worker with such an address threw, which ended the leader's view of all workers.
+      ...[
+        '300.0.0.1:9100',
+        '10..0.9:80',
+        '.:80',
+        '9:80',
+        '10.0.0.9:0',
+        '10.0.0.9:65536',
+        '[::1]:80',
+      ].map((address): [string, string] => [
+        `the address ${address}`,
+        JSON.stringify({ ...ENTRY, address }),
+      ]),
+      ...[-1, 1.5, 2 ** 53, 1e300].map((born): [string, string] => [
+        `the start time ${String(born)}`,
+        JSON.stringify({ ...ENTRY, born }),
+      ]),
+      ['a number beyond all bounds', JSON.stringify(ENTRY).replace('16000', '1e400')],
+      ...[-5, 1e300].map((cpu): [string, string] => [
+        `${String(cpu)} processors`,
+        JSON.stringify({ ...ENTRY, 'free-capacity': { cpu } }),
+      ]),
+      ['a million labels', JSON.stringify({ ...ENTRY, labels: Array(1_000_000).fill('a') })],
+      [
+        'nesting 100,000 deep',
+        JSON.stringify(ENTRY).replace('"a"', '['.repeat(100_000) + ']'.repeat(100_000)),
+      ],
+      ['no value', ''],
     ];
     for (const [what, text] of broken) {
       it(`ignores an entry with ${what}`, () => {
         expect(decodeWorker('servers/i-1', text)).to.equal(undefined);
       });
     }
+
+    // The id is sent in a header with each order, and a client refuses a header with such a value.
+    for (const id of ['', 'a/b', 'a b', 'a\n', '\u0001', 'ñ']) {
+      it(`ignores an entry under the id ${JSON.stringify(id)}`, () => {
+        expect(decodeWorker(`servers/${id}`, JSON.stringify(ENTRY))).to.equal(undefined);
+      });
+    }
   });
 
   describe('jobs', () => {
