Find a worker's change that watches miss without an error

At about 2.6 starts a second on one worker that is some 14 s, which is the interval of the full listing (15 s). Cause: the position of the follower moved to the store's revision also when a watch ended without a change. The platform's pages say that watches may hear nothing while changes are made; such a change was skipped without an error and only the next listing showed it. Whether this happened on the users' run, their record cannot tell.

--- a/src/controller/order-window.ts
+++ b/src/controller/order-window.ts
@@ -17,6 +17,11 @@
 const WATCH_WAIT_SHARE = 0.2;
 const WATCH_SLACK_SHARE = 1 / 6;
 const LISTING_SHARE = 0.25;
+/**
+ * Share of the greatest age after which all workers are listed again. A watch can miss a change without an error, and
+ * its responses then confirm a view without that change.
+ */
+const LISTING_INTERVAL_SHARE = 0.4;
 /** Longer calls would only detect a dead connection later. */
 const MAX_WATCH_WAIT_MS = 1500;
 const MAX_WATCH_SLACK_MS = 700;
@@ -68,6 +73,8 @@
   readonly waitMs: number;
   readonly watchTimeoutMs: number;
   readonly listTimeoutMs: number;
+  /** Greatest time between two listings. */
+  readonly refreshMs: number;
 }
 
 export function followTiming(maxAgeMs: number): FollowTiming {
@@ -77,5 +84,6 @@
     waitMs,
     watchTimeoutMs: waitMs + slackMs,
     listTimeoutMs: Math.round(Math.min(MAX_LISTING_MS, LISTING_SHARE * maxAgeMs)),
+    refreshMs: Math.round(LISTING_INTERVAL_SHARE * maxAgeMs),
   };
 }
--- a/src/records/follow-prefix.ts
+++ b/src/records/follow-prefix.ts
@@ -116,7 +116,10 @@
     }
     if (state.stopped) return false;
     reportSuccess(sentAt);
-    state.revision = Math.max(state.revision, batch.value.revision);
+    // Only delivered changes move the position. A watch that hears of no change reports the store's revision as well,
+    // and a position at that revision would skip what it has missed.
+    const delivered = batch.value.changes.map(({ revision }) => revision);
+    state.revision = Math.max(state.revision, ...delivered);
     for (const change of batch.value.changes) options.onChange(change);
     if (batchDelayMs > 0 && batch.value.changes.length > 0) await pause(batchDelayMs);
     return true;
--- a/stand-ins/platform/store.ts
+++ b/stand-ins/platform/store.ts
@@ -33,6 +33,8 @@
   silentPrefix: string | undefined;
   /** While set, watches get no response; all other calls are served. */
   silentWatches: boolean;
+  /** While set, watches respond after their wait, at the present revision and without the changes that were made. */
+  emptyWatches: boolean;
   /** While set, transactions are refused with 503; all other calls are served. */
   rejectsTransactions: boolean;
   /** Number of transactions that were applied. */
@@ -46,10 +48,19 @@
   const state = {
     silentPrefix: undefined as string | undefined,
     silentWatches: false,
+    emptyWatches: false,
     rejectsTransactions: false,
   };
   let committed = 0;
 
+  const watchedItems: ItemStore = {
+    ...items,
+    get revision() {
+      return items.revision;
+    },
+    eventsAfter: (...range) => (state.emptyWatches ? [] : items.eventsAfter(...range)),
+  };
+
   const isSilent = ({ query }: Call) =>
     state.silentPrefix !== undefined && query.get('prefix')?.startsWith(state.silentPrefix);
 
@@ -90,7 +101,7 @@
       method: 'GET',
       path: '/kv-watch',
       handle: async (call) => {
-        const answer = await watch(items, faultInjector, call);
+        const answer = await watch(watchedItems, faultInjector, call);
         return state.silentWatches || isSilent(call) ? HANDLED : answer;
       },
     },
@@ -142,6 +153,12 @@
     set silentWatches(value) {
       state.silentWatches = value;
     },
+    get emptyWatches() {
+      return state.emptyWatches;
+    },
+    set emptyWatches(value) {
+      state.emptyWatches = value;
+    },
     get rejectsTransactions() {
       return state.rejectsTransactions;
     },
--- a/test/platform-path/leaving-workers.test.ts
+++ b/test/platform-path/leaving-workers.test.ts
@@ -81,6 +81,18 @@
     expect(lateStarts(worker, leftAt)).to.deep.equal([]);
   });
 
+  it('gets no late start while watches end without the change', async () => {
+    // The change was missed without an error, and only the listing every 15 s showed it.
+    const worker = expectDefined(cell.workers[0]);
+    cell.store.emptyWatches = true;
+    worker.leave();
+    const leftAt = Date.now();
+    const ids = await submitFor(DRAIN_MS + 1500);
+    await cell.addWorker();
+    for (const id of ids) await awaitState(expectDefined(cell.hosts[0]), id, 'completed');
+    expect(lateStarts(worker, leftAt)).to.deep.equal([]);
+  });
+
   it('does not stop other work while watches get no response', async () => {
     // Guards against orders that wait for a confirmation although listings of the store show all workers.
     const worker = expectDefined(cell.workers[0]);
--- a/test/records/follow-prefix.test.ts
+++ b/test/records/follow-prefix.test.ts
@@ -42,4 +42,37 @@
     // Timers may fire a millisecond early.
     expect(elapsedMs).to.be.at.least((CHANGES - 1) * (BATCH_DELAY_MS - 1));
   });
+
+  // Guards against a change that no watch delivers, because an earlier response without changes had a later revision.
+  it('delivers a change that a watch without changes has passed over', async () => {
+    const change = { key: 'a', value: 'new', revision: 2 };
+    let watches = 0;
+    const store = {
+      list: () => Promise.resolve(ok({ entries: [], revision: 1 })),
+      watch: async (_prefix: string, after: number) => {
+        watches += 1;
+        // A real store waits; without a pause the follower would never yield to the test.
+        await new Promise((resolve) => setTimeout(resolve, 1));
+        const missed = watches === 1 || after >= change.revision;
+        return ok({ changes: missed ? [] : [change], revision: 3 });
+      },
+    } as unknown as KeyValueStore;
+    const delivered = await new Promise<string | undefined>((resolve) => {
+      const follower = followPrefix({
+        store,
+        prefix: '',
+        events: SILENT_EVENTS,
+        onListing: () => undefined,
+        onChange: ({ value }) => {
+          follower.stop();
+          resolve(value);
+        },
+      });
+      setTimeout(() => {
+        follower.stop();
+        resolve(undefined);
+      }, 1000);
+    });
+    expect(delivered).to.equal('new');
+  });
 });
