Use no worker whose entry cannot be decoded

Cause: an entry that cannot be decoded was treated as one that was removed, so its worker got work for another 2.5 s.

The two cases differ. Entries are removed when they expire, also while the store is away, and come back; a worker that is leaving says so in its entry first, so the grace for removed entries hides no leaving worker that the watch showed. An entry that cannot be decoded may say anything, so its worker is unusable at once and until it can be read again, also if it is removed in between. Its runs go on and its lease is renewed.

Evidence: with the grace of removed entries in its place, as before, an entry that cannot be decoded names no worker to use, at once: AssertionError: expected [ 1000 ] to deeply equal [] and likewise when it is found in a listing or removed afterwards.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -261,19 +261,25 @@
 
   function applyFleet(entries: readonly StoreEntry[]) {
     const workers = new Map<string, FleetWorker>();
+    const unreadable = new Set<string>();
     for (const { key, value, revision } of entries) {
       const worker = options.fleet.decode(key, value);
-      if (worker === undefined) events.warn('worker-entry-unreadable', { key });
-      else workers.set(worker.incarnation.id, { ...worker, revision });
+      if (worker === undefined) {
+        events.warn('worker-entry-unreadable', { key, revision });
+        unreadable.add(key.slice(options.fleet.prefix.length));
+      } else workers.set(worker.incarnation.id, { ...worker, revision });
     }
-    sessions.replace(workers);
+    sessions.replace(workers, unreadable);
   }
 
   function applyFleetChange({ key, value, revision }: StoreChange) {
     const id = key.slice(options.fleet.prefix.length);
     const worker = value === undefined ? undefined : options.fleet.decode(key, value);
-    if (worker === undefined && value !== undefined)
-      events.warn('worker-entry-unreadable', { key });
+    if (worker === undefined && value !== undefined) {
+      events.warn('worker-entry-unreadable', { key, revision });
+      sessions.markUnreadable(id);
+      return;
+    }
     sessions.update(id, worker === undefined ? undefined : { ...worker, revision });
   }
 
--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -8,7 +8,10 @@
 import type { EventLog } from '../observability/index.js';
 import type { WorkerSession } from './worker-session-types.js';
 
-/** Entries that expired during an outage of the store return within 2 s; after that, a worker without one has left. */
+/**
+ * Entries that expired during an outage of the store return within 2 s; after that, a worker without one has left. It
+ * has not reported that it leaves, because its entry would have said so before it was removed.
+ */
 const UNLISTED_GRACE_MS = 2500;
 
 export interface FleetSessions {
@@ -17,10 +20,12 @@
   /** Whether the worker's entry allows to start tasks on it. */
   acceptsWork(session: WorkerSession): boolean;
   all(): Iterable<WorkerSession>;
-  /** Applies a complete listing of the fleet. */
-  replace(workers: ReadonlyMap<string, FleetWorker>): void;
-  /** Applies a changed entry of a worker; undefined if it was removed or cannot be decoded. */
+  /** Applies a complete listing of the fleet, with the ids of entries that cannot be decoded. */
+  replace(workers: ReadonlyMap<string, FleetWorker>, unreadable: ReadonlySet<string>): void;
+  /** Applies a changed entry of a worker; undefined if it was removed. */
   update(id: string, worker: FleetWorker | undefined): void;
+  /** Applies an entry that cannot be decoded. It names no worker to use until it is written again. */
+  markUnreadable(id: string): void;
   /** The session of an incarnation, created without a connection if the incarnation is not listed. */
   sessionOf(incarnation: WorkerIncarnation): WorkerSession;
   /** Ends the sessions of incarnations that a later one of the same worker has replaced. */
@@ -73,14 +78,26 @@
     }
   }
 
+  function markUnlisted(id: string) {
+    for (const key of keysById.get(id) ?? []) {
+      if (unlistedSince.has(key)) continue;
+      unlistedSince.set(key, performance.now());
+      events.info('worker-unlisted', { worker: id, runs: sessions.get(key)?.runs.size });
+    }
+    options.onChange();
+  }
+
+  /** Its runs go on and its lease is renewed. */
+  function markUnreadable(id: string) {
+    for (const key of keysById.get(id) ?? []) {
+      unlistedSince.set(key, performance.now() - UNLISTED_GRACE_MS);
+    }
+    options.onChange();
+  }
+
   function update(id: string, worker: FleetWorker | undefined) {
     if (worker === undefined) {
-      for (const key of keysById.get(id) ?? []) {
-        if (unlistedSince.has(key)) continue;
-        unlistedSince.set(key, performance.now());
-        events.info('worker-unlisted', { worker: id, runs: sessions.get(key)?.runs.size });
-      }
-      options.onChange();
+      markUnlisted(id);
       return;
     }
     endOlderIncarnations(worker.incarnation);
@@ -138,14 +155,18 @@
       [...sessions.values()].filter((session) => session.reachable && acceptsWork(session)),
     acceptsWork,
     all: () => sessions.values(),
-    replace: (workers) => {
+    replace: (workers, unreadable) => {
       const listed = new Set([...workers.values()].map(({ incarnation }) => keyOf(incarnation)));
       for (const [key, session] of sessions) {
-        if (!listed.has(key)) update(session.incarnation.id, undefined);
+        if (listed.has(key)) continue;
+        const { id } = session.incarnation;
+        if (unreadable.has(id)) markUnreadable(id);
+        else markUnlisted(id);
       }
       for (const [id, worker] of workers) update(id, worker);
     },
     update,
+    markUnreadable,
     sessionOf: (incarnation) => {
       const key = keyOf(incarnation);
       let session = sessions.get(key);
--- /dev/null
+++ b/test/controller/fleet-sessions.test.ts
@@ -0,0 +1,98 @@
+/**
+ * Guards against work for workers whose entry in the store does not allow it.
+ */
+import { expect } from 'chai';
+import { createFleetSessions } from '../../src/controller/fleet-sessions.js';
+import type { FleetSessions } from '../../src/controller/fleet-sessions.js';
+import type { WorkerSession } from '../../src/controller/worker-session-types.js';
+import type { FleetWorker } from '../../src/fleet/index.js';
+import { SILENT_EVENTS } from '../../src/observability/index.js';
+
+const BORN = 1000;
+
+function describeWorker(fields: Partial<FleetWorker> = {}): FleetWorker {
+  return {
+    incarnation: { id: 'w1', born: BORN },
+    address: '127.0.0.1:1',
+    service: 'rota',
+    dataCentre: 'dc1',
+    state: 'ready',
+    room: { processors: 8, memoryMb: 100, accelerators: 0 },
+    labels: [],
+    rack: 'r1',
+    leavesInMs: undefined,
+    ...fields,
+  };
+}
+
+/** A session with a worker that answers everything. */
+function openSession(worker: FleetWorker): WorkerSession {
+  let current = worker;
+  const session = {
+    incarnation: worker.incarnation,
+    get worker() {
+      return current;
+    },
+    update: (next: FleetWorker) => {
+      current = next;
+    },
+    runs: new Map(),
+    reachable: true,
+    ended: false,
+    end: () => undefined,
+    close: () => undefined,
+  };
+  return session as unknown as WorkerSession;
+}
+
+describe('fleet sessions', () => {
+  let sessions: FleetSessions;
+
+  const bornOfUsable = () => sessions.usable().map(({ incarnation }) => incarnation.born);
+
+  beforeEach(() => {
+    sessions = createFleetSessions({
+      open: openSession,
+      events: SILENT_EVENTS,
+      onChange: () => undefined,
+      onLeaving: () => undefined,
+    });
+    sessions.replace(new Map([['w1', describeWorker()]]), new Set());
+  });
+
+  afterEach(() => {
+    sessions.close();
+  });
+
+  describe('an entry that cannot be decoded', () => {
+    it('names no worker to use, at once', () => {
+      // The worker was given work for another 2.5 s, which is more than the drain time of small sites.
+      sessions.markUnreadable('w1');
+      expect(bornOfUsable()).to.deep.equal([]);
+    });
+
+    it('names no worker to use when it is found in a listing', () => {
+      sessions.replace(new Map(), new Set(['w1']));
+      expect(bornOfUsable()).to.deep.equal([]);
+    });
+
+    it('names no worker to use after it is removed', () => {
+      sessions.markUnreadable('w1');
+      sessions.update('w1', undefined);
+      expect(bornOfUsable()).to.deep.equal([]);
+    });
+
+    it('says nothing once the worker has written its entry again', () => {
+      sessions.markUnreadable('w1');
+      sessions.update('w1', describeWorker());
+      expect(bornOfUsable()).to.deep.equal([BORN]);
+    });
+  });
+
+  describe('an entry that is removed', () => {
+    it('leaves its worker usable, because entries can expire while the store is away', () => {
+      sessions.update('w1', undefined);
+      expect(bornOfUsable()).to.deep.equal([BORN]);
+    });
+  });
+});
