Give renewals of tickets to steps that can use them

Only the first six steps of a queue had their tickets renewed, whatever kept them waiting. Steps that fit on no worker, need a label that none has, wait for their team's limit, or are allowed only workers that are too small kept these places for good, and a step behind them whose tickets had expired could never start. The class: a place in a bounded list is taken by work that cannot use it.

A planning round now says what keeps each step waiting. Steps that lack only a ticket, steps that wait for room and steps that wait for their team's limit have places of their own, and a step that no worker of the pool could ever run takes none and is not asked about. A step that could start at once with a valid ticket is therefore among the first six of those that could, and these leave the list by starting. The last also no longer counts among the 150 steps after which a round tries only a fraction of the rest.

--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -4,15 +4,16 @@
  */
 import type { EventLog, Meters } from '../observability/index.js';
 import type { Placement, TeamBudget, WaitingStep, WorkerHealth } from '../planner/index.js';
-import type { CandidateWorker } from '../planner/index.js';
-import { countAtLeast, orderSteps, planRound } from '../planner/index.js';
+import type { CandidateWorker, PlacementBarrier } from '../planner/index.js';
+import { orderSteps, planRound } from '../planner/index.js';
 import type { CellConfiguration, Queue } from '../queues/index.js';
 import { setPhase } from '../jobs/index.js';
 import { subtractResources } from '../model/index.js';
 import type { Cell, ReadyStep } from './cell.js';
 import type { FleetSessions } from './fleet-sessions.js';
 import type { JobLifecycle } from './job-lifecycle.js';
-import type { PermitClient, PermitRequest } from './permit-client.js';
+import type { PermitClient } from './permit-client.js';
+import { describePermitRequests } from './permit-requests.js';
 import { isLeadershipFresh } from './leadership-freshness.js';
 import { pauseAfterRound } from './round-pace.js';
 import { createRun, stepNameOf } from './run.js';
@@ -21,12 +22,6 @@
 
 /** Interval of planning rounds without any change, because slack and the validity of tickets depend on time. */
 const IDLE_INTERVAL_MS = 100;
-/** Number of steps at the head of each queue whose tickets are renewed before they expire. */
-const RENEWED_STEPS = 6;
-/** Number of steps at the head of each queue for which additional queries are made; those behind start after them. */
-const ADDITIONAL_QUERY_STEPS = 24;
-/** One in so many of the other steps gets them too, so that none depends on those ahead of it. */
-const ADDITIONAL_QUERY_STRIDE = 8;
 
 export interface Dispatcher {
   /** Requests a planning round after the pause that the last round asks for. */
@@ -108,15 +103,17 @@
       [...cell.ready.values()].map((ready) => describeStep(ready, round)),
       round.nowMs,
     );
+    const barriers = new Map<string, PlacementBarrier>();
     const placements = planRound({
       nowMs: round.nowMs,
       workers: usable.map((session) => describeWorker(session)),
       steps,
       budgets: describeBudgets(configuration),
       round: effort.rounds,
+      onBlocked: ({ key }, barrier) => barriers.set(key, barrier),
     });
     orderPlacements(placements, round);
-    requestPermits(steps, round);
+    requestPermits(steps, round, barriers);
     const tookMs = performance.now() - startedAt;
     meters.planSeconds.observe(tookMs / 1000);
     effort = { rounds: effort.rounds + 1, tookMs: effort.tookMs + tookMs };
@@ -197,33 +194,22 @@
     );
   }
 
-  /** Requests permits for the waiting steps, and renews the tickets of the first steps of each queue. */
-  function requestPermits(steps: readonly WaitingStep[], round: Round) {
-    const queuePositions = new Map<string, number>();
-    const workersOf = createWorkerLookup(round);
-    const requests: PermitRequest[] = [];
-    for (const step of steps) {
-      const ready = cell.ready.get(step.key);
-      // Steps without waiting tasks need no further permits.
-      if (ready === undefined) continue;
-      const queueName = ready.entry.progress.job.queue;
-      const timing = round.queues.get(queueName)?.advice;
-      if (timing === undefined) continue;
-      const position = queuePositions.get(queueName) ?? 0;
-      queuePositions.set(queueName, position + 1);
-      const { born, freeProcessors } = workersOf(step);
-      requests.push({
-        step: step.key,
-        timing,
-        tasks: ready.step.waitingCount,
-        workers: born,
-        withRoom: countAtLeast(freeProcessors, step.size.processors),
-        renew: position < RENEWED_STEPS,
-        additional:
-          position < ADDITIONAL_QUERY_STEPS ||
-          (position + effort.rounds) % ADDITIONAL_QUERY_STRIDE === 0,
-      });
-    }
+  function requestPermits(
+    steps: readonly WaitingStep[],
+    round: Round,
+    barriers: Map<string, PlacementBarrier>,
+  ) {
+    const requests = describePermitRequests({
+      steps,
+      barriers,
+      queueOf: ({ key }) => {
+        const ready = cell.ready.get(key);
+        return ready === undefined ? undefined : round.queues.get(ready.entry.progress.job.queue);
+      },
+      tasksOf: ({ key }) => cell.ready.get(key)?.step.waitingCount ?? 0,
+      sessions: [...round.sessionsById.values()],
+      round: effort.rounds,
+    });
     permits.requestMissing(requests);
   }
 
@@ -344,40 +330,3 @@
     },
   };
 }
-
-/** Workers that are eligible for a step, those with the most free processors first. */
-interface EligibleWorkers {
-  /** Start of each worker's incarnation, by the worker's id. */
-  readonly born: ReadonlyMap<string, number>;
-  /** Free processors of each worker, in the same order. */
-  readonly freeProcessors: readonly number[];
-}
-
-/** Returns a function that maps a step to its eligible workers. Steps with the same service and label share a result. */
-function createWorkerLookup({ sessionsById }: Round): (step: WaitingStep) => EligibleWorkers {
-  const byFreeProcessors = [...sessionsById.values()]
-    .map((session) => ({
-      session,
-      free: session.worker.room.processors - session.used.processors,
-    }))
-    .sort((left, right) => right.free - left.free);
-  const lists = new Map<string, EligibleWorkers>();
-  return ({ service, requiredLabel }) => {
-    const key = `${service} ${requiredLabel ?? ''}`;
-    const known = lists.get(key);
-    if (known !== undefined) return known;
-    const eligible = byFreeProcessors.filter(
-      ({ session: { worker } }) =>
-        worker.service === service &&
-        (requiredLabel === undefined || worker.labels.includes(requiredLabel)),
-    );
-    const list = {
-      born: new Map(
-        eligible.map(({ session: { incarnation } }) => [incarnation.id, incarnation.born]),
-      ),
-      freeProcessors: eligible.map(({ free }) => free),
-    };
-    lists.set(key, list);
-    return list;
-  };
-}
--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -79,3 +79,10 @@
   readonly task: number;
   readonly worker: string;
 }
+
+/**
+ * What keeps the tasks of a waiting step from being placed. `pool`: no worker of its service could run it, even with
+ * everything else gone. `limit`: the team is at its limit. `permit`: workers that may run it have room, but the step has
+ * no valid permits for them. `room`: the workers that may run it are full.
+ */
+export type PlacementBarrier = 'pool' | 'limit' | 'permit' | 'room';
--- a/src/planner/index.ts
+++ b/src/planner/index.ts
@@ -4,4 +4,5 @@
 export * from './candidates.js';
 export * from './order.js';
 export * from './plan.js';
+export { countAtLeast } from './pool.js';
 export * from './worker-health.js';
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -7,13 +7,29 @@
  * blocks of capacity free for wide work.
  *
  * In an overload hundreds of steps wait, and nearly all of them fit nowhere. After a number of such steps a round tries
- * only a fraction of those behind them, a different one each time, so that its cost grows slowly with the backlog and
- * steps that can never run do not hold up the others.
+ * only a fraction of those behind them, a different one each time, so that its cost grows slowly with the backlog. Steps
+ * that no worker of the pool could ever run are left out before that, and take nothing from the others.
  */
-import { addResources, fitsWithin, ROUNDING_TOLERANCE, subtractResources } from '../model/index.js';
+import { addResources, fitsWithin, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
-import type { CandidateWorker, Placement, TeamBudget, WaitingStep } from './candidates.js';
+import type {
+  CandidateWorker,
+  Placement,
+  PlacementBarrier,
+  TeamBudget,
+  WaitingStep,
+} from './candidates.js';
 import { isLate, orderSteps } from './order.js';
+import {
+  canHold,
+  couldEverRun,
+  groupByService,
+  isAllowed,
+  slotsIn,
+  tasksAtOnce,
+  withinBudget,
+  workersWithRoom,
+} from './pool.js';
 
 /** Number of gangs that may reserve workers at the same time; each reservation leaves capacity idle. */
 const MAX_RESERVING_GANGS = 2;
@@ -32,6 +48,8 @@
   readonly maxUnplacedSteps?: number;
   /** Number of the round, which selects the fraction of a long backlog that is tried. */
   readonly round?: number;
+  /** Called for each step that was considered and has waiting tasks left. */
+  readonly onBlocked?: (step: WaitingStep, barrier: PlacementBarrier) => void;
 }
 
 /** Assigns workers to tasks and charges the placements to the given workers and budgets. */
@@ -44,6 +62,7 @@
     maxReservingGangs = MAX_RESERVING_GANGS,
     maxUnplacedSteps = MAX_UNPLACED_STEPS,
     round = 0,
+    onBlocked = () => undefined,
   } = options;
   const pools = groupByService(workers);
   const reserved = new Set<string>();
@@ -52,9 +71,16 @@
 
   for (const [position, step] of orderSteps(steps, nowMs).entries()) {
     const pool = pools.get(step.service);
-    // Steps that wait for an answer of the advice service or for their team's other work cost next to nothing.
-    if (pool === undefined || step.constraint?.known === false) continue;
-    if (!withinBudget(step, budgets, 1)) continue;
+    if (pool === undefined || !couldEverRun(step, pool, budgets)) {
+      onBlocked(step, 'pool');
+      continue;
+    }
+    // Steps that wait for their team's other work or for an answer of the advice service cost next to nothing.
+    if (!withinBudget(step, budgets, tasksAtOnce(step))) {
+      onBlocked(step, 'limit');
+      continue;
+    }
+    if (step.constraint?.known === false) continue;
     const isBehind = pool.unplacedSteps >= maxUnplacedSteps;
     if (isBehind && (position + round) % TAIL_STRIDE !== 0) continue;
     // Urgent work is short and may use workers that a gang has reserved.
@@ -65,10 +91,11 @@
     const place = step.gang ? placeGang : placeTasks;
     const placed = startable.length === 0 ? [] : place(step, startable, budgets);
     placements.push(...placed);
-    if (placed.length < step.waiting) pool.unplacedSteps += 1;
+    if (placed.length === step.waiting) continue;
+    pool.unplacedSteps += 1;
+    onBlocked(step, findBarrier(step, candidates, budgets));
     const mustWait = step.gang && placed.length === 0;
     if (!mustWait || reservingGangs >= maxReservingGangs || isLate(step, nowMs)) continue;
-    if (!withinBudget(step, budgets, step.waiting)) continue;
     const open = pool.workers.filter(isOpen);
     const runnable = step.constraint === undefined ? open : step.constraint.runnable(open);
     const reservation = workersToReserve(step, runnable);
@@ -79,49 +106,17 @@
   return placements;
 }
 
-/** The workers of a service that can be given tasks, those with the most free processors first. */
-interface Pool {
-  readonly workers: CandidateWorker[];
-  /** Free processors of each worker at the start of the round. Placements only reduce what is free. */
-  freeAtStart: readonly number[];
-  /** Steps that were tried in this round and have tasks left. */
-  unplacedSteps: number;
-}
-
-function groupByService(workers: readonly CandidateWorker[]): Map<string, Pool> {
-  const pools = new Map<string, Pool>();
-  for (const worker of workers) {
-    if (worker.healthStatus === 'avoided') continue;
-    if (worker.healthStatus === 'trial' && worker.runs > 0) continue;
-    const pool = pools.get(worker.service);
-    if (pool === undefined) {
-      pools.set(worker.service, { workers: [worker], freeAtStart: [], unplacedSteps: 0 });
-    } else pool.workers.push(worker);
-  }
-  for (const pool of pools.values()) {
-    pool.workers.sort((left, right) => right.free.processors - left.free.processors);
-    pool.freeAtStart = pool.workers.map(({ free }) => free.processors);
-  }
-  return pools;
-}
-
-/** In a full cell few workers have room, so that hundreds of waiting steps are not compared with all workers. */
-function workersWithRoom({ workers, freeAtStart }: Pool, size: Resources): CandidateWorker[] {
-  return workers
-    .slice(0, countAtLeast(freeAtStart, size.processors - ROUNDING_TOLERANCE))
-    .filter(({ free }) => fitsWithin(size, free));
-}
-
-/** Number of values, sorted from the largest, that are at least `least`. */
-export function countAtLeast(sorted: readonly number[], least: number): number {
-  let low = 0;
-  let high = sorted.length;
-  while (low < high) {
-    const middle = (low + high) >> 1;
-    if ((sorted[middle] ?? 0) >= least) low = middle + 1;
-    else high = middle;
-  }
-  return low;
+/** What keeps the tasks that are left from a place on the candidates. */
+function findBarrier(
+  step: WaitingStep,
+  candidates: readonly CandidateWorker[],
+  budgets: ReadonlyMap<string, TeamBudget>,
+): PlacementBarrier {
+  if (!withinBudget(step, budgets, tasksAtOnce(step))) return 'limit';
+  const { constraint } = step;
+  return constraint !== undefined && canHold(step, constraint.runnable(candidates))
+    ? 'permit'
+    : 'room';
 }
 
 function placeTasks(
@@ -148,10 +143,8 @@
   pool: readonly CandidateWorker[],
   budgets: ReadonlyMap<string, TeamBudget>,
 ): Placement[] {
-  if (!withinBudget(step, budgets, step.waiting)) return [];
   const usable = pool.filter(({ healthStatus }) => healthStatus === 'trusted');
-  const slots = usable.reduce((sum, { free }) => sum + slotsIn(free, step.size), 0);
-  if (slots < step.waiting) return [];
+  if (!canHold(step, usable)) return [];
   const placements: Placement[] = [];
   const added = new Map<string, number>();
   const touched: { worker: CandidateWorker; free: Resources }[] = [];
@@ -194,17 +187,6 @@
   return best;
 }
 
-function isAllowed(
-  step: WaitingStep,
-  worker: CandidateWorker,
-  added: ReadonlyMap<string, number>,
-): boolean {
-  if (step.requiredLabel !== undefined && !worker.labels.includes(step.requiredLabel)) return false;
-  if (step.maxPerWorker === undefined) return true;
-  const present = (step.placed.get(worker.id) ?? 0) + (added.get(worker.id) ?? 0);
-  return present < step.maxPerWorker;
-}
-
 /** Work in another rack takes 1.5 to 3 times as long, which outweighs any gain from tighter packing. */
 const REMOTE_COST = 4;
 /** A worker on which the task failed before is the last choice, but better than none. */
@@ -250,18 +232,6 @@
   return slots >= step.waiting ? reserved : [];
 }
 
-/** Number of tasks of this size that fit into the given resources; infinite for a size of zero. */
-function slotsIn(room: Resources, size: Resources): number {
-  const ratio = (whole: number, part: number) =>
-    part > 0 ? Math.floor((whole + ROUNDING_TOLERANCE) / part) : Infinity;
-  const slots = Math.min(
-    ratio(room.processors, size.processors),
-    ratio(room.memoryMb, size.memoryMb),
-    ratio(room.accelerators, size.accelerators),
-  );
-  return Math.max(0, slots);
-}
-
 function charge(
   step: WaitingStep,
   worker: CandidateWorker,
@@ -281,21 +251,3 @@
     budget.used = addResources(budget.used, step.size);
   }
 }
-
-/** Whether `count` more tasks stay within the team's limit; a limit of 0 means unlimited. */
-function withinBudget(
-  step: WaitingStep,
-  budgets: ReadonlyMap<string, TeamBudget>,
-  count: number,
-): boolean {
-  const budget = budgets.get(step.team);
-  if (budget === undefined) return true;
-  const { limit, used } = budget;
-  const within = (most: number, now: number, more: number) =>
-    most === 0 || now + more * count <= most;
-  return (
-    within(limit.processors, used.processors, step.size.processors) &&
-    within(limit.memoryMb, used.memoryMb, step.size.memoryMb) &&
-    within(limit.accelerators, used.accelerators, step.size.accelerators)
-  );
-}
