Send orders only on a view of jobs and cancellations of bounded age

Callers could see a task of a cancelled job start long after the cancellation was acknowledged. It is the fault of the workers' view again: the leader learns of cancellations from a watch of `jobs/` and started queued tasks on whatever it had read, however old.

Evidence: with the stand-in silent for reads of `jobs/` only, a job cancelled 4 s before was started when its turn came: is not started late while the store answers nothing about jobs: AssertionError: expected [ { worker: 'w-1', ...(4) } ] to deeply equal []

The records of jobs are now a second view of the order window, bounded by `cancel_ms` of the settings, with waits and timeouts that derive from it. The line leader-load gives the age of this view as well.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -58,6 +58,8 @@
   readonly fleet: FleetSource;
   /** Time after a worker's report that it leaves from which no task may be started on it. */
   readonly drainMs?: number;
+  /** Time after an acknowledged cancellation from which no task of the job may be started. */
+  readonly cancelMs?: number;
   readonly connect: (address: string, incarnation: WorkerIncarnation) => WorkerConnection;
   readonly advise: (step: string, workers: readonly string[]) => Promise<AdviceAnswer | undefined>;
   readonly configurationKey: string;
@@ -178,6 +180,7 @@
         configuration,
         fleet: options.fleet,
         ...(options.drainMs === undefined ? {} : { drainMs: options.drainMs }),
+        ...(options.cancelMs === undefined ? {} : { cancelMs: options.cancelMs }),
         connect: options.connect,
         callers: () => [localAdvice, ...hub.callers()],
         renewedAt: () => election.renewedAt,
--- a/src/controller/cell-feed.ts
+++ b/src/controller/cell-feed.ts
@@ -23,6 +23,8 @@
   readonly restored: boolean;
   /** When the workers' entries were current for certain, in monotonic milliseconds. */
   readonly fleetConfirmedAt: number;
+  /** When the records of jobs and of their cancellations were current for certain, in monotonic milliseconds. */
+  readonly jobsConfirmedAt: number;
   stop(): void;
 }
 
@@ -32,6 +34,8 @@
   readonly fleetPrefix: string;
   /** Age of the workers' entries that orders must not exceed. */
   readonly fleetMaxAgeMs: number;
+  /** Age of the records of jobs and of their cancellations that orders must not exceed. */
+  readonly jobsMaxAgeMs: number;
   readonly onProgress: (entries: readonly StoreEntry[]) => void;
   readonly onFleet: (entries: readonly StoreEntry[]) => void;
   readonly onFleetChange: (change: StoreChange) => void;
@@ -92,6 +96,7 @@
   const jobFollower = followPrefix({
     store,
     prefix: JOB_STORE_KEYS.jobs,
+    ...followTiming(options.jobsMaxAgeMs),
     batchDelayMs: JOBS_BATCH_DELAY_MS,
     events,
     reachability,
@@ -118,6 +123,9 @@
     get fleetConfirmedAt() {
       return fleetFollower.confirmedAt;
     },
+    get jobsConfirmedAt() {
+      return jobFollower.confirmedAt;
+    },
     stop: () => {
       stopped = true;
       fleetFollower.stop();
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -54,6 +54,8 @@
   readonly pendingWrites: number;
   /** Age of what this leader knows of the workers. */
   readonly fleetAgeMs: number;
+  /** Age of what this leader knows of jobs and cancellations. */
+  readonly jobsAgeMs: number;
 }
 
 export interface ControllerOptions {
@@ -64,6 +66,8 @@
   readonly fleet: FleetSource;
   /** Time after a worker's report that it leaves from which no task may be started on it. */
   readonly drainMs?: number;
+  /** Time after an acknowledged cancellation from which no task of the job may be started. */
+  readonly cancelMs?: number;
   readonly connect: (address: string, incarnation: WorkerIncarnation) => WorkerConnection;
   readonly callers: () => readonly AdviceCaller[];
   /** Monotonic milliseconds of the last confirmed renewal of the leader's lease. */
@@ -92,7 +96,9 @@
  */
 const EXTEND_WITHOUT_STORE_MS = 10_000;
 /** Drain time of the platform where its settings do not give another. */
-export const DEFAULT_DRAIN_MS = 2000;
+const DEFAULT_DRAIN_MS = 2000;
+/** Likewise for cancellations. */
+const DEFAULT_CANCEL_MS = 3000;
 /** Margin on the upper bound of inherited leases for the drift of workers' clocks. */
 const INHERITED_SLACK_MS = 800;
 /**
@@ -103,7 +109,7 @@
 
 export function createController(options: ControllerOptions): Controller {
   const { store, reachability, term, configuration, events, meters } = options;
-  const { drainMs = DEFAULT_DRAIN_MS } = options;
+  const { drainMs = DEFAULT_DRAIN_MS, cancelMs = DEFAULT_CANCEL_MS } = options;
   const now = () => performance.now();
   const startedAt = now();
   let closed = false;
@@ -164,7 +170,10 @@
     onLeaving: evacuate,
   });
   const orderWindow = createOrderWindow({
-    views: [{ confirmedAt: () => feed.fleetConfirmedAt, maxAgeMs: drainMs }],
+    views: [
+      { confirmedAt: () => feed.fleetConfirmedAt, maxAgeMs: drainMs },
+      { confirmedAt: () => feed.jobsConfirmedAt, maxAgeMs: cancelMs },
+    ],
   });
   const fleetAgeMs = () => Math.round(now() - feed.fleetConfirmedAt);
   const dispatcher = createDispatcher({
@@ -336,6 +345,7 @@
     reachability,
     fleetPrefix: options.fleet.prefix,
     fleetMaxAgeMs: drainMs,
+    jobsMaxAgeMs: cancelMs,
     onProgress: applyProgress,
     onFleet: applyFleet,
     onFleetChange: applyFleetChange,
@@ -379,6 +389,7 @@
         workers: all.length,
         pendingWrites: log.pending,
         fleetAgeMs: fleetAgeMs(),
+        jobsAgeMs: Math.round(now() - feed.jobsConfirmedAt),
       };
     },
     quiesce: async (timeoutMs) => {
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -301,8 +301,8 @@
       writtenAt,
       renewedAt: options.renewedAt(),
     });
-    const fleetFresh = options.orderWindow.remainingMs() > 0;
-    const maySend = leadershipFresh && fleetFresh && !stopped;
+    const viewsFresh = options.orderWindow.remainingMs() > 0;
+    const maySend = leadershipFresh && viewsFresh && !stopped;
     const withdrawn = new Set<Run>();
     const tickets = new Map<Run, string | undefined>();
     for (const run of runs) {
@@ -329,7 +329,7 @@
           status: run.status,
           ticketed: tickets.get(run) !== undefined,
           leadershipFresh,
-          fleetFresh,
+          viewsFresh,
           acceptsWork: sessions.acceptsWork(run.session),
           fleetAgeMs: options.fleetAgeMs(),
           entryRevision: run.session.worker.revision,
--- a/stand-ins/platform/store.ts
+++ b/stand-ins/platform/store.ts
@@ -29,7 +29,7 @@
   readonly faultInjector: FaultInjector;
   /** Applies the next `count` transactions, at once or after `delayMs`, without responding to them. */
   dropTransactionResponses(count: number, delayMs?: number): void;
-  /** While set, reads and watches of keys under this prefix get no response; all other calls are served. */
+  /** While set, listings and watches of exactly this prefix get no response; all other calls are served. */
   silentPrefix: string | undefined;
   /** While set, watches get no response; all other calls are served. */
   silentWatches: boolean;
@@ -50,8 +50,7 @@
   };
   let committed = 0;
 
-  const isSilent = ({ query }: Call) =>
-    state.silentPrefix !== undefined && query.get('prefix')?.startsWith(state.silentPrefix);
+  const isSilent = ({ query }: Call) => query.get('prefix') === state.silentPrefix;
 
   function transact(call: Call): HandlerResult {
     if (state.rejectsTransactions) return { status: 503, body: { error: 'rejected' } };
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -34,6 +34,7 @@
 [bounds]
 grace-s = 6
 drain-ms = 3000
+cancel_ms = 4000
 [platform]
 address = "10.200.1.7:8182"
 form = "kv"
@@ -101,6 +102,7 @@
         storeAddress: '10.200.1.7:8182',
         graceMs: 6000,
         drainMs: 3000,
+        cancelMs: 4000,
         processors: 1.35,
         minLeaseMs: 1500,
       });
