--- a/src/controller/order-window.ts
+++ b/src/controller/order-window.ts
@@ -73,8 +73,6 @@
   readonly waitMs: number;
   readonly watchTimeoutMs: number;
   readonly listTimeoutMs: number;
-  /** Greatest time between two listings. */
-  readonly refreshMs: number;
 }
 
 export function followTiming(maxAgeMs: number): FollowTiming {
@@ -84,6 +82,10 @@
     waitMs,
     watchTimeoutMs: waitMs + slackMs,
     listTimeoutMs: Math.round(Math.min(MAX_LISTING_MS, LISTING_SHARE * maxAgeMs)),
-    refreshMs: Math.round(LISTING_INTERVAL_SHARE * maxAgeMs),
   };
 }
+
+/** Interval of listings that show a change in time for orders although the watch has missed it. */
+export function listingIntervalMs(maxAgeMs: number): number {
+  return Math.round(LISTING_INTERVAL_SHARE * maxAgeMs);
+}
