Show a job as completed only once its record is durable

While the store was away, the leader announced completed jobs to the hosts that it was linked with 300 ms after their last end, and they answered from memory. That knowledge was durable nowhere: hosts have no disk, and the worker that still lists the end may crash.

The cause of all is one: a caller was told what no place held that outlives the loss of a data centre and of any number of hosts. The list in the hello, the retention of 60 s and the question at the restore only made the gap rarer. So the announcement is removed with all of it: the message job-completed, the list in the hello, the caches for it, and the marking of jobs as completed by a successor. Hosts now show a final state that they have read from the store or that the leader reports after the write. An end whose worker is lost before its record is durable still leads to another run, but nobody was told otherwise.

No exception was found that can be kept. The end that the worker still lists is lost with the worker, the memory of other hosts with these hosts, and a successor that waited for hosts to report would wait for hosts that may be gone.

The price: a caller that asks while the store is away, or in a data centre that is cut off, gets `unavailable` (503) until the store is back.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -113,13 +113,9 @@
     onLeaderUnavailable: () => {
       election.suspectLeader();
     },
-    onCompletion: (job) => {
-      reader.recordCompletion(job);
-    },
     onEnd: (job, state) => {
       reader.recordEnd(job, state);
     },
-    completions: () => reader.recentCompletions(),
   });
   /** Sends accepted jobs to the leader ahead of its watch; a committed write also confirms the configuration. */
   function handleCommitted(jobs: readonly Job[], { revision }: Condition, sentAt: number) {
@@ -151,10 +147,6 @@
   hub.onAccepted((job) => {
     controller?.addAcceptedJob(job);
   });
-  hub.onCompletions((jobs) => {
-    for (const job of jobs) reader.recordCompletion(job);
-    controller?.completeJobs(jobs);
-  });
 
   const election: Election = createElection({
     store,
@@ -181,11 +173,6 @@
         onLeadershipLost: (reason) => {
           election.stepDown(reason);
         },
-        isCompleted: (job) => reader.finalState(job) === 'completed',
-        announceCompletion: (job) => {
-          reader.recordCompletion(job);
-          hub.announceCompletion(job);
-        },
         announceEnd: ({ id, acceptedBy }, state) => {
           if (acceptedBy === host) reader.recordEnd(id, state);
           else hub.announceEnd(acceptedBy, id, state);
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -35,8 +35,6 @@
   handleCallersChanged(): void;
   /** Adds a job that a host has accepted and whose record is durable. */
   addAcceptedJob(job: Job): void;
-  /** Marks jobs as completed that hosts know to be so from a previous leader. */
-  completeJobs(jobs: readonly string[]): void;
   /** Amount of work in the cell, and what planning has cost in this term. */
   describeLoad(): CellLoad;
   /** Stops placement and waits until all progress is durable, before a planned stop. */
@@ -63,10 +61,6 @@
   readonly renewedAt: () => number | undefined;
   readonly onLeadershipLost: (reason: string) => void;
   readonly onLeaderKeyMissing: () => void;
-  /** Whether a previous leader has announced to this host that the job is completed. */
-  readonly isCompleted: (job: string) => boolean;
-  /** Announces a completed job to all hosts while its record cannot be written. */
-  readonly announceCompletion: (job: string) => void;
   /** Announces the final state, whose record is durable, to the host that accepted the job. */
   readonly announceEnd: (job: Job, state: JobState) => void;
   readonly events: EventLog;
@@ -86,11 +80,6 @@
 const EXTEND_WITHOUT_STORE_MS = 10_000;
 /** Margin on the upper bound of inherited leases for the drift of workers' clocks. */
 const INHERITED_SLACK_MS = 800;
-/**
- * A completion that is not durable after this time is announced to the hosts, so that callers see it during an outage
- * of the store. A slow store takes 240 ms.
- */
-const ANNOUNCE_AFTER_MS = 300;
 
 export function createController(options: ControllerOptions): Controller {
   const { store, reachability, term, configuration, events, meters } = options;
@@ -136,7 +125,6 @@
     events,
     maxAttempts: (queue) => findQueue(queue)?.maxAttempts ?? 1,
     write: (job, urgency) => log.write(job, urgency),
-    onCompleted: announceIfDelayed,
     onEnded: options.announceEnd,
     onChange: requestPlan,
     now: Date.now,
@@ -170,18 +158,6 @@
     if (feed.restored && !closed) dispatcher.request();
   }
 
-  function announceIfDelayed(job: string, durable: Promise<boolean>) {
-    const timer = setTimeout(() => {
-      if (closed) return;
-      events.info('job-completion-announced', { job, waitedMs: ANNOUNCE_AFTER_MS });
-      options.announceCompletion(job);
-    }, ANNOUNCE_AFTER_MS);
-    timer.unref();
-    void durable.then(() => {
-      clearTimeout(timer);
-    });
-  }
-
   function findQueue(name: string) {
     return configuration.current?.configuration.queues.find((queue) => queue.name === name);
   }
@@ -301,7 +277,6 @@
     savedProgress,
     finishedBefore,
     configuration: () => configuration.current?.configuration,
-    isCompleted: options.isCompleted,
     beginDueOccurrences: (entry) => {
       housekeeping.beginDueOccurrences(entry);
     },
@@ -337,12 +312,6 @@
       // Before the restore is complete, the job is in the listing that is still being read.
       if (feed.restored && !closed) intake.addAccepted(job);
     },
-    completeJobs: (jobs) => {
-      for (const job of jobs) {
-        const entry = cell.jobs.get(job);
-        if (entry !== undefined) lifecycle.complete(entry);
-      }
-    },
     describeLoad: () => {
       const all = [...sessions.all()];
       return {
--- a/src/controller/job-intake.ts
+++ b/src/controller/job-intake.ts
@@ -41,8 +41,6 @@
   /** Jobs that ended before this term, with the time at which this leader read their records. */
   readonly finishedBefore: ReadonlyMap<string, number>;
   readonly configuration: () => CellConfiguration | undefined;
-  /** Whether a previous leader has announced to this host that the job is completed. */
-  readonly isCompleted: (job: string) => boolean;
   readonly beginDueOccurrences: (entry: JobEntry) => void;
   readonly onChange: () => void;
   readonly events: EventLog;
@@ -81,7 +79,6 @@
       beyondShare: entry.beyondShare,
       restored: decoded !== undefined,
     });
-    if (options.isCompleted(job.id)) lifecycle.complete(entry);
     if (cancelled) lifecycle.cancel(entry);
     if (progress.job.schedule !== undefined) options.beginDueOccurrences(entry);
     options.onChange();
--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -1,5 +1,5 @@
 /**
- * Applies the ends of runs, cancellations and completions to tasks, gangs and jobs.
+ * Applies the ends of runs and cancellations to tasks, gangs and jobs.
  */
 import type { Job, JobProgress, JobState, TaskProgress } from '../jobs/index.js';
 import { completeOccurrences, isFinal, setPhase } from '../jobs/index.js';
@@ -17,8 +17,6 @@
   /** Applies the end of a run; resolves to true once it is durable, to false if it never will be. */
   applyEnd(run: Run, end: RunEnd, checkpoint: string): Promise<boolean>;
   cancel(entry: JobEntry): void;
-  /** Marks a job as completed that a previous leader knew to be so. */
-  complete(entry: JobEntry): void;
   /** Stops a run and all other members of its gang, which cannot continue without it. */
   stop(run: Run, reason: string): void;
   /** Runs of the job that have not ended. */
@@ -31,8 +29,6 @@
   readonly events: EventLog;
   readonly maxAttempts: (queue: string) => number;
   readonly write: (job: string, urgency: WriteUrgency) => Promise<boolean>;
-  /** Called when a job is completed; the promise resolves to whether its record is durable. */
-  readonly onCompleted: (job: string, durable: Promise<boolean>) => void;
   /** Called when a job has ended and its record is durable. */
   readonly onEnded: (job: Job, state: JobState) => void;
   readonly onChange: () => void;
@@ -80,10 +76,7 @@
     recordFinalState(entry);
     cell.refresh(entry);
     options.onChange();
-    if (!isFinal(progress.state)) return options.write(progress.job.id, 'note');
-    const durable = writeEnd(progress);
-    if (progress.state === 'completed') options.onCompleted(progress.job.id, durable);
-    return durable;
+    return isFinal(progress.state) ? writeEnd(progress) : options.write(progress.job.id, 'note');
   }
 
   function writeEnd({ job, state }: JobProgress): Promise<boolean> {
@@ -191,17 +184,7 @@
     options.onChange();
   }
 
-  function complete(entry: JobEntry) {
-    const { progress } = entry;
-    if (isFinal(progress.state)) return;
-    progress.state = 'completed';
-    stopAll(progress, 'the job is completed');
-    recordFinalState(entry);
-    cell.refresh(entry);
-    void writeEnd(progress);
-  }
-
-  return { registerRun, applyEnd, cancel, complete, stop, runsOf };
+  return { registerRun, applyEnd, cancel, stop, runsOf };
 }
 
 /** The checkpoint of any member is valid for the gang, but all members must resume from the same one. */
--- a/src/intake/job-reader.ts
+++ b/src/intake/job-reader.ts
@@ -1,6 +1,6 @@
 /**
- * Looks up the state of jobs at any host. Final states are cached; all others are read from the store
- * for each query, so that an answer is never older than its query.
+ * Looks up the state of jobs at any host. Final states are cached once they are durable; all others are read from the
+ * store for each query, so that an answer is never older than its query.
  */
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -20,10 +20,6 @@
   finalState(id: string): JobState | undefined;
   /** Caches the final state of a job that is durable in the store. */
   recordEnd(id: string, state: JobState): void;
-  /** Caches that a job is completed, which may not be durable in the store yet. */
-  recordCompletion(id: string): void;
-  /** Jobs that were recently passed to `recordCompletion`. */
-  recentCompletions(): readonly string[];
 }
 
 export interface JobReaderOptions {
@@ -34,16 +30,12 @@
 
 /** Maximum number of cached final states per host. */
 const MAX_FINAL_STATES = 20_000;
-/** Longer than any outage of the store: a leader that fails during one may not have stored completions. */
-const COMPLETION_RETENTION_MS = 60_000;
 /** The leader writes the backlog every 400 ms, and the platform accepts counts that are up to 2 s old. */
 const MAX_BACKLOG_AGE_MS = 300;
 
 export function createJobReader(options: JobReaderOptions): JobReader {
   const { store, events, now = () => performance.now() } = options;
   const finalStates = new Map<string, JobState>();
-  /** Jobs passed to `recordCompletion`, with the time of the call. */
-  const completedAt = new Map<string, number>();
   let backlog:
     { readonly at: number; readonly counts: Readonly<Record<string, number>> } | undefined;
 
@@ -83,20 +75,9 @@
 
   return {
     finalState: (id) => finalStates.get(id),
-    recordCompletion: (id) => {
-      if (finalStates.has(id)) return;
-      storeFinalState(id, 'completed');
-      completedAt.set(id, now());
-    },
     recordEnd: (id, state) => {
       if (isFinal(state)) storeFinalState(id, state);
     },
-    recentCompletions: () => {
-      for (const [id, at] of completedAt) {
-        if (now() - at > COMPLETION_RETENTION_MS) completedAt.delete(id);
-      }
-      return [...completedAt.keys()];
-    },
     state: async (id) => {
       const known = finalStates.get(id);
       if (known !== undefined) return ok(known);
--- a/src/peers/hub.ts
+++ b/src/peers/hub.ts
@@ -29,10 +29,6 @@
   onCallerConnected(listener: () => void): void;
   /** Processor count of the connected host that has the most; 0 if none is connected. */
   readonly maxProcessors: number;
-  /** Calls the listener with the completed jobs that a connecting host reports. */
-  onCompletions(listener: (jobs: readonly string[]) => void): void;
-  /** Notifies all connected hosts that the job is completed. */
-  announceCompletion(job: string): void;
   /** Sets the handler of calls that hosts forward because they cannot serve them. */
   setCallHandler(handler: (call: RelayedCall) => Promise<RelayedAnswer>): void;
   /** Calls the listener with each job that a host has accepted. */
@@ -66,7 +62,6 @@
   const connectionListeners: (() => void)[] = [];
   let callHandler: ((call: RelayedCall) => Promise<RelayedAnswer>) | undefined;
   const acceptanceListeners: ((job: Job) => void)[] = [];
-  const completionListeners: ((jobs: readonly string[]) => void)[] = [];
   const server = new WebSocketServer({
     host: options.ip,
     port: options.port,
@@ -109,7 +104,6 @@
         processors.set(socket, message.processors);
         events.info('peer-connected', { peer: name, peers: callers.size });
         for (const listener of connectionListeners) listener();
-        for (const listener of completionListeners) listener(message.completed);
       }
       if (message.kind === 'advice-response') resolveAdvice(message);
       if (message.kind === 'call-request') void answer(message);
@@ -165,12 +159,6 @@
     onCallerConnected: (listener) => {
       connectionListeners.push(listener);
     },
-    onCompletions: (listener) => {
-      completionListeners.push(listener);
-    },
-    announceCompletion: (job) => {
-      announce({ kind: 'job-completed', job });
-    },
     setCallHandler: (handler) => {
       callHandler = handler;
     },
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -33,12 +33,8 @@
    */
   readonly onLeaderUnavailable: () => void;
   readonly advise: (step: string, workers: readonly string[]) => Promise<AdviceAnswer | undefined>;
-  /** Called when the leader reports a completed job, which may not be durable in the store yet. */
-  readonly onCompletion: (job: string) => void;
-  /** Called when a job that this host accepted has ended. */
+  /** Called when a job that this host accepted has ended and its record is durable. */
   readonly onEnd: (job: string, state: JobState) => void;
-  /** Jobs that a former leader reported as completed. */
-  readonly completions: () => readonly string[];
 }
 
 /** Delay before the link is dialled again. */
@@ -95,14 +91,7 @@
       opened = true;
       hasConnected = true;
       isSilent = false;
-      dialled.send(
-        packr.pack({
-          kind: 'hello',
-          host,
-          processors: options.processors,
-          completed: options.completions(),
-        }),
-      );
+      dialled.send(packr.pack({ kind: 'hello', host, processors: options.processors }));
       events.info('leader-link-connected', { address });
     });
     dialled.on('pong', () => {
@@ -116,7 +105,6 @@
         if (message.kind === 'advice-request') void answerAdviceRequest(dialled, message);
         if (message.kind === 'call-response') pendingCalls.get(message.id)?.(ok(message.answer));
         if (message.kind === 'leader-turned-away') options.onLeaderUnavailable();
-        if (message.kind === 'job-completed') options.onCompletion(message.job);
         if (message.kind === 'job-ended') options.onEnd(message.job, message.state);
       } catch (error) {
         events.warn('peer-message-malformed', { address, error: String(error) });
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -19,8 +19,6 @@
   readonly host: string;
   /** Number of cores of the host. */
   readonly processors: number;
-  /** Jobs that former leaders reported as completed, which the present leader may not know. */
-  readonly completed: readonly string[];
 }
 
 export interface AdviceRequest {
@@ -39,12 +37,6 @@
   readonly failure: string;
 }
 
-/** All tasks of the job are done; this is not durable in the store yet. */
-export interface JobCompleted {
-  readonly kind: 'job-completed';
-  readonly job: string;
-}
-
 /** A call that a host forwards because it cannot reach the store. */
 export interface CallRequest {
   readonly kind: 'call-request';
@@ -83,6 +75,5 @@
   | CallRequest
   | CallResponse
   | JobAccepted
-  | JobCompleted
   | JobEnded
   | LeaderTurnedAway;
