--- a/test/controller/job-lifecycle.test.ts
+++ b/test/controller/job-lifecycle.test.ts
@@ -37,7 +37,6 @@
     events: SILENT_EVENTS,
     maxAttempts: () => 1,
     write: () => written,
-    onCompleted: () => undefined,
     onEnded: () => undefined,
     onChange: () => undefined,
     now: () => 0,
