Let gangs end the trials of workers

A worker that was excluded stays on trial until one of its runs succeeds, and a gang was placed on trusted workers only. If nothing but gangs came, no trial ever ended. Besides, only the first member of a job's last gang that was done ended the trial of its worker: it completed the job, and the ends of the others were dropped before they reached the health of their workers. The class: a state that only work of another kind can end.

A gang may now be the trial of a worker, all of its members there together. Since one failing member costs the whole gang a run, it waits for trusted workers as long as it can be on time and they could hold it if they were empty. The ends of all members count for their workers, also after the job has ended.

--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -66,13 +66,14 @@
   async function applyEnd(run: Run, end: RunEnd, checkpoint: string): Promise<boolean> {
     const { progress, step } = run;
     removeRun(run);
+    // Also of a job that has ended: the first member of its last gang that is done completes it.
+    if (end === 'done') health.record(run.session.incarnation.id, progress.job.id, true);
+    if (end === 'failed') health.record(run.session.incarnation.id, progress.job.id, false);
     const entry = cell.jobs.get(progress.job.id);
     if (entry === undefined || isFinal(progress.state)) {
       options.onChange();
       return true;
     }
-    if (end === 'done') health.record(run.session.incarnation.id, progress.job.id, true);
-    if (end === 'failed') health.record(run.session.incarnation.id, progress.job.id, false);
     if (checkpoint !== '') run.task.checkpoint = checkpoint;
     if (step.step.gang) applyGangEnd(entry, run, end);
     else applyTaskEnd(entry, run, end);
--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -5,8 +5,8 @@
 import type { Resources } from '../model/index.js';
 
 /**
- * `trial`: runs one task at a time; its result decides whether the worker is trusted again. `avoided`: gets
- * no tasks.
+ * `trial`: runs one task or the members of one gang at a time; the result decides whether the worker is trusted again.
+ * `avoided`: gets no tasks.
  */
 export type WorkerHealthStatus = 'trusted' | 'trial' | 'avoided';
 
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -23,13 +23,16 @@
 import {
   canHold,
   couldEverRun,
+  couldHold,
   groupByService,
   isAllowed,
+  isInTrial,
   slotsIn,
   tasksAtOnce,
   withinBudget,
   workersWithRoom,
 } from './pool.js';
+import type { Pool } from './pool.js';
 
 /** Number of gangs that may reserve workers at the same time; each reservation leaves capacity idle. */
 const MAX_RESERVING_GANGS = 2;
@@ -88,17 +91,17 @@
     const candidates = workersWithRoom(pool, step.size).filter(isOpen);
     const startable =
       step.constraint === undefined ? candidates : step.constraint.startable(candidates);
+    const usable = (members: readonly CandidateWorker[]) =>
+      step.gang ? chooseForGang(step, members, pool, isLate(step, nowMs)) : members;
     const place = step.gang ? placeGang : placeTasks;
-    const placed = startable.length === 0 ? [] : place(step, startable, budgets);
+    const placed = startable.length === 0 ? [] : place(step, usable(startable), budgets);
     placements.push(...placed);
     if (placed.length === step.waiting) continue;
     pool.unplacedSteps += 1;
-    onBlocked(step, findBarrier(step, candidates, budgets));
+    onBlocked(step, findBarrier(step, usable(runnableOf(step, candidates)), budgets));
     const mustWait = step.gang && placed.length === 0;
     if (!mustWait || reservingGangs >= maxReservingGangs || isLate(step, nowMs)) continue;
-    const open = pool.workers.filter(isOpen);
-    const runnable = step.constraint === undefined ? open : step.constraint.runnable(open);
-    const reservation = workersToReserve(step, runnable);
+    const reservation = workersToReserve(step, runnableOf(step, pool.workers.filter(isOpen)));
     if (reservation.length === 0) continue;
     reservingGangs += 1;
     for (const id of reservation) reserved.add(id);
@@ -106,17 +109,42 @@
   return placements;
 }
 
-/** What keeps the tasks that are left from a place on the candidates. */
+function runnableOf(
+  { constraint }: WaitingStep,
+  workers: readonly CandidateWorker[],
+): readonly CandidateWorker[] {
+  return constraint === undefined ? workers : constraint.runnable(workers);
+}
+
+/** What keeps the tasks that are left from a place on the workers that may run them and have room. */
 function findBarrier(
   step: WaitingStep,
-  candidates: readonly CandidateWorker[],
+  runnable: readonly CandidateWorker[],
   budgets: ReadonlyMap<string, TeamBudget>,
 ): PlacementBarrier {
   if (!withinBudget(step, budgets, tasksAtOnce(step))) return 'limit';
-  const { constraint } = step;
-  return constraint !== undefined && canHold(step, constraint.runnable(candidates))
-    ? 'permit'
-    : 'room';
+  return step.constraint !== undefined && canHold(step, runnable) ? 'permit' : 'room';
+}
+
+/**
+ * The workers on which a gang may be placed. A failure of one member costs the whole gang a run, so a gang waits for
+ * trusted workers while it can be on time and they could hold it. Otherwise it is a trial like any other work, since
+ * nothing else may come that would end the trials.
+ */
+function chooseForGang(
+  step: WaitingStep,
+  workers: readonly CandidateWorker[],
+  pool: Pool,
+  late: boolean,
+): readonly CandidateWorker[] {
+  const trusted = workers.filter(isTrusted);
+  if (trusted.length === workers.length || canHold(step, trusted)) return trusted;
+  if (late || !couldHold(step, runnableOf(step, pool.workers.filter(isTrusted)))) return workers;
+  return trusted;
+}
+
+function isTrusted({ healthStatus }: CandidateWorker): boolean {
+  return healthStatus === 'trusted';
 }
 
 function placeTasks(
@@ -143,13 +171,12 @@
   pool: readonly CandidateWorker[],
   budgets: ReadonlyMap<string, TeamBudget>,
 ): Placement[] {
-  const usable = pool.filter(({ healthStatus }) => healthStatus === 'trusted');
-  if (!canHold(step, usable)) return [];
+  if (!canHold(step, pool)) return [];
   const placements: Placement[] = [];
   const added = new Map<string, number>();
   const touched: { worker: CandidateWorker; free: Resources }[] = [];
   for (const task of step.tasks) {
-    const worker = chooseWorker(step, task, usable, added);
+    const worker = chooseWorker(step, task, pool, added);
     if (worker === undefined) {
       for (const { worker: changed, free } of touched.reverse()) {
         changed.free = free;
@@ -178,7 +205,7 @@
   for (const worker of pool) {
     if (!fitsWithin(step.size, worker.free)) continue;
     if (!isAllowed(step, worker, added)) continue;
-    if (worker.healthStatus === 'trial' && worker.runs > 0) continue;
+    if (isInTrial(worker) && !(step.gang && added.has(worker.id))) continue;
     const cost = placementCost(step, task, worker, added);
     if (cost >= bestCost) continue;
     best = worker;
--- a/src/planner/pool.ts
+++ b/src/planner/pool.ts
@@ -40,8 +40,7 @@
     }
     pool.all.push(worker);
     pool.largest = maxResources(pool.largest, worker.room);
-    if (worker.healthStatus === 'avoided') continue;
-    if (worker.healthStatus === 'trial' && worker.runs > 0) continue;
+    if (worker.healthStatus === 'avoided' || isInTrial(worker)) continue;
     pool.workers.push(worker);
   }
   for (const pool of pools.values()) {
@@ -51,6 +50,11 @@
   return pools;
 }
 
+/** Whether the worker runs what decides about it; it gets nothing else until that ends. */
+export function isInTrial({ healthStatus, runs }: CandidateWorker): boolean {
+  return healthStatus === 'trial' && runs > 0;
+}
+
 /** In a full cell few workers have room, so that hundreds of waiting steps are not compared with all workers. */
 export function workersWithRoom(
   { workers, freeAtStart }: Pool,
@@ -58,7 +62,7 @@
 ): CandidateWorker[] {
   return workers
     .slice(0, countAtLeast(freeAtStart, size.processors - ROUNDING_TOLERANCE))
-    .filter(({ free }) => fitsWithin(size, free));
+    .filter((worker) => fitsWithin(size, worker.free) && !isInTrial(worker));
 }
 
 /** Number of values, sorted from the largest, that are at least `least`. */
@@ -97,7 +101,12 @@
   const budget = budgets.get(step.team);
   if (budget !== undefined && !isWithinLimit(budget.limit, scale(step.size, tasksAtOnce(step))))
     return false;
-  return hasSlots(step, all, ({ room }) =>
+  return couldHold(step, all);
+}
+
+/** Whether the workers would have room for the waiting gang, or for one task of another step, if they were empty. */
+export function couldHold(step: WaitingStep, workers: readonly CandidateWorker[]): boolean {
+  return hasSlots(step, workers, ({ room }) =>
     Math.min(step.maxPerWorker ?? Infinity, slotsIn(room, step.size)),
   );
 }
--- a/src/planner/worker-health.ts
+++ b/src/planner/worker-health.ts
@@ -1,6 +1,6 @@
 /**
  * Excludes workers that fail whatever they start. Failures of different jobs without a success in between
- * exclude a worker for a time; after that it gets one task at a time as a trial, and a success ends the trial.
+ * exclude a worker for a time; after that it gets one task or gang at a time as a trial, and a success ends the trial.
  */
 import type { WorkerHealthStatus } from './candidates.js';
 
--- a/test/controller/simulated-cell.ts
+++ b/test/controller/simulated-cell.ts
@@ -91,7 +91,9 @@
     for (const { job: state, worker } of ended) {
       const succeeded = state.job.fate === 'sound';
       state.running -= 1;
-      health.record(worker, state.job.name, succeeded);
+      // Of a gang one member fails, and the others end as broken.
+      if (succeeded || !state.job.gang || state.running === 0)
+        health.record(worker, state.job.name, succeeded);
       if (succeeded) state.done += 1;
       else state.failedOn.add(worker);
       if (succeeded || state.running > 0) continue;
--- a/test/planner/plan.test.ts
+++ b/test/planner/plan.test.ts
@@ -5,7 +5,7 @@
 import fc from 'fast-check';
 import { fitsWithin } from '../../src/model/index.js';
 import { orderSteps, planRound } from '../../src/planner/index.js';
-import type { WaitingStep } from '../../src/planner/index.js';
+import type { CandidateWorker, WaitingStep } from '../../src/planner/index.js';
 import { amount, candidate, constrainTo, waiting } from './support.js';
 
 describe('planning', () => {
@@ -76,6 +76,36 @@
     });
   });
 
+  describe('gangs and workers on trial', () => {
+    const trial = () => candidate('trial', { healthStatus: 'trial' });
+    const gang = waiting('gang', { gang: true, size: amount(9), tasks: [0, 1, 2] });
+    const place = (workers: readonly CandidateWorker[], nowMs = 0) =>
+      planRound({ nowMs, workers, steps: [gang], budgets: new Map() }).map(({ worker }) => worker);
+
+    // With only gangs left, nothing ended the trials and no gang started any more.
+    it('places a gang on a worker on trial if the trusted ones could not hold it', () => {
+      expect(place([trial()])).to.deep.equal(['trial', 'trial', 'trial']);
+      const small = candidate('small', { room: amount(9) });
+      expect(place([trial(), small])).to.deep.equal(['small', 'trial', 'trial']);
+    });
+
+    it('keeps a gang for trusted workers as long as it can be on time', () => {
+      const busy = candidate('busy', { free: amount(9), runs: 1 });
+      expect(place([trial(), busy])).to.deep.equal([]);
+      expect(place([trial(), busy], 10_000)).to.deep.equal(['busy', 'trial', 'trial']);
+      expect(place([trial(), candidate('idle')], 10_000)).to.deep.equal(['idle', 'idle', 'idle']);
+    });
+
+    it('gives a worker on trial no gang beside other work', () => {
+      expect(place([candidate('trial', { healthStatus: 'trial', runs: 1 })])).to.deep.equal([]);
+      const worker = trial();
+      const single = waiting('single', { objectiveAtMs: 5000 });
+      const steps = [single, gang];
+      const placed = planRound({ nowMs: 0, workers: [worker], steps, budgets: new Map() });
+      expect(placed.map(({ step }) => step.key)).to.deep.equal(['single']);
+    });
+  });
+
   describe('steps that are limited to a few workers of a large pool', () => {
     const workers = () => Array.from({ length: 10 }, (_, index) => candidate(`w${String(index)}`));
 
