--- a/test/controller/gang-trials.test.ts
+++ b/test/controller/gang-trials.test.ts
@@ -26,7 +26,6 @@
     events: SILENT_EVENTS,
     maxAttempts: () => 3,
     write: () => Promise.resolve(true),
-    onCompleted: () => undefined,
     onEnded: () => undefined,
     onChange: () => undefined,
     now: () => now,
