Give no work to a life of a worker that its entry does not name

Cause: when an entry named another life of its worker, only lives with an earlier time of birth were ended. After a clock had jumped back, the former life kept its session and the state that it had last, `ready`, until its worker answered a renewal or the next listing. It was so given work while the worker was leaving, because only the session of the named life learned of that.

Evidence: an entry of another life of its worker, with an earlier time: AssertionError: expected [ 1000 ] to deeply equal []

An entry names one life, so the others of its worker get no work from then on. They are not ended by it, because their runs may still be at work as far as the entry tells; the worker's reports decide that, as before.

--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -87,11 +87,15 @@
     options.onChange();
   }
 
-  /** Its runs go on and its lease is renewed. */
-  function markUnreadable(id: string) {
+  /** Gives no work to the incarnations of a worker, except to the one that its entry names. Their runs go on. */
+  function markUnusable(id: string, named?: string) {
     for (const key of keysById.get(id) ?? []) {
-      unlistedSince.set(key, performance.now() - UNLISTED_GRACE_MS);
+      if (key !== named) unlistedSince.set(key, performance.now() - UNLISTED_GRACE_MS);
     }
+  }
+
+  function markUnreadable(id: string) {
+    markUnusable(id);
     options.onChange();
   }
 
@@ -102,6 +106,8 @@
     }
     endOlderIncarnations(worker.incarnation);
     const key = keyOf(worker.incarnation);
+    // With clocks that jump, a former incarnation can have the higher time; its end is for its worker to tell.
+    markUnusable(id, key);
     unlistedSince.delete(key);
     const session = sessions.get(key);
     if (session === undefined || session.ended) {
--- a/test/controller/fleet-sessions.test.ts
+++ b/test/controller/fleet-sessions.test.ts
@@ -89,6 +89,22 @@
     });
   });
 
+  describe('an entry of another life of its worker', () => {
+    const lives = [
+      { life: 'later', born: BORN + 1 },
+      // Clocks can jump back, so the life that began last need not have the highest time.
+      { life: 'with an earlier time', born: BORN - 1 },
+    ];
+    for (const { life, born } of lives) {
+      it(`${life} leaves no work to the former life`, () => {
+        // The former life kept its last state, so it was given work while its worker was leaving.
+        const next = describeWorker({ incarnation: { id: 'w1', born }, state: 'leaving' });
+        sessions.update('w1', next);
+        expect(bornOfUsable()).to.deep.equal([]);
+      });
+    }
+  });
+
   describe('an entry that is removed', () => {
     it('leaves its worker usable, because entries can expire while the store is away', () => {
       sessions.update('w1', undefined);
