Show the other items of a listing beside one without a value

Found by reading: the schema of a listing required a value of every item. Had another writer left an entry without bytes among those of the workers, and had the store left its value out, every listing would have failed as `invalid response` until that entry was gone. A follower lists again after each failed watch and every 15 s, so its copy would have grown old for good: leaving workers stay in use and new ones are not seen (DRAIN, LOST). Whether the platform's store leaves empty values out is not known.

--- a/test/platform-adapter/store-client.test.ts
+++ b/test/platform-adapter/store-client.test.ts
@@ -1,6 +1,6 @@
 /**
- * Guards the distinction between writes that certainly were not done and writes whose outcome is not known: a caller
- * is told that a job was not accepted only in the first case.
+ * Guards against one item that hides all others, and the distinction between writes that certainly were not done and
+ * writes whose outcome is not known: a caller is told that a job was not accepted only in the first case.
  */
 import { once } from 'node:events';
 import { createServer } from 'node:http';
@@ -43,6 +43,25 @@
     return client.transact({ conditions: [], writes: [write] });
   }
 
+  describe('a listing', () => {
+    it('shows the other items beside one without a value', async () => {
+      // An entry without bytes among those of the workers made every listing fail, so their copy grew old for good.
+      status = 200;
+      body = JSON.stringify({
+        items: [
+          { key: 'servers/a', revision: 3 },
+          { key: 'servers/b', value: Buffer.from('text').toString('base64'), revision: 4 },
+        ],
+        'store-revision': 4,
+      });
+      const listing = await client.list('servers/');
+      expect(listing._unsafeUnwrap().entries).to.deep.equal([
+        { key: 'servers/a', value: '', revision: 3 },
+        { key: 'servers/b', value: 'text', revision: 4 },
+      ]);
+    });
+  });
+
   describe('a write', () => {
     for (const refusal of [400, 403, 429, 503]) {
       it(`was not done if the store answers ${String(refusal)}`, async () => {
