Acknowledge no end before its job's final record is durable

The cause: `applyEnd` answered "durable" for each end of a job that was final in memory. The first end of a gang makes its job final, so every further member was acknowledged at once, while the record that says so was still waiting for the store. The worker then forgot the end; the record names the runs as placed.

Seen before the fix in test/platform-path/ends-in-outages.test.ts: acknowledges none of a gang before its record is durable: expected [ +0, 1 ] to deeply equal [ +0, +0 ] acknowledges none of a job that has failed before its record is durable: expected [ +0, 1 ] to deeply equal [ +0, +0 ] does not start a gang again if the leader and one of its workers are lost: expected [ { worker: 'w-1', ...(4) }, ...(3) ] to have a length of 2 but got 4

Such an end now waits for the write of the job's final state, which is kept for each job that ended in this term. It costs no further call to the store.

--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -46,6 +46,8 @@
 export function createJobLifecycle(options: JobLifecycleOptions): JobLifecycle {
   const { cell, health, events } = options;
   const runsByJob = new Map<string, Set<Run>>();
+  /** Writes of final states in this term; each resolves to whether the record is durable. */
+  const endWrites = new WeakMap<JobProgress, Promise<boolean>>();
 
   function registerRun(run: Run) {
     const { id } = run.progress.job;
@@ -65,7 +67,8 @@
     const entry = cell.jobs.get(progress.job.id);
     if (entry === undefined || isFinal(progress.state)) {
       options.onChange();
-      return true;
+      // The worker keeps the end while the job's own end is known in memory alone: a successor may need it.
+      return endWrites.get(progress) ?? true;
     }
     if (end === 'done') health.record(run.session.incarnation.id, progress.job.id, true);
     if (end === 'failed') health.record(run.session.incarnation.id, progress.job.id, false);
@@ -79,8 +82,10 @@
     return isFinal(progress.state) ? writeEnd(progress) : options.write(progress.job.id, 'note');
   }
 
-  function writeEnd({ job, state }: JobProgress): Promise<boolean> {
+  function writeEnd(progress: JobProgress): Promise<boolean> {
+    const { job, state } = progress;
     const durable = options.write(job.id, 'outcome');
+    endWrites.set(progress, durable);
     void durable.then((written) => {
       if (written) options.onEnded(job, state);
     });
--- a/test/platform-path/ends-in-outages.test.ts
+++ b/test/platform-path/ends-in-outages.test.ts
@@ -17,7 +17,7 @@
   startTestCell,
   submit,
 } from './support.js';
-import type { TestCell } from './support.js';
+import type { StepBody, TestCell } from './support.js';
 
 /** A host that showed ends from memory did so 300 ms after them. */
 const HOLD_MS = 900;
@@ -166,6 +166,53 @@
     await eventually(() => (worker.acknowledgedThrough === 3 ? true : undefined));
   });
 
+  describe('with ends on two workers', () => {
+    /** Returns the two workers of a job with two tasks, which end in an outage, the first one 200 ms earlier. */
+    async function endOnTwoWorkers(step: StepBody, outcome: 'done' | 'failed') {
+      cell.configure({ version: 2, maxAttempts: 1 });
+      const first = await addLargeWorker(() => 900, outcome);
+      const second = await addLargeWorker(() => 1100);
+      const leader = await cell.leader();
+      await wait(400);
+      const steps = [{ count: 2, cpu: 32_000, 'max-per-server': 1, ...step }];
+      const { id } = await submit(leader, { steps });
+      await eventually(() => (first.running.size + second.running.size === 2 ? true : undefined));
+      await setStoreFaults(cell, { outage: 'reset' });
+      await eventually(() =>
+        first.finished.length + second.finished.length === 2 ? true : undefined,
+      );
+      await wait(HOLD_MS);
+      return { id, leader, first, second };
+    }
+
+    const CASES = [
+      { what: 'a gang', step: { gang: true }, outcome: 'done' },
+      { what: 'a job that has failed', step: {}, outcome: 'failed' },
+    ] as const;
+
+    for (const { what, step, outcome } of CASES) {
+      // Guards against the loss of an end that was acknowledged because its job had ended already, in memory alone.
+      it(`acknowledges none of ${what} before its record is durable`, async () => {
+        const { first, second } = await endOnTwoWorkers(step, outcome);
+        expect([first.acknowledgedThrough, second.acknowledgedThrough]).to.deep.equal([0, 0]);
+        await setStoreFaults(cell, { outage: 'none' });
+        for (const worker of [first, second]) {
+          await eventually(() => (worker.acknowledgedThrough === 1 ? true : undefined));
+        }
+      });
+    }
+
+    // Guards against a second run of a gang of which one end was acknowledged and the worker with the other is lost.
+    it('does not start a gang again if the leader and one of its workers are lost', async () => {
+      const { id, leader, first } = await endOnTwoWorkers({ gang: true }, 'done');
+      cell.kill(leader);
+      await restart(first);
+      await setStoreFaults(cell, { outage: 'none' });
+      await awaitState(expectDefined(cell.hosts[0]), id, 'completed');
+      expect(startsOf(cell, id)).to.have.length(2);
+    });
+  });
+
   /** Returns a job whose only task is at work. */
   async function startJob(workMs = 800): Promise<RunningJob> {
     const worker = await addLargeWorker(() => workMs);
@@ -175,8 +222,8 @@
     return { id, worker, leader };
   }
 
-  function addLargeWorker(workMs: (spec: string) => number) {
-    return cell.addWorker({ workMs, processorMillis: 64_000 });
+  function addLargeWorker(workMs: (spec: string) => number, outcome: 'done' | 'failed' = 'done') {
+    return cell.addWorker({ workMs, outcome: () => outcome, processorMillis: 64_000 });
   }
 
   /** Replaces the worker by its next incarnation, which knows nothing of its runs and ends. */
