--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -46,8 +46,8 @@
 export function createJobLifecycle(options: JobLifecycleOptions): JobLifecycle {
   const { cell, health, events } = options;
   const runsByJob = new Map<string, Set<Run>>();
-  /** Writes of final states that are not durable yet, by job. */
-  const endWrites = new Map<string, Promise<boolean>>();
+  /** Writes of final states in this term; each resolves to whether the record is durable. */
+  const endWrites = new WeakMap<JobProgress, Promise<boolean>>();
 
   function registerRun(run: Run) {
     const { id } = run.progress.job;
@@ -70,8 +70,8 @@
     const entry = cell.jobs.get(progress.job.id);
     if (entry === undefined || isFinal(progress.state)) {
       options.onChange();
-      // The final state includes this end, so the worker has to keep the end until that state is durable.
-      return endWrites.get(progress.job.id) ?? true;
+      // The worker keeps the end while the job's own end is known in memory alone: a successor may need it.
+      return endWrites.get(progress) ?? true;
     }
     if (checkpoint !== '') run.task.checkpoint = checkpoint;
     if (step.step.gang) applyGangEnd(entry, run, end);
@@ -83,13 +83,12 @@
     return isFinal(progress.state) ? writeEnd(progress) : options.write(progress.job.id, 'note');
   }
 
-  function writeEnd({ job, state }: JobProgress): Promise<boolean> {
+  function writeEnd(progress: JobProgress): Promise<boolean> {
+    const { job, state } = progress;
     const durable = options.write(job.id, 'outcome');
-    endWrites.set(job.id, durable);
+    endWrites.set(progress, durable);
     void durable.then((written) => {
-      if (!written) return;
-      endWrites.delete(job.id);
-      options.onEnded(job, state);
+      if (written) options.onEnded(job, state);
     });
     return durable;
   }
