Ask the next life of a worker for runs whose start may have reached it

Orders name only the worker's id, and the answers to starts and stops name no life. So a start that was sent, answered or repeated around a restart says nothing about the life that has it. The same holds for the first sending, for a start that the network delivers late, for a stop, and for the starts of a previous leader, because a new life has seen no fence.

A session that learns of a later life now tells two kinds of runs apart. A run that a report of its life has listed, and of which no start without an answer can be on its way, is lost at once as before. Any other run is handed over to the session with the later life, which is opened at the same address if its entry is not known yet, and gets no work until it is. The first report of that life decides: a run that it lists goes on there; a run that it doesn't list is stopped there, which makes the worker refuse a start that comes later, or is fenced if a previous leader ordered it. Until the life has answered, a lease that a late order may have extended counts in full.

After a failed renewal the next one no longer waits for ends at the worker, so a restart is noticed at once rather than up to 900 ms later.

Log lines: orders that are not accepted, ends of runs and foreign runs carry `born`; `run-ended` tells the reason of `lost` and `lapsed`; `worker-life-ended` tells the successor and how many runs it was handed.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -199,6 +199,7 @@
       meters,
       epoch: term.epoch,
       mayExtendLeases,
+      openSuccessor: (former, born) => sessions.openSuccessor(former, born),
       inheritedLeaseUntil: startedAt + EXTEND_WITHOUT_STORE_MS + LEASE_MS + INHERITED_SLACK_MS,
       onEnd: (session, run, end, checkpoint) =>
         closed ? Promise.resolve(false) : lifecycle.applyEnd(run, end, checkpoint),
--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -21,6 +21,8 @@
   update(id: string, worker: FleetWorker | undefined): void;
   /** The session of an incarnation, created without a connection if the incarnation is not listed. */
   sessionOf(incarnation: WorkerIncarnation): WorkerSession;
+  /** The session with an incarnation that has answered in place of the given one, at its address. */
+  openSuccessor(former: WorkerSession, born: number): WorkerSession;
   /** Ends the sessions of incarnations that a later one of the same worker has replaced. */
   endFormerIncarnations(): void;
   close(): void;
@@ -62,15 +64,26 @@
     if (keys?.size === 0) keysById.delete(id);
   }
 
-  function endOlderIncarnations({ id, born }: WorkerIncarnation) {
+  function endOlderIncarnations(successor: WorkerSession) {
+    const { id, born } = successor.incarnation;
     for (const key of [...(keysById.get(id) ?? [])]) {
       const session = sessions.get(key);
       if (session === undefined || session.incarnation.born >= born) continue;
-      session.end('a later incarnation is listed under its id');
+      session.end('a later incarnation is listed under its id', successor);
       removeSession(key);
     }
   }
 
+  /** The successor gets no work until its entry is known, because it may be of another kind. */
+  function openSuccessor({ worker }: WorkerSession, born: number): WorkerSession {
+    const incarnation = { id: worker.incarnation.id, born };
+    const key = keyOf(incarnation);
+    const known = sessions.get(key);
+    if (known?.ended === false) return known;
+    unlistedSince.set(key, performance.now());
+    return addSession(key, { ...describeUnlisted(incarnation), address: worker.address });
+  }
+
   function update(id: string, worker: FleetWorker | undefined) {
     if (worker === undefined) {
       for (const key of keysById.get(id) ?? []) {
@@ -81,13 +94,12 @@
       options.onChange();
       return;
     }
-    endOlderIncarnations(worker.incarnation);
     const key = keyOf(worker.incarnation);
     unlistedSince.delete(key);
     const session = sessions.get(key);
-    if (session === undefined || session.ended) {
-      if (session?.ended === true) return;
-      addSession(key, worker);
+    if (session?.ended === true) return;
+    if (session === undefined) {
+      endOlderIncarnations(addSession(key, worker));
       events.info('worker-listed', {
         worker: id,
         born: worker.incarnation.born,
@@ -98,6 +110,7 @@
     } else {
       const previous = session.worker;
       session.update(worker);
+      endOlderIncarnations(session);
       if (previous.state !== 'leaving' && worker.state === 'leaving') {
         events.info('worker-leaving', {
           worker: id,
@@ -155,8 +168,9 @@
       }
       return session;
     },
+    openSuccessor,
     endFormerIncarnations: () => {
-      for (const { incarnation } of [...sessions.values()]) endOlderIncarnations(incarnation);
+      for (const session of [...sessions.values()]) endOlderIncarnations(session);
     },
     close: () => {
       clearInterval(sweeper);
--- a/src/controller/lease-clock.ts
+++ b/src/controller/lease-clock.ts
@@ -7,6 +7,8 @@
 const CLOCK_DRIFT = 0.02;
 /** Time that a worker has to end all its runs after its lease has expired. */
 const EXPIRY_MARGIN_MS = 500;
+/** The longest lease that a worker grants: the largest `hold-max-ms` of the platform's sites. */
+const MAX_LEASE_MS = 10_000;
 
 export interface LeaseClock {
   /** Current estimate of the worker's clock in milliseconds; 0 before the first answer. */
@@ -15,6 +17,11 @@
   note(workerMs: number | undefined): void;
   /** Records that a call that extends the lease until then was sent or is about to be. */
   extend(untilMs: number): void;
+  /**
+   * Records that an order for an earlier incarnation may extend the lease. Its deadline was meant for the earlier
+   * clock, so only the worker's own limit bounds the lease.
+   */
+  noteForeignExtension(): void;
   /** Whether the lease has certainly expired and all runs have ended. */
   hasExpired(): boolean;
 }
@@ -30,6 +37,8 @@
 
 export function createLeaseClock(options: LeaseClockOptions): LeaseClock {
   const { inheritedLeaseUntil, isConfirmed, monotonicNow = () => performance.now() } = options;
+  /** Monotonic time until which a lease that an order for an earlier incarnation has extended may last. */
+  let foreignLeaseUntil = -Infinity;
   let reading: { workerMs: number; at: number } | undefined;
   let leaseUntilMs = 0;
   return {
@@ -42,8 +51,12 @@
     extend: (untilMs) => {
       leaseUntilMs = Math.max(leaseUntilMs, untilMs);
     },
+    noteForeignExtension: () => {
+      foreignLeaseUntil = monotonicNow() + MAX_LEASE_MS / (1 - CLOCK_DRIFT) + EXPIRY_MARGIN_MS;
+    },
     hasExpired: () => {
       const now = monotonicNow();
+      if (now <= foreignLeaseUntil) return false;
       if (!isConfirmed() || reading === undefined) return now > inheritedLeaseUntil;
       const workerMs = reading.workerMs + (now - reading.at) * (1 - CLOCK_DRIFT);
       return workerMs > leaseUntilMs + EXPIRY_MARGIN_MS;
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -23,10 +23,15 @@
   readonly task: TaskProgress;
   readonly team: string;
   readonly size: Resources;
-  readonly session: WorkerSession;
+  /** The session with the incarnation that has the run or may have it; a later one may take it over. */
+  session: WorkerSession;
   /** Whether a previous leader ordered the run. */
   readonly inherited: boolean;
   status: RunStatus;
+  /** Whether a report of the session's incarnation has listed the run. */
+  listed: boolean;
+  /** Monotonic time until which a start whose answer was lost may still be carried out. */
+  lateStartUntil: number;
   /** Monotonic time of the last change of `status`. */
   since: number;
   /** Monotonic time at which the worker accepted the stop; undefined before. */
@@ -45,6 +50,9 @@
   stopReason: string;
 }
 
+/** An order without an answer may be carried out seconds later, after newer ones. */
+export const LATE_ORDER_MS = 10_000;
+
 export interface RunOptions {
   readonly name: string;
   readonly progress: JobProgress;
@@ -74,6 +82,8 @@
     session,
     inherited,
     status: inherited ? 'in-doubt' : 'logging',
+    listed: false,
+    lateStartUntil: inherited ? now + LATE_ORDER_MS : -Infinity,
     since: inherited ? -Infinity : now,
     stopAnsweredAt: undefined,
     percent: 0,
@@ -85,6 +95,15 @@
   };
 }
 
+/**
+ * Whether a start of the run may reach, or have reached, a later incarnation of its worker. Orders and their answers
+ * name only the worker's id, so only a report shows which incarnation has carried out a start.
+ */
+export function mayReachLaterIncarnation({ status, listed, lateStartUntil }: Run): boolean {
+  if (status === 'logging') return false;
+  return !listed || performance.now() < lateStartUntil;
+}
+
 /** How a run ended. `never-ran`: the worker certainly did not start it. `lost`: its worker ended or lost it. */
 export type RunEnd =
   'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'never-ran' | 'lost';
--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -3,9 +3,11 @@
  * answer was lost, a stop until it is answered.
  */
 import type { OrderOutcome, StartOrder, WorkerConnection } from '../fleet/index.js';
+import type { WorkerIncarnation } from '../jobs/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import { pause } from '../records/index.js';
 import type { LeaseClock } from './lease-clock.js';
+import { LATE_ORDER_MS } from './run.js';
 import type { Run, RunEnd, RunStatus } from './run.js';
 
 /** A start must reach the worker within this time; a later one is refused there. */
@@ -17,12 +19,14 @@
 export interface WorkerOrders {
   readonly start: (run: Run, spec: string, ticket: string | undefined) => Promise<void>;
   readonly stop: (run: Run, reason: string) => void;
+  /** Continues with a run that was ordered from an earlier incarnation. */
+  readonly resume: (run: Run) => void;
   /** Whether the worker has left a start unanswered for so long that it should get no new work. */
   hasOverdueStart(): boolean;
 }
 
 export interface WorkerOrdersOptions {
-  readonly worker: string;
+  readonly worker: WorkerIncarnation;
   readonly epoch: number;
   /** Runs that the leader has on this worker, by task. */
   readonly runs: ReadonlyMap<string, Run>;
@@ -75,8 +79,7 @@
       checkpoint: run.task.checkpoint,
       ticket,
     };
-    let outcome = await options.connection().start(order);
-    logOrder('start', run, outcome, { ticketed: ticket !== undefined });
+    let outcome = await sendStart(run, order, { ticketed: ticket !== undefined });
     const isOpen = options.isOpen() && runs.get(run.name) === run;
     if (outcome.kind === 'unknown' && isOpen && transition(run, 'starting', 'in-doubt')) {
       outcome = await repeatStart(run, order);
@@ -103,14 +106,24 @@
     await options.endRun(run, 'never-ran', '');
   }
 
+  async function sendStart(
+    run: Run,
+    order: StartOrder,
+    fields: Readonly<Record<string, unknown>>,
+  ): Promise<OrderOutcome> {
+    const outcome = await options.connection().start(order);
+    logOrder('start', run, outcome, fields);
+    if (outcome.kind === 'unknown') run.lateStartUntil = performance.now() + LATE_ORDER_MS;
+    return outcome;
+  }
+
   /**
    * Sends a start again whose answer was lost. The worker accepts it also if it has the run already, so one lost answer
    * does not end a whole gang. Any other answer leaves the run in doubt, because the first order may still arrive or
    * the run may have ended; the reports of the worker decide.
    */
   async function repeatStart(run: Run, order: StartOrder): Promise<OrderOutcome> {
-    const outcome = await options.connection().start(order);
-    logOrder('start', run, outcome, { repeated: true });
+    const outcome = await sendStart(run, order, { repeated: true });
     if (outcome.kind !== 'refused') return outcome;
     clock.note(outcome.clockMs);
     if (outcome.reason === 'stale-epoch') options.onStaleEpoch();
@@ -127,7 +140,7 @@
       job: run.progress.job.id,
       task: run.name,
       run: run.number,
-      worker,
+      worker: worker.id,
       reason,
       percent: run.percent,
     });
@@ -135,6 +148,15 @@
     // The dispatcher withdraws an order that is not sent yet when it sees the status.
   }
 
+  function resume(run: Run) {
+    if (run.status !== 'stopping') {
+      run.status = 'in-doubt';
+      return;
+    }
+    run.stopAnsweredAt = undefined;
+    void sendStop(run);
+  }
+
   async function sendStop(run: Run) {
     while (options.isOpen() && runs.get(run.name) === run && run.stopAnsweredAt === undefined) {
       const outcome = await options.connection().stop({ task: run.name, run: run.number, epoch });
@@ -176,7 +198,8 @@
       job: run.progress.job.id,
       task: run.name,
       run: run.number,
-      worker,
+      worker: worker.id,
+      born: worker.born,
       epoch,
       outcome: result,
       ...fields,
@@ -186,5 +209,5 @@
     else events.warn(`${order}-not-accepted`, line);
   }
 
-  return { start, stop, hasOverdueStart };
+  return { start, stop, resume, hasOverdueStart };
 }
--- a/src/controller/worker-reports.ts
+++ b/src/controller/worker-reports.ts
@@ -3,6 +3,7 @@
  * acknowledged.
  */
 import type { EndedTask, RunningTask, WorkerReport } from '../fleet/index.js';
+import type { WorkerIncarnation } from '../jobs/index.js';
 import type { EventLog } from '../observability/index.js';
 import { pause } from '../records/index.js';
 import type { Run, RunEnd } from './run.js';
@@ -27,12 +28,12 @@
 }
 
 export interface WorkerReportsOptions {
-  readonly worker: string;
+  readonly worker: WorkerIncarnation;
   readonly epoch: number;
   /** Runs that the leader has on this worker, by task. */
   readonly runs: ReadonlyMap<string, Run>;
   /** Removes a run whose end is certain; resolves to whether the end is durable. */
-  readonly endRun: (run: Run, end: RunEnd, checkpoint: string) => Promise<boolean>;
+  readonly endRun: (run: Run, end: RunEnd, checkpoint: string, reason?: string) => Promise<boolean>;
   readonly stop: (run: Run, reason: string) => void;
   /** Stops a run that this leader did not order. */
   readonly stopForeign: (task: string, run: number) => void;
@@ -43,7 +44,8 @@
 }
 
 export function createWorkerReports(options: WorkerReportsOptions): WorkerReports {
-  const { worker, runs, endRun, events } = options;
+  const { runs, endRun, events } = options;
+  const { id: worker, born } = options.worker;
   let foreignRuns = 0;
   let processedThrough = 0;
   let acknowledgedThrough = 0;
@@ -63,7 +65,7 @@
     }
     const foreign = report.running.filter(({ task, run }) => runs.get(task)?.number !== run);
     for (const { task, run } of foreign) {
-      events.warn('foreign-task-stopped', { task, run, worker, epoch: options.epoch });
+      events.warn('foreign-task-stopped', { task, run, worker, born, epoch: options.epoch });
       options.stopForeign(task, run);
     }
     // Foreign runs, such as those of a job that a previous leader cancelled, use resources until they have stopped.
@@ -91,6 +93,7 @@
         task: end.task,
         run: end.run,
         worker,
+        born,
         how: end.how,
         expectedRun: run?.number,
       });
@@ -100,6 +103,7 @@
   }
 
   function applyRunning(run: Run, { percent, checkpoint }: RunningTask, clockMs: number) {
+    run.listed = true;
     if (run.status === 'in-doubt' || run.status === 'starting') {
       run.status = 'running';
       run.since = performance.now();
@@ -115,8 +119,8 @@
   /** Handles a run that is missing from a report requested at `requestedAt`. */
   function applyUnlisted(run: Run, requestedAt: number) {
     if (run.status === 'running' && run.since < requestedAt) {
-      events.warn('run-vanished', { task: run.name, run: run.number, worker });
-      void endRun(run, 'lost', run.task.checkpoint);
+      events.warn('run-vanished', { task: run.name, run: run.number, worker, born });
+      void endRun(run, 'lost', run.task.checkpoint, 'the worker no longer lists it');
       return;
     }
     if (run.status === 'stopping') {
--- a/src/controller/worker-session-types.ts
+++ b/src/controller/worker-session-types.ts
@@ -15,6 +15,8 @@
   readonly epoch: number;
   /** Whether leases may be extended, which requires a recent renewal of the leader's own lease. */
   readonly mayExtendLeases: () => boolean;
+  /** The session with the incarnation that was found in place of this one, opened if there is none. */
+  readonly openSuccessor: (session: WorkerSession, born: number) => WorkerSession;
   /** Latest end of a lease that a previous leader may have granted, on this host's monotonic clock. */
   readonly inheritedLeaseUntil: number;
   /** Applies the end of a run; resolves to true once it is durable, to false if it never will be. */
@@ -57,8 +59,10 @@
   stop(run: Run, reason: string): void;
   /** Ends a run whose order was never sent. */
   withdraw(run: Run): void;
-  /** Ends the incarnation and its runs, for instance because a later incarnation replaced it. */
-  end(reason: string): void;
+  /** Takes over a run whose start may have reached this incarnation instead of an earlier one of the worker. */
+  adopt(run: Run): void;
+  /** Ends the incarnation. Runs that may have reached its successor are handed over, all others are lost. */
+  end(reason: string, successor: WorkerSession): void;
   /** Stops calling the worker and leaves its runs as they are. */
   close(): void;
 }
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -10,45 +10,22 @@
 import type { Resources } from '../model/index.js';
 import { pause } from '../records/index.js';
 import { createLeaseClock } from './lease-clock.js';
-import { stallTimeoutMs } from './run.js';
+import { choosePauseMs, chooseWaitMs } from './renewal-pace.js';
+import { mayReachLaterIncarnation } from './run.js';
 import type { Run, RunEnd } from './run.js';
+import { UNREACHABLE_CONNECTION } from './unreachable-connection.js';
 import { createWorkerOrders } from './worker-orders.js';
 import { createWorkerReports } from './worker-reports.js';
-import type { WorkerSessionOptions, WorkerSession } from './worker-session-types.js';
+import type { WorkerSession, WorkerSessionOptions } from './worker-session-types.js';
 
 /**
  * Long enough, with a renewal every second, for the usual network partition of 5 to 6 s and for the election of a new
  * leader. The runs of a dead worker restart elsewhere only after the lease has expired.
  */
 export const LEASE_MS = 8000;
-/** Time that a renewal waits at the worker for the end of a run; less than a sixth of the lease. */
-const RENEWAL_WAIT_MS = 900;
-/** Least interval between renewals after one that failed. */
-const RETRY_MS = 150;
-/** Time that a renewal waits while the effect of a start or stop is uncertain, so that the next report comes soon. */
-const UNCERTAIN_WAIT_MS = 100;
-/**
- * Least interval between renewals, which are answered at once while runs end. Members of a gang and tasks of a step end
- * within milliseconds of each other, and one answer then reports them all.
- */
-const MIN_PAUSE_MS = 20;
-/**
- * Least interval between renewals while ends are not durable. A worker answers at once as long as it has ends that are
- * not acknowledged.
- */
-const UNACKNOWLEDGED_PAUSE_MS = 120;
 /** Consecutive unanswered renewals after which a worker is given no new work. */
 const MAX_SILENT_RENEWALS = 1;
 
-/** Connection of a worker without a known address. */
-const UNREACHABLE_OUTCOME = { kind: 'refused', reason: 'unreachable', clockMs: undefined } as const;
-const UNREACHABLE_CONNECTION: WorkerConnection = {
-  start: () => Promise.resolve(UNREACHABLE_OUTCOME),
-  stop: () => Promise.resolve(UNREACHABLE_OUTCOME),
-  renew: () => Promise.resolve(UNREACHABLE_OUTCOME),
-  close: () => undefined,
-};
-
 export function createWorkerSession(options: WorkerSessionOptions): WorkerSession {
   const { events, meters, epoch } = options;
   const incarnation = options.worker.incarnation;
@@ -60,13 +37,14 @@
   let silentRenewals = 0;
   let closed = false;
   let ended = false;
+  let successor: WorkerSession | undefined;
   const clock = createLeaseClock({
     inheritedLeaseUntil: options.inheritedLeaseUntil,
     isConfirmed: () => confirmed,
   });
   let wake: () => void = () => undefined;
   const orders = createWorkerOrders({
-    worker: incarnation.id,
+    worker: incarnation,
     epoch,
     runs,
     connection: () => connection,
@@ -88,7 +66,7 @@
     meters,
   });
   const reports = createWorkerReports({
-    worker: incarnation.id,
+    worker: incarnation,
     epoch,
     runs,
     endRun,
@@ -132,18 +110,14 @@
     startRenewals: () => {
       void renewUntilClosed();
     },
-    attach: (run) => {
-      runs.set(run.name, run);
-      used = addResources(used, run.size);
-    },
+    attach,
+    adopt,
     start: orders.start,
     stop: orders.stop,
     withdraw: (run) => {
       void endRun(run, 'never-ran', '');
     },
-    end: (reason) => {
-      endIncarnation(reason);
-    },
+    end: endIncarnation,
     close: () => {
       closed = true;
       connection.close();
@@ -155,18 +129,54 @@
     return address === '' ? UNREACHABLE_CONNECTION : options.connect(address, incarnation);
   }
 
-  /** Removes a run whose end is certain and reports the end to the controller. */
-  function endRun(run: Run, end: RunEnd, checkpoint: string): Promise<boolean> {
-    if (runs.get(run.name) !== run) return Promise.resolve(true);
+  function attach(run: Run) {
+    runs.set(run.name, run);
+    used = addResources(used, run.size);
+  }
+
+  function detach(run: Run) {
     runs.delete(run.name);
     used = runs.size === 0 ? NO_RESOURCES : subtractResources(used, run.size);
+  }
+
+  /**
+   * The first report of this incarnation shows whether it has the run. If not, the run is stopped here, after which the
+   * worker refuses a start that arrives later, or is known to be refused because a previous leader ordered it.
+   */
+  function adopt(run: Run) {
+    if (successor !== undefined) {
+      successor.adopt(run);
+      return;
+    }
+    attach(run);
+    run.session = session;
+    run.task.worker = incarnation;
+    run.listed = false;
+    run.percent = 0;
+    run.progressedClockMs = undefined;
+    run.since = -Infinity;
+    if (ended) {
+      void endRun(run, 'lost', run.task.checkpoint, 'the later incarnation has ended, too');
+      return;
+    }
+    clock.noteForeignExtension();
+    orders.resume(run);
+    wake();
+  }
+
+  /** Removes a run whose end is certain and reports the end to the controller. */
+  function endRun(run: Run, end: RunEnd, checkpoint: string, reason?: string): Promise<boolean> {
+    if (runs.get(run.name) !== run) return Promise.resolve(true);
+    detach(run);
     meters.taskEnds.inc({ how: end });
     events.info('run-ended', {
       job: run.progress.job.id,
       task: run.name,
       run: run.number,
       worker: incarnation.id,
+      born: incarnation.born,
       end,
+      reason,
       epoch,
       answeredMs: run.answeredMs === undefined ? undefined : Math.round(run.answeredMs),
       tookMs: Math.round(performance.now() - run.startedAt),
@@ -175,28 +185,39 @@
     return options.onEnd(session, run, end, checkpoint);
   }
 
-  function endIncarnation(reason: string) {
+  function endIncarnation(reason: string, next?: WorkerSession) {
     if (ended) return;
     ended = true;
+    successor = next;
+    const handedOver =
+      next === undefined ? [] : [...runs.values()].filter(mayReachLaterIncarnation);
     events.warn('worker-life-ended', {
       worker: incarnation.id,
       born: incarnation.born,
       reason,
+      successorBorn: next?.incarnation.born,
       runs: runs.size,
+      handedOver: handedOver.length,
     });
-    endAllRuns('lost');
+    for (const run of handedOver) {
+      detach(run);
+      next?.adopt(run);
+    }
+    endAllRuns('lost', reason);
     connection.close();
     options.onChange();
   }
 
-  function endAllRuns(end: RunEnd) {
+  function endAllRuns(end: RunEnd, reason: string) {
     for (const run of [...runs.values()]) {
       // The dispatcher withdraws an order that is not durable yet.
       if (run.status === 'logging') run.status = 'stopping';
-      else void endRun(run, end, run.task.checkpoint);
+      else void endRun(run, end, run.task.checkpoint, reason);
     }
   }
 
+  const isIdle = () => runs.size === 0 && reports.foreignRuns === 0;
+
   async function renewOnce(): Promise<boolean> {
     const requestedAt = performance.now();
     const until = clock.now() + LEASE_MS;
@@ -209,10 +230,21 @@
       epoch,
       acknowledgedThrough: reports.acknowledgedThrough,
       leaseUntilMs: extend ? until : undefined,
-      waitMs: first || (runs.size === 0 && reports.foreignRuns === 0) ? 0 : chooseWaitMs(),
+      // After a failure the next report is wanted at once, because the worker may have been started again.
+      waitMs:
+        first || silentRenewals > 0 || isIdle()
+          ? 0
+          : chooseWaitMs(runs.values(), reports.foreignRuns),
     });
     if (closed || ended) return true;
     if (outcome.kind === 'report') {
+      const { born } = outcome.report;
+      if (born !== undefined && born !== incarnation.born) {
+        // Even with an earlier time of start it is a later incarnation, because it answers after this one was listed.
+        const next = options.openSuccessor(session, born);
+        endIncarnation('another incarnation reports under its id', next);
+        return true;
+      }
       if (first) {
         // A previous leader may have granted a lease that ends as late as this.
         clock.extend(outcome.report.clockMs + LEASE_MS);
@@ -231,10 +263,6 @@
       confirmed = true;
       silentRenewals = 0;
       clock.note(outcome.report.clockMs);
-      if (outcome.report.born !== undefined && outcome.report.born !== incarnation.born) {
-        endIncarnation('the worker was started again under its id');
-        return true;
-      }
       await reports.apply(outcome.report, requestedAt);
       if (changed) options.onChange();
       return true;
@@ -258,25 +286,6 @@
     return false;
   }
 
-  /** Short while a run's state is uncertain, and no longer than until the next run could count as stalled. */
-  function chooseWaitMs(): number {
-    if (reports.foreignRuns > 0) return UNCERTAIN_WAIT_MS;
-    const now = performance.now();
-    let waitMs = RENEWAL_WAIT_MS;
-    for (const run of runs.values()) {
-      if (run.status === 'in-doubt' || run.status === 'stopping') return UNCERTAIN_WAIT_MS;
-      waitMs = Math.min(waitMs, run.progressedAt + stallTimeoutMs(run) - now);
-    }
-    return Math.max(UNCERTAIN_WAIT_MS, waitMs);
-  }
-
-  /** Least time from the start of one renewal to the start of the next. */
-  function choosePauseMs(answered: boolean, idle: boolean): number {
-    if (!answered) return RETRY_MS;
-    if (reports.hasUnacknowledged) return UNACKNOWLEDGED_PAUSE_MS;
-    return idle ? RENEWAL_WAIT_MS : MIN_PAUSE_MS;
-  }
-
   /** Sleeps between renewals; a new start order ends the sleep. */
   async function sleep(ms: number) {
     await Promise.race([
@@ -293,10 +302,11 @@
       const answered = await renewOnce();
       if (silentRenewals > 0 && runs.size > 0 && clock.hasExpired()) {
         events.warn('worker-lease-lapsed', { worker: incarnation.id, runs: runs.size });
-        endAllRuns('lapsed');
+        endAllRuns('lapsed', 'the lease has expired');
       }
-      const idle = runs.size === 0 && reports.foreignRuns === 0;
-      const sleepMs = choosePauseMs(answered, idle) - (performance.now() - startedAt);
+      const { hasUnacknowledged } = reports;
+      const pauseMs = choosePauseMs({ answered, idle: isIdle(), hasUnacknowledged });
+      const sleepMs = pauseMs - (performance.now() - startedAt);
       if (sleepMs > 0) await sleep(sleepMs);
     }
   }
--- a/test/controller/repeated-starts.test.ts
+++ b/test/controller/repeated-starts.test.ts
@@ -45,6 +45,7 @@
     meters: createMeters(),
     epoch: 3,
     mayExtendLeases: () => true,
+    openSuccessor: (former) => former,
     inheritedLeaseUntil: 0,
     onEnd: (_session, _run, end) => {
       ends.push(end);
--- a/test/controller/stalled-runs.test.ts
+++ b/test/controller/stalled-runs.test.ts
@@ -26,7 +26,7 @@
   const stopped: string[] = [];
   const health = createWorkerHealth({ now: () => 0 });
   const reports = createWorkerReports({
-    worker: 'w1',
+    worker: { id: 'w1', born: 1 },
     epoch: 1,
     runs,
     endRun: () => Promise.resolve(true),
--- a/test/controller/support.ts
+++ b/test/controller/support.ts
@@ -26,3 +26,23 @@
   task.run = 1;
   return { progress, step, task };
 }
+
+const TIMEOUT_MS = 10_000;
+const POLL_INTERVAL_MS = 2;
+
+/** Polls until a value is returned, and fails after a timeout. */
+export async function eventually<T>(poll: () => T | undefined, condition: string): Promise<T> {
+  const giveUpAt = performance.now() + TIMEOUT_MS;
+  for (;;) {
+    const result = poll();
+    if (result !== undefined) return result;
+    if (performance.now() > giveUpAt) throw new Error(`timed out waiting for ${condition}`);
+    await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL_MS));
+  }
+}
+
+/** Returns the value, or fails the test if it is undefined. */
+export function expectDefined<T>(value: T | undefined): T {
+  if (value === undefined) throw new Error('expected a value, got undefined');
+  return value;
+}
