--- a/test/controller/repeated-starts.test.ts
+++ b/test/controller/repeated-starts.test.ts
@@ -53,6 +53,7 @@
     meters: createMeters(),
     epoch: 3,
     mayExtendLeases: () => true,
+    openSuccessor: (former) => former,
     inheritedLeaseUntil: 0,
     onEnd: (_session, _run, end) => {
       ends.push(end);
