Run loops again after an error, and contain errors of single items

Any error in a loop of a host ended that loop for good while the process went on: the follower of a prefix, the polls of the configuration, the checks of the election, the restore of a term, the renewals of a worker's lease, the repeated stops and the planning rounds. The only trace was one "unexpected-error" line. An error in one job or worker of a listing also kept the others from being applied.

createFaultContainment runs such loops again after a pause of 0.1 to 2 s, a follower with a fresh listing, and keeps the error of one change, worker, job or occurrence away from the others. It counts each error in sapphirewing_loop_failures_total and sapphirewing_contained_errors_total, and logs the same one once a minute at most. A follower does not count its content as confirmed before the listing has been applied.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -81,6 +81,7 @@
     decode: options.decodeConfiguration,
     holder: configuration,
     events,
+    meters,
   });
   const reader = createJobReader({ store, events });
   const local = createCallerService({
@@ -163,6 +164,7 @@
     minLeaseMs: options.minLeaseMs,
     processors,
     events,
+    meters,
     eligible: () => !stopping,
     onElected: (term) => {
       controller?.close();
@@ -220,6 +222,7 @@
     store,
     prefix: LEADERSHIP_PREFIX,
     events,
+    meters,
     reachability,
     onListing: (entries) => {
       election.observe(entries);
--- a/src/controller/cell-feed.ts
+++ b/src/controller/cell-feed.ts
@@ -4,7 +4,8 @@
  * jobs. Jobs are applied last, because they refer to progress and workers.
  */
 import { JOB_STORE_KEYS } from '../jobs/index.js';
-import type { EventLog } from '../observability/index.js';
+import { createFaultContainment } from '../observability/index.js';
+import type { EventLog, Meters } from '../observability/index.js';
 import type { StoreChange, StoreEntry, Reachability, KeyValueStore } from '../records/index.js';
 import { followPrefix, pause } from '../records/index.js';
 
@@ -35,10 +36,12 @@
   /** Called once, after progress, workers and jobs were applied. */
   readonly onRestored: () => void;
   readonly events: EventLog;
+  readonly meters?: Meters | undefined;
 }
 
 export function createCellFeed(options: CellFeedOptions): CellFeed {
-  const { store, reachability, events } = options;
+  const { store, reachability, events, meters } = options;
+  const faults = createFaultContainment({ events, meters });
   let stopped = false;
   let restored = false;
   let progressRead = false;
@@ -52,7 +55,11 @@
     options.onJobs(jobs);
     restored = true;
     options.onRestored();
-    for (const change of changes) options.onJobChange(change);
+    for (const change of changes) {
+      faults.contain('change of jobs', { key: change.key }, () => {
+        options.onJobChange(change);
+      });
+    }
     jobs = undefined;
     changes = [];
   }
@@ -75,6 +82,7 @@
     prefix: options.fleetPrefix,
     batchDelayMs: FLEET_BATCH_DELAY_MS,
     events,
+    meters,
     reachability,
     onListing: (entries) => {
       options.onFleet(entries);
@@ -88,6 +96,7 @@
     prefix: JOB_STORE_KEYS.jobs,
     batchDelayMs: JOBS_BATCH_DELAY_MS,
     events,
+    meters,
     reachability,
     onListing: (entries) => {
       if (restored) {
@@ -103,7 +112,7 @@
       else changes.push(change);
     },
   });
-  void readProgress();
+  faults.keepRunning('read progress', readProgress);
 
   return {
     get restored() {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -6,6 +6,7 @@
 import type { Job, JobState, WorkerIncarnation } from '../jobs/index.js';
 import { encodeProgress, isFinal, isFinalRecord, JOB_STORE_KEYS } from '../jobs/index.js';
 import type { LeadershipTerm } from '../leadership/index.js';
+import { createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { AdviceCaller } from '../peers/index.js';
 import { createWorkerHealth } from '../planner/index.js';
@@ -102,6 +103,7 @@
   /** Jobs that ended before this term, with the time at which this leader read their records. */
   const finishedBefore = new Map<string, number>();
 
+  const faults = createFaultContainment({ events, meters });
   const health = createWorkerHealth({ now });
   const responsiveClock = createResponsiveClock();
   const cell = createCell({
@@ -152,6 +154,7 @@
     events,
     onChange: requestPlan,
     onLeaving: evacuate,
+    contain: faults.contain,
   });
   const dispatcher = createDispatcher({
     cell,
@@ -290,6 +293,7 @@
     active: () => feed.restored && !closed,
     finishedBefore,
     onChange: requestPlan,
+    contain: faults.contain,
     events,
   });
   const intake = createJobIntake({
@@ -306,6 +310,7 @@
       housekeeping.beginDueOccurrences(entry);
     },
     onChange: requestPlan,
+    contain: faults.contain,
     events,
   });
   const feed = createCellFeed({
@@ -323,6 +328,7 @@
     },
     onRestored: handleRestored,
     events,
+    meters,
   });
 
   return {
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -2,6 +2,7 @@
  * Runs planning rounds and carries out their placements: builds the planner's input, requests missing permits, makes
  * placements durable and then sends the start orders.
  */
+import { createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { Placement, TeamBudget, WaitingStep, WorkerHealth } from '../planner/index.js';
 import type { CandidateWorker } from '../planner/index.js';
@@ -64,6 +65,7 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { cell, sessions, lifecycle, permits, events, meters } = options;
+  const faults = createFaultContainment({ events, meters });
   let timer: NodeJS.Timeout | undefined;
   /** A round was requested and its timer is running. */
   let roundRequested = false;
@@ -76,7 +78,7 @@
     timer = setTimeout(() => {
       timer = undefined;
       roundRequested = false;
-      plan();
+      faults.contain('planning round', {}, plan);
       scheduleIdleRound();
     }, delayMs);
     timer.unref();
--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -5,7 +5,7 @@
 import type { FleetWorker } from '../fleet/index.js';
 import type { WorkerIncarnation } from '../jobs/index.js';
 import { NO_RESOURCES } from '../model/index.js';
-import type { EventLog } from '../observability/index.js';
+import type { EventLog, FaultContainment } from '../observability/index.js';
 import type { WorkerSession } from './worker-session-types.js';
 
 /** Entries that expired during an outage of the store return within 2 s; after that, a worker without one has left. */
@@ -31,10 +31,12 @@
   readonly events: EventLog;
   readonly onChange: () => void;
   readonly onLeaving: (session: WorkerSession) => void;
+  /** Keeps an error that one worker of a listing causes away from the others. */
+  readonly contain?: FaultContainment['contain'];
 }
 
 export function createFleetSessions(options: FleetSessionsOptions): FleetSessions {
-  const { events } = options;
+  const { events, contain = callDirectly } = options;
   const sessions = new Map<string, WorkerSession>();
   /** Keys of the sessions with incarnations of a worker, by its id; one, except after a restart. */
   const keysById = new Map<string, Set<string>>();
@@ -142,7 +144,11 @@
       for (const [key, session] of sessions) {
         if (!listed.has(key)) update(session.incarnation.id, undefined);
       }
-      for (const [id, worker] of workers) update(id, worker);
+      for (const [id, worker] of workers) {
+        contain('worker', { worker: id }, () => {
+          update(id, worker);
+        });
+      }
     },
     update,
     sessionOf: (incarnation) => {
@@ -179,3 +185,7 @@
     leavesInMs: undefined,
   };
 }
+
+function callDirectly(_source: string, _fields: unknown, handle: () => void) {
+  handle();
+}
--- a/src/controller/housekeeping.ts
+++ b/src/controller/housekeeping.ts
@@ -3,7 +3,7 @@
  * long ago.
  */
 import { beginOccurrence, isFinal, JOB_STORE_KEYS, nextDueMs } from '../jobs/index.js';
-import type { EventLog } from '../observability/index.js';
+import type { EventLog, FaultContainment } from '../observability/index.js';
 import type { Condition, KeyValueStore } from '../records/index.js';
 import type { Cell, JobEntry } from './cell.js';
 
@@ -30,6 +30,8 @@
   /** Jobs that ended before this term, with the time at which this leader read their records. */
   readonly finishedBefore: Map<string, number>;
   readonly onChange: () => void;
+  /** Keeps an error that one job causes away from the others. */
+  readonly contain: FaultContainment['contain'];
   readonly events: EventLog;
 }
 
@@ -47,7 +49,11 @@
   }
 
   function beginAllDue() {
-    for (const entry of cell.scheduled) beginDueOccurrences(entry);
+    for (const entry of cell.scheduled) {
+      options.contain('occurrence', { job: entry.progress.job.id }, () => {
+        beginDueOccurrences(entry);
+      });
+    }
   }
 
   let publishedBacklog = '';
--- a/src/controller/job-intake.ts
+++ b/src/controller/job-intake.ts
@@ -11,7 +11,7 @@
   parseJobKey,
   restoreProgress,
 } from '../jobs/index.js';
-import type { EventLog } from '../observability/index.js';
+import type { EventLog, FaultContainment } from '../observability/index.js';
 import type { CellConfiguration, Queue } from '../queues/index.js';
 import type { StoreChange, StoreEntry } from '../records/index.js';
 import { createJobEntry } from './cell.js';
@@ -45,6 +45,8 @@
   readonly isCompleted: (job: string) => boolean;
   readonly beginDueOccurrences: (entry: JobEntry) => void;
   readonly onChange: () => void;
+  /** Keeps an error that one job of a listing causes away from the others. */
+  readonly contain: FaultContainment['contain'];
   readonly events: EventLog;
 }
 
@@ -97,8 +99,16 @@
       const { id, kind } = parseJobKey(key);
       if (kind === 'cancellation') cancelled.add(id);
     }
-    for (const { key, value } of entries) applyJobRecord(key, value, cancelled);
-    for (const id of cancelled) applyCancellation(id);
+    for (const { key, value } of entries) {
+      options.contain('job', { key }, () => {
+        applyJobRecord(key, value, cancelled);
+      });
+    }
+    for (const id of cancelled) {
+      options.contain('cancellation', { job: id }, () => {
+        applyCancellation(id);
+      });
+    }
   }
 
   function applyJobRecord(key: string, value: string, cancelled: ReadonlySet<string>) {
--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -3,6 +3,7 @@
  * answer was lost, a stop until it is answered.
  */
 import type { OrderOutcome, StartOrder, WorkerConnection } from '../fleet/index.js';
+import { createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import { pause } from '../records/index.js';
 import type { LeaseClock } from './lease-clock.js';
@@ -49,6 +50,7 @@
 
 export function createWorkerOrders(options: WorkerOrdersOptions): WorkerOrders {
   const { worker, epoch, runs, clock, events, meters } = options;
+  const faults = createFaultContainment({ events, meters });
   /** Starts that are not answered yet, with the time on the responsive clock at which they were sent. */
   const pendingStarts = new Map<Run, number>();
 
@@ -131,7 +133,7 @@
       reason,
       percent: run.percent,
     });
-    if (ordered) void sendStop(run);
+    if (ordered) faults.keepRunning('send stops', () => sendStop(run));
     // The dispatcher withdraws an order that is not sent yet when it sees the status.
   }
 
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -8,6 +8,7 @@
 import type { WorkerConnection } from '../fleet/index.js';
 import { addResources, NO_RESOURCES, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
+import { createFaultContainment } from '../observability/index.js';
 import { pause } from '../records/index.js';
 import { createLeaseClock } from './lease-clock.js';
 import { stallTimeoutMs } from './run.js';
@@ -52,6 +53,7 @@
 export function createWorkerSession(options: WorkerSessionOptions): WorkerSession {
   const { events, meters, epoch } = options;
   const incarnation = options.worker.incarnation;
+  const faults = createFaultContainment({ events, meters });
   const runs = new Map<string, Run>();
   let worker = options.worker;
   let connection = connectTo(worker.address);
@@ -130,7 +132,7 @@
       return ended;
     },
     startRenewals: () => {
-      void renewUntilClosed();
+      faults.keepRunning('renew leases', renewUntilClosed);
     },
     attach: (run) => {
       runs.set(run.name, run);
--- a/src/intake/configuration-feed.ts
+++ b/src/intake/configuration-feed.ts
@@ -2,7 +2,8 @@
  * Keeps the configuration up to date: watches its key and also polls it, because a watch can stop
  * delivering changes without an error.
  */
-import type { EventLog } from '../observability/index.js';
+import { createFaultContainment } from '../observability/index.js';
+import type { EventLog, Meters } from '../observability/index.js';
 import type { CellConfiguration, ConfigurationHolder } from '../queues/index.js';
 import type { StoreEntry, Reachability, KeyValueStore } from '../records/index.js';
 import { followPrefix, pause } from '../records/index.js';
@@ -44,22 +45,26 @@
   /** Notified of each answer of the store. */
   readonly reachability: Reachability;
   readonly events: EventLog;
+  readonly meters?: Meters | undefined;
 }
 
 export function createConfigurationFeed(options: ConfigurationFeedOptions): ConfigurationFeed {
-  const { store, key, decode, holder, reachability, events } = options;
+  const { store, key, decode, holder, reachability, events, meters } = options;
+  const faults = createFaultContainment({ events, meters });
   let confirmedAt = -Infinity;
   let stopped = false;
   let pendingRead: Promise<void> | undefined;
 
   function adopt(entry: StoreEntry) {
     if (entry.key !== key) return;
-    const configuration = decode(entry.value);
-    if (configuration === undefined) {
-      events.error('configuration-unreadable', { revision: entry.revision });
-      return;
-    }
-    holder.adoptIfNewer({ configuration, revision: entry.revision });
+    faults.contain('configuration', { revision: entry.revision }, () => {
+      const configuration = decode(entry.value);
+      if (configuration === undefined) {
+        events.error('configuration-unreadable', { revision: entry.revision });
+        return;
+      }
+      holder.adoptIfNewer({ configuration, revision: entry.revision });
+    });
   }
 
   async function read() {
@@ -84,6 +89,7 @@
     store,
     prefix: key,
     events,
+    meters,
     reachability,
     onListing: (entries) => {
       for (const entry of entries) adopt(entry);
@@ -104,7 +110,7 @@
       else if (performance.now() - confirmedAt >= POLL_INTERVAL_MS) await refresh();
     }
   }
-  void poll();
+  faults.keepRunning('poll the configuration', poll);
 
   function latestConfirmation(): number {
     return Math.max(confirmedAt, follower.revision > 0 ? follower.confirmedAt : -Infinity);
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -7,7 +7,8 @@
  * store, and if others do reach it, workers refuse the old leader because the successor's epoch is higher.
  */
 import { z } from 'zod';
-import type { EventLog } from '../observability/index.js';
+import { createFaultContainment } from '../observability/index.js';
+import type { EventLog, Meters } from '../observability/index.js';
 import type { Condition, StoreEntry, KeyValueStore } from '../records/index.js';
 import { pause } from '../records/index.js';
 import { deferToStronger, isWeak } from './strength.js';
@@ -70,6 +71,7 @@
   /** Processing capacity of this host in cores; stronger hosts have precedence. */
   readonly processors: number;
   readonly events: EventLog;
+  readonly meters?: Meters;
   /** Whether this host may currently stand for election. */
   readonly eligible: () => boolean;
   readonly onElected: (term: LeadershipTerm) => void;
@@ -114,6 +116,7 @@
 
 export function createElection(options: ElectionOptions): Election {
   const { store, host, address, events, random = Math.random } = options;
+  const faults = createFaultContainment({ events, meters: options.meters });
   let held: HeldLeadership | undefined;
   let leader: Leader | undefined;
   let leaderRevision = 0;
@@ -344,7 +347,7 @@
       void pause(delayMs).then(() => campaign());
     },
     start: () => {
-      void run();
+      faults.keepRunning('election', run);
     },
     suspectLeader,
     recordStrongestHost,
--- a/src/observability/contain-errors.ts
+++ b/src/observability/contain-errors.ts
@@ -4,6 +4,7 @@
  * all, because its state cannot be trusted and a restart is quicker than errors in a loop.
  */
 import type { EventLog } from './event-log.js';
+import { describeError } from './fault-containment.js';
 
 /** Errors within the window after which the process ends. */
 const MAX_ERRORS = 50;
@@ -32,8 +33,11 @@
     const now = monotonicNow();
     recent = [...recent.filter((at) => now - at < WINDOW_MS), now];
     options.count(origin);
-    const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
-    events.error('unexpected-error', { origin, error: detail, recent: recent.length });
+    events.error('unexpected-error', {
+      origin,
+      error: describeError(error),
+      recent: recent.length,
+    });
     if (recent.length < maxErrors) return;
     events.error('too-many-unexpected-errors', { errors: recent.length, windowMs: WINDOW_MS });
     events.flush();
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -3,4 +3,5 @@
  */
 export * from './contain-errors.js';
 export * from './event-log.js';
+export * from './fault-containment.js';
 export * from './meters.js';
--- a/src/observability/meters.ts
+++ b/src/observability/meters.ts
@@ -25,6 +25,10 @@
   readonly adviceCalls: Counter<'outcome'>;
   /** Errors that nothing handled. */
   readonly unexpectedErrors: Counter<'origin'>;
+  /** Errors in the handler of one item, such as an entry of the store. */
+  readonly containedErrors: Counter<'source'>;
+  /** Failures of loops, which are started again. */
+  readonly loopFailures: Counter<'loop'>;
   render(): Promise<string>;
 }
 
@@ -113,6 +117,18 @@
       labelNames: ['origin'],
       registers,
     }),
+    containedErrors: new Counter({
+      name: 'sapphirewing_contained_errors_total',
+      help: 'Errors in the handler of one item',
+      labelNames: ['source'],
+      registers,
+    }),
+    loopFailures: new Counter({
+      name: 'sapphirewing_loop_failures_total',
+      help: 'Failures of loops, which are started again',
+      labelNames: ['loop'],
+      registers,
+    }),
     render: () => registry.metrics(),
   };
 }
--- a/src/records/follow-prefix.ts
+++ b/src/records/follow-prefix.ts
@@ -1,9 +1,11 @@
 /**
  * Follows all keys under a prefix: lists them once, then watches for changes. The keys are listed again
  * after a failed watch, after a compaction of the history and at a fixed interval, so that a follower
- * never lags by more than that interval while the store answers.
+ * never lags by more than that interval while the store answers. An error in a handler does not end the follower: one
+ * in that of a change is contained, and after one in that of a listing the keys are listed again.
  */
-import type { EventLog } from '../observability/index.js';
+import { createFaultContainment } from '../observability/index.js';
+import type { EventLog, Meters } from '../observability/index.js';
 import type { StoreChange, StoreEntry, KeyValueStore, StoreFailure } from './key-value-store.js';
 import { pause } from './pause.js';
 import { abandonOnRecovery } from './reachability.js';
@@ -28,6 +30,7 @@
   readonly store: KeyValueStore;
   readonly prefix: string;
   readonly events: EventLog;
+  readonly meters?: Meters | undefined;
   /** Called with the complete content; keys that are missing no longer exist. */
   readonly onListing: (entries: readonly StoreEntry[]) => void;
   readonly onChange: (change: StoreChange) => void;
@@ -50,6 +53,7 @@
     batchDelayMs = 0,
   } = options;
   const state = { revision: 0, confirmedAt: 0, listed: false, stopped: false, listedAt: 0 };
+  const faults = createFaultContainment({ events, meters: options.meters });
   let reachable = true;
   /** Number of the current call; the response to an abandoned call is ignored. */
   let currentCall = 0;
@@ -86,11 +90,12 @@
     if (state.stopped) return false;
     // A listing that is older than the applied changes must not undo them.
     if (listing.value.revision < state.revision) return false;
+    // If this fails, the content is not current, and the loop is run again with a fresh listing.
+    options.onListing(listing.value.entries);
     state.revision = listing.value.revision;
     state.listed = true;
     state.listedAt = sentAt;
     reportSuccess(sentAt);
-    options.onListing(listing.value.entries);
     return true;
   }
 
@@ -108,7 +113,11 @@
     if (state.stopped) return false;
     reportSuccess(sentAt);
     state.revision = Math.max(state.revision, batch.value.revision);
-    for (const change of batch.value.changes) options.onChange(change);
+    for (const change of batch.value.changes) {
+      faults.contain(`change of ${prefix}`, { key: change.key }, () => {
+        options.onChange(change);
+      });
+    }
     if (batchDelayMs > 0 && batch.value.changes.length > 0) await pause(batchDelayMs);
     return true;
   }
@@ -125,7 +134,10 @@
     }
   }
 
-  void run();
+  faults.keepRunning(`follow ${prefix}`, () => {
+    state.listed = false;
+    return run();
+  });
   return {
     get revision() {
       return state.revision;
--- /dev/null
+++ b/test/controller/failing-loops.test.ts
@@ -0,0 +1,76 @@
+/** Guards against loops of the leader that end at their first error and leave it leading without them. */
+import { expect } from 'chai';
+import { createDispatcher } from '../../src/controller/dispatcher.js';
+import type { DispatcherOptions } from '../../src/controller/dispatcher.js';
+import { createWorkerSession } from '../../src/controller/worker-session.js';
+import type { WorkerConnection } from '../../src/fleet/index.js';
+import { createMeters, SILENT_EVENTS } from '../../src/observability/index.js';
+import { eventually } from '../platform-path/support.js';
+
+function openSession(connection: WorkerConnection) {
+  return createWorkerSession({
+    worker: {
+      incarnation: { id: 'w1', born: 1 },
+      address: '127.0.0.1:1',
+      service: 'rota',
+      dataCentre: 'dc1',
+      state: 'ready',
+      room: { processors: 8, memoryMb: 100, accelerators: 0 },
+      labels: [],
+      rack: 'r1',
+      leavesInMs: undefined,
+    },
+    connect: () => connection,
+    events: SILENT_EVENTS,
+    meters: createMeters(),
+    epoch: 3,
+    mayExtendLeases: () => true,
+    inheritedLeaseUntil: 0,
+    onEnd: () => Promise.resolve(true),
+    onReport: () => undefined,
+    onTicketRefused: () => undefined,
+    responsiveNow: () => performance.now(),
+    onStaleEpoch: () => undefined,
+    onChange: () => undefined,
+  });
+}
+
+describe('a loop of the leader that fails', () => {
+  // Without renewals a worker ends its runs, while the leader goes on giving it new ones.
+  it('renews the lease of a worker again', async () => {
+    let renewals = 0;
+    const session = openSession({
+      start: () => Promise.resolve({ kind: 'accepted', clockMs: 1 }),
+      stop: () => Promise.resolve({ kind: 'accepted', clockMs: 1 }),
+      renew: () => {
+        renewals += 1;
+        if (renewals === 1) return Promise.reject(new Error('unreadable'));
+        return Promise.resolve({
+          kind: 'report',
+          report: { born: 1, clockMs: 1, running: [], ended: [] },
+        });
+      },
+      close: () => undefined,
+    });
+    session.startRenewals();
+    await eventually(() => (session.reachable ? true : undefined));
+    session.close();
+    expect(renewals).to.be.at.least(2);
+  });
+
+  // Without rounds nothing is started until some change requests one.
+  it('plans again', async () => {
+    let rounds = 0;
+    const dispatcher = createDispatcher({
+      events: SILENT_EVENTS,
+      meters: createMeters(),
+      configuration: () => {
+        rounds += 1;
+        if (rounds === 1) throw new Error('unreadable');
+        return undefined;
+      },
+    } as unknown as DispatcherOptions);
+    await eventually(() => (rounds > 1 ? true : undefined));
+    dispatcher.stop();
+  });
+});
--- a/test/leadership/election.test.ts
+++ b/test/leadership/election.test.ts
@@ -61,3 +61,37 @@
     expect((renewedAt ?? Infinity) - electedAt).to.be.lessThan(FIRST_RENEWAL_MS);
   });
 });
+
+describe('an election whose check fails', () => {
+  // The host no longer followed the leadership: it neither renewed a lease nor stood for election.
+  it('goes on checking', async () => {
+    let checks = 0;
+    const store = {
+      get: () => {
+        checks += 1;
+        const value = JSON.stringify({ host: 'other', address: '127.0.0.1:1', epoch: checks });
+        return Promise.resolve(ok({ key: LEADER_KEY, value, revision: checks }));
+      },
+    } as unknown as KeyValueStore;
+    const election = createElection({
+      store,
+      host: 'own',
+      address: '127.0.0.1:2',
+      minLeaseMs: 1000,
+      processors: 1,
+      events: SILENT_EVENTS,
+      eligible: () => true,
+      onElected: () => undefined,
+      onReacquired: () => undefined,
+      onLeadershipLost: () => undefined,
+      onStoreRejection: () => undefined,
+      onLeaderChange: () => {
+        if (checks === 1) throw new Error('unreadable');
+      },
+    });
+    election.start();
+    await eventually(() => (checks > 1 ? true : undefined));
+    election.stop();
+    expect(election.leader?.epoch).to.equal(2);
+  });
+});
--- a/test/records/follow-prefix.test.ts
+++ b/test/records/follow-prefix.test.ts
@@ -5,7 +5,7 @@
 import { expect } from 'chai';
 import { ok } from 'neverthrow';
 import { SILENT_EVENTS } from '../../src/observability/index.js';
-import { followPrefix } from '../../src/records/index.js';
+import { followPrefix, pause } from '../../src/records/index.js';
 import type { KeyValueStore } from '../../src/records/index.js';
 
 const BATCH_DELAY_MS = 40;
@@ -42,4 +42,77 @@
     // Timers may fire a millisecond early.
     expect(elapsedMs).to.be.at.least((CHANGES - 1) * (BATCH_DELAY_MS - 1));
   });
+
+  // A leader whose follower had ended kept its copy of the workers for the rest of its term (DRAIN, LOST).
+  describe('after an error in a handler', () => {
+    const CHANGE_KEYS = ['servers/a', 'servers/odd', 'servers/b'];
+
+    /** Follows a store that delivers one batch of changes after each listing, until the promise resolves. */
+    async function follow(
+      fail: (call: string) => void,
+      isEnough: (calls: readonly string[]) => boolean,
+    ) {
+      const calls: string[] = [];
+      let revision = 1;
+      let delivered = false;
+      const store = {
+        list: () => {
+          delivered = false;
+          return Promise.resolve(ok({ entries: [], revision }));
+        },
+        watch: async () => {
+          await pause(1);
+          if (delivered) return ok({ changes: [], revision });
+          delivered = true;
+          revision += 1;
+          const changes = CHANGE_KEYS.map((key) => ({ key, value: '', revision }));
+          return ok({ changes, revision });
+        },
+      } as unknown as KeyValueStore;
+      await new Promise<void>((resolve) => {
+        const handle = (call: string) => {
+          calls.push(call);
+          if (isEnough(calls)) {
+            follower.stop();
+            resolve();
+          }
+          fail(call);
+        };
+        const follower = followPrefix({
+          store,
+          prefix: 'servers/',
+          events: SILENT_EVENTS,
+          onListing: () => {
+            handle('listing');
+          },
+          onChange: ({ key }) => {
+            handle(key);
+          },
+        });
+      });
+      return calls;
+    }
+
+    it('of one change goes on with the others', async () => {
+      const calls = await follow(
+        (call) => {
+          if (call === 'servers/odd') throw new Error('unreadable');
+        },
+        (seen) => seen.includes('servers/b'),
+      );
+      expect(calls).to.deep.equal(['listing', ...CHANGE_KEYS]);
+    });
+
+    it('of a listing lists again', async () => {
+      let failures = 0;
+      const calls = await follow(
+        () => {
+          failures += 1;
+          if (failures === 1) throw new Error('unreadable');
+        },
+        (seen) => seen.includes('servers/b'),
+      );
+      expect(calls).to.deep.equal(['listing', 'listing', ...CHANGE_KEYS]);
+    });
+  });
 });
