Log and count an unreadable entry of the store once

An entry that cannot be decoded was logged again at each listing, watch event and read: a configuration twice a second and more, an entry of the workers at each change and each listing. An unreadable progress record was not logged at all, and an error thrown by a decoder kept the rest of a listing from being applied.

createEntryReader decodes the entries of workers, jobs, progress and the configuration. It takes an error of the decoder for an unreadable entry, and logs and counts each entry once (sapphirewing_unreadable_entries_total by prefix) until it can be decoded again.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -6,8 +6,8 @@
 import type { Job, JobState, WorkerIncarnation } from '../jobs/index.js';
 import { encodeProgress, isFinal, isFinalRecord, JOB_STORE_KEYS } from '../jobs/index.js';
 import type { LeadershipTerm } from '../leadership/index.js';
-import { createFaultContainment } from '../observability/index.js';
-import type { EventLog, Meters } from '../observability/index.js';
+import { createEntryReader, createFaultContainment } from '../observability/index.js';
+import type { DecodedEntry, EventLog, Meters } from '../observability/index.js';
 import type { AdviceCaller } from '../peers/index.js';
 import { createWorkerHealth } from '../planner/index.js';
 import type { ConfigurationHolder } from '../queues/index.js';
@@ -245,21 +245,27 @@
     }
   }
 
+  const workerEntries = createEntryReader({
+    prefix: options.fleet.prefix,
+    event: 'worker-entry-unreadable',
+    events,
+    meters,
+  });
+  const decodeWorker = (entry: DecodedEntry) =>
+    workerEntries.read(entry, (text) => options.fleet.decode(entry.key, text));
+
   function applyFleet(entries: readonly StoreEntry[]) {
     const workers = new Map<string, FleetWorker>();
-    for (const { key, value } of entries) {
-      const worker = options.fleet.decode(key, value);
-      if (worker === undefined) events.warn('worker-entry-unreadable', { key });
-      else workers.set(worker.incarnation.id, worker);
+    for (const entry of entries) {
+      const worker = decodeWorker(entry);
+      if (worker !== undefined) workers.set(worker.incarnation.id, worker);
     }
     sessions.replace(workers);
   }
 
-  function applyFleetChange({ key, value }: StoreChange) {
+  function applyFleetChange({ key, value, revision }: StoreChange) {
     const id = key.slice(options.fleet.prefix.length);
-    const worker = value === undefined ? undefined : options.fleet.decode(key, value);
-    if (worker === undefined && value !== undefined)
-      events.warn('worker-entry-unreadable', { key });
+    const worker = value === undefined ? undefined : decodeWorker({ key, value, revision });
     sessions.update(id, worker);
   }
 
@@ -312,6 +318,7 @@
     onChange: requestPlan,
     contain: faults.contain,
     events,
+    meters,
   });
   const feed = createCellFeed({
     store,
--- a/src/controller/job-intake.ts
+++ b/src/controller/job-intake.ts
@@ -8,10 +8,12 @@
   decodeJob,
   decodeProgress,
   isFinal,
+  JOB_STORE_KEYS,
   parseJobKey,
   restoreProgress,
 } from '../jobs/index.js';
-import type { EventLog, FaultContainment } from '../observability/index.js';
+import { createEntryReader } from '../observability/index.js';
+import type { EventLog, FaultContainment, Meters } from '../observability/index.js';
 import type { CellConfiguration, Queue } from '../queues/index.js';
 import type { StoreChange, StoreEntry } from '../records/index.js';
 import { createJobEntry } from './cell.js';
@@ -48,11 +50,25 @@
   /** Keeps an error that one job of a listing causes away from the others. */
   readonly contain: FaultContainment['contain'];
   readonly events: EventLog;
+  readonly meters?: Meters;
 }
 
 export function createJobIntake(options: JobIntakeOptions): JobIntake {
   const { cell, sessions, lifecycle, log, share, savedProgress, finishedBefore, events } = options;
 
+  const jobRecords = createEntryReader({
+    prefix: JOB_STORE_KEYS.jobs,
+    event: 'job-record-unreadable',
+    events,
+    meters: options.meters,
+  });
+  const progressRecords = createEntryReader({
+    prefix: JOB_STORE_KEYS.progress,
+    event: 'progress-record-unreadable',
+    events,
+    meters: options.meters,
+  });
+
   function findQueue(name: string): Queue | undefined {
     return options.configuration()?.queues.find((queue) => queue.name === name);
   }
@@ -66,7 +82,7 @@
       beyondShare: share.recordJob(job.team, weightOf(job.team)),
     });
     const record = savedProgress.get(job.id);
-    const decoded = record === undefined ? undefined : decodeProgress(record.value);
+    const decoded = record === undefined ? undefined : progressRecords.read(record, decodeProgress);
     if (record !== undefined) log.setRevision(job.id, record.revision);
     if (decoded !== undefined) restoreProgress(progress, decoded);
     if (isFinal(progress.state)) entry.finishedAtMs = Date.now();
@@ -114,9 +130,8 @@
   function applyJobRecord(key: string, value: string, cancelled: ReadonlySet<string>) {
     const { id, kind } = parseJobKey(key);
     if (kind !== 'job' || cell.jobs.has(id) || finishedBefore.has(id)) return;
-    const job = decodeJob(value);
-    if (job === undefined) events.error('job-record-unreadable', { job: id, bytes: value.length });
-    else addJob(job, cancelled.has(id));
+    const job = jobRecords.read({ key, value }, decodeJob);
+    if (job !== undefined) addJob(job, cancelled.has(id));
   }
 
   function applyChange({ key, value }: StoreChange) {
--- a/src/intake/configuration-feed.ts
+++ b/src/intake/configuration-feed.ts
@@ -2,7 +2,7 @@
  * Keeps the configuration up to date: watches its key and also polls it, because a watch can stop
  * delivering changes without an error.
  */
-import { createFaultContainment } from '../observability/index.js';
+import { createEntryReader, createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { CellConfiguration, ConfigurationHolder } from '../queues/index.js';
 import type { StoreEntry, Reachability, KeyValueStore } from '../records/index.js';
@@ -51,6 +51,12 @@
 export function createConfigurationFeed(options: ConfigurationFeedOptions): ConfigurationFeed {
   const { store, key, decode, holder, reachability, events, meters } = options;
   const faults = createFaultContainment({ events, meters });
+  const configurations = createEntryReader({
+    prefix: key,
+    event: 'configuration-unreadable',
+    events,
+    meters,
+  });
   let confirmedAt = -Infinity;
   let stopped = false;
   let pendingRead: Promise<void> | undefined;
@@ -58,11 +64,8 @@
   function adopt(entry: StoreEntry) {
     if (entry.key !== key) return;
     faults.contain('configuration', { revision: entry.revision }, () => {
-      const configuration = decode(entry.value);
-      if (configuration === undefined) {
-        events.error('configuration-unreadable', { revision: entry.revision });
-        return;
-      }
+      const configuration = configurations.read(entry, decode);
+      if (configuration === undefined) return;
       holder.adoptIfNewer({ configuration, revision: entry.revision });
     });
   }
--- a/src/observability/meters.ts
+++ b/src/observability/meters.ts
@@ -29,6 +29,8 @@
   readonly containedErrors: Counter<'source'>;
   /** Failures of loops, which are started again. */
   readonly loopFailures: Counter<'loop'>;
+  /** Entries of the store that could not be used, each counted once. */
+  readonly unreadableEntries: Counter<'prefix'>;
   render(): Promise<string>;
 }
 
@@ -129,6 +131,12 @@
       labelNames: ['loop'],
       registers,
     }),
+    unreadableEntries: new Counter({
+      name: 'sapphirewing_unreadable_entries_total',
+      help: 'Entries of the store that could not be used, each counted once',
+      labelNames: ['prefix'],
+      registers,
+    }),
     render: () => registry.metrics(),
   };
 }
--- a/test/intake/configuration-feed.test.ts
+++ b/test/intake/configuration-feed.test.ts
@@ -26,6 +26,28 @@
 }
 
 describe('createConfigurationFeed', () => {
+  it('logs once that a version cannot be read', async () => {
+    const { store } = createStore();
+    const logged: string[] = [];
+    const feed = createConfigurationFeed({
+      store,
+      key: KEY,
+      decode: () => undefined,
+      holder: createConfigurationHolder({ events: SILENT_EVENTS }),
+      reachability: createReachability({ events: SILENT_EVENTS }),
+      events: {
+        ...SILENT_EVENTS,
+        error: (event) => {
+          logged.push(event);
+        },
+      },
+    });
+    // Time for several polls.
+    await pause(1800);
+    feed.stop();
+    expect(logged).to.deep.equal(['configuration-unreadable']);
+  });
+
   it('adopts a later version after one whose decoder fails', async () => {
     const { store, state } = createStore();
     const holder = createConfigurationHolder({ events: SILENT_EVENTS });
