--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -85,6 +85,7 @@
     decode: options.decodeConfiguration,
     holder: configuration,
     events,
+    meters,
   });
   const reader = createJobReader({ store, events });
   const local = createCallerService({
@@ -159,6 +160,7 @@
     minLeaseMs: options.minLeaseMs,
     processors,
     events,
+    meters,
     eligible: () => !stopping,
     onElected: (term) => {
       controller?.close();
@@ -214,6 +216,7 @@
     store,
     prefix: LEADERSHIP_PREFIX,
     events,
+    meters,
     reachability,
     onListing: (entries) => {
       election.observe(entries);
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -6,7 +6,8 @@
 import type { Job, JobState, WorkerIncarnation } from '../jobs/index.js';
 import { encodeProgress, isFinal, isFinalRecord, JOB_STORE_KEYS } from '../jobs/index.js';
 import type { LeadershipTerm } from '../leadership/index.js';
-import type { EventLog, Meters } from '../observability/index.js';
+import { createEntryReader, createFaultContainment } from '../observability/index.js';
+import type { DecodedEntry, EventLog, Meters } from '../observability/index.js';
 import type { AdviceCaller } from '../peers/index.js';
 import { createWorkerHealth } from '../planner/index.js';
 import type { ConfigurationHolder } from '../queues/index.js';
@@ -107,6 +108,7 @@
   /** Jobs that ended before this term, with the time at which this leader read their records. */
   const finishedBefore = new Map<string, number>();
 
+  const faults = createFaultContainment({ events, meters });
   const health = createWorkerHealth({ now });
   const responsiveClock = createResponsiveClock();
   const cell = createCell({
@@ -156,6 +158,7 @@
     events,
     onChange: requestPlan,
     onLeaving: evacuate,
+    contain: faults.contain,
   });
   const orderWindow = createOrderWindow({
     views: [
@@ -245,28 +248,35 @@
     }
   }
 
+  const workerEntries = createEntryReader({
+    prefix: options.fleet.prefix,
+    event: 'worker-entry-unreadable',
+    events,
+    meters,
+  });
+  const decodeWorker = (entry: DecodedEntry) =>
+    workerEntries.read(entry, (text) => options.fleet.decode(entry.key, text));
+
   function applyFleet(entries: readonly StoreEntry[]) {
     const workers = new Map<string, FleetWorker>();
     const unreadable = new Set<string>();
-    for (const { key, value, revision } of entries) {
-      const worker = options.fleet.decode(key, value);
-      if (worker === undefined) {
-        events.warn('worker-entry-unreadable', { key, revision });
-        unreadable.add(key.slice(options.fleet.prefix.length));
-      } else workers.set(worker.incarnation.id, { ...worker, revision });
+    for (const entry of entries) {
+      const worker = decodeWorker(entry);
+      if (worker === undefined) unreadable.add(entry.key.slice(options.fleet.prefix.length));
+      else workers.set(worker.incarnation.id, { ...worker, revision: entry.revision });
     }
     sessions.replace(workers, unreadable);
   }
 
   function applyFleetChange({ key, value, revision }: StoreChange) {
     const id = key.slice(options.fleet.prefix.length);
-    const worker = value === undefined ? undefined : options.fleet.decode(key, value);
-    if (worker === undefined && value !== undefined) {
-      events.warn('worker-entry-unreadable', { key, revision });
-      sessions.markUnreadable(id);
+    if (value === undefined) {
+      sessions.update(id, undefined);
       return;
     }
-    sessions.update(id, worker === undefined ? undefined : { ...worker, revision });
+    const worker = decodeWorker({ key, value, revision });
+    if (worker === undefined) sessions.markUnreadable(id);
+    else sessions.update(id, { ...worker, revision });
   }
 
   /** Keeps only the ids of ended jobs, so that a takeover spends no time decoding their records. */
@@ -299,6 +309,7 @@
     active: () => feed.restored && !closed,
     finishedBefore,
     onChange: requestPlan,
+    contain: faults.contain,
     events,
   });
   const intake = createJobIntake({
@@ -314,7 +325,9 @@
       housekeeping.beginDueOccurrences(entry);
     },
     onChange: requestPlan,
+    contain: faults.contain,
     events,
+    meters,
   });
   const feed = createCellFeed({
     store,
@@ -333,6 +346,7 @@
     },
     onRestored: handleRestored,
     events,
+    meters,
   });
 
   return {
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -8,6 +8,7 @@
 import type { WorkerConnection } from '../fleet/index.js';
 import { addResources, NO_RESOURCES, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
+import { createFaultContainment } from '../observability/index.js';
 import { pause } from '../records/index.js';
 import { createLeaseClock } from './lease-clock.js';
 import { choosePauseMs, chooseWaitMs } from './renewal-pace.js';
@@ -29,6 +30,7 @@
 export function createWorkerSession(options: WorkerSessionOptions): WorkerSession {
   const { events, meters, epoch } = options;
   const incarnation = options.worker.incarnation;
+  const faults = createFaultContainment({ events, meters });
   const runs = new Map<string, Run>();
   let worker = options.worker;
   let connection = connectTo(worker.address);
@@ -109,7 +111,7 @@
       return ended;
     },
     startRenewals: () => {
-      void renewUntilClosed();
+      faults.keepRunning('renew leases', renewUntilClosed);
     },
     attach,
     adopt,
--- a/src/observability/meters.ts
+++ b/src/observability/meters.ts
@@ -27,6 +27,12 @@
   readonly adviceCalls: Counter<'outcome'>;
   /** Errors that nothing handled. */
   readonly unexpectedErrors: Counter<'origin'>;
+  /** Errors in the handler of one item, such as an entry of the store. */
+  readonly containedErrors: Counter<'source'>;
+  /** Failures of loops, which are started again. */
+  readonly loopFailures: Counter<'loop'>;
+  /** Entries of the store that could not be used, each counted once. */
+  readonly unreadableEntries: Counter<'prefix'>;
   render(): Promise<string>;
 }
 
@@ -120,6 +126,24 @@
       labelNames: ['origin'],
       registers,
     }),
+    containedErrors: new Counter({
+      name: 'sapphirewing_contained_errors_total',
+      help: 'Errors in the handler of one item',
+      labelNames: ['source'],
+      registers,
+    }),
+    loopFailures: new Counter({
+      name: 'sapphirewing_loop_failures_total',
+      help: 'Failures of loops, which are started again',
+      labelNames: ['loop'],
+      registers,
+    }),
+    unreadableEntries: new Counter({
+      name: 'sapphirewing_unreadable_entries_total',
+      help: 'Entries of the store that could not be used, each counted once',
+      labelNames: ['prefix'],
+      registers,
+    }),
     render: () => registry.metrics(),
   };
 }
