Blame a job that fails on two workers, not the workers

Up to the present, two hopeless jobs that came to the same worker excluded it, for 1.5 s at first and up to 12 s later, and their next attempts did the same elsewhere, because a retry avoids the workers where it has failed. Callers of sound jobs in a small pool waited for up to 12 s while all workers were idle.

A worker that fails what it starts is told from a job that fails wherever it runs by its other failures: the jobs of the former succeed elsewhere. So a job's first failure counts against its worker until the job fails on another one; then it is taken back, and the others do not count. Workers that have stalled, or that other jobs speak against, stay excluded.

Evidence: the property over drawn queues, with jobs that fail in all their runs, fails before ("expected 7500 to be below 3000", and 4050 with gangs only: milliseconds in which nothing ran although sound jobs waited).

--- a/src/planner/worker-health.ts
+++ b/src/planner/worker-health.ts
@@ -1,6 +1,9 @@
 /**
- * Excludes workers that fail whatever they start. Failures of different jobs without a success in between
- * exclude a worker for a time; after that it gets one task or gang at a time as a trial, and a success ends the trial.
+ * Excludes workers that fail whatever they start. Failures of different jobs without a success in between exclude a
+ * worker for a time; after that it gets one task or gang at a time as a trial, and a success ends the trial.
+ *
+ * A job that has failed on two workers is itself at fault, as far as can be told, and says nothing about either of them.
+ * Otherwise jobs that can never be done would exclude the whole pool while they use up their attempts.
  */
 import type { WorkerHealthStatus } from './candidates.js';
 
@@ -9,6 +12,8 @@
 /** Duration of the first exclusion; doubles with each failed trial. */
 const EXCLUSION_MS = 1500;
 const MAX_EXCLUSION_MS = 12_000;
+/** Jobs with failures that are remembered; an attempt follows the one that failed within seconds or minutes. */
+const MAX_FAILED_JOBS = 2000;
 
 export interface WorkerHealth {
   /** Records the end of a run; a success clears the failures of the worker. */
@@ -20,7 +25,10 @@
 }
 
 interface FailureHistory {
+  /** Jobs that have failed on this worker and nowhere else. */
   readonly failedJobs: Set<string>;
+  /** Whether tasks have made no progress on it. */
+  stalled: boolean;
   excludedUntil: number;
   exclusionMs: number;
   onTrial: boolean;
@@ -28,12 +36,15 @@
 
 export function createWorkerHealth(options: { readonly now: () => number }): WorkerHealth {
   const records = new Map<string, FailureHistory>();
+  /** Worker on which each job failed first, the job that failed last at the end. */
+  const firstFailures = new Map<string, string>();
 
   function find(worker: string): FailureHistory {
     let found = records.get(worker);
     if (found === undefined) {
       found = {
         failedJobs: new Set(),
+        stalled: false,
         excludedUntil: 0,
         exclusionMs: EXCLUSION_MS,
         onTrial: false,
@@ -43,23 +54,50 @@
     return found;
   }
 
-  function exclude(worker: string) {
-    const found = find(worker);
+  function exclude(found: FailureHistory) {
     found.excludedUntil = options.now() + found.exclusionMs;
     found.exclusionMs = Math.min(MAX_EXCLUSION_MS, found.exclusionMs * 2);
     found.onTrial = true;
   }
 
+  function recordFailure(worker: string, job: string) {
+    const first = firstFailures.get(job) ?? worker;
+    rememberFailure(job, first);
+    if (first !== worker) {
+      withdrawFailure(first, job);
+      return;
+    }
+    const found = find(worker);
+    found.failedJobs.add(job);
+    if (found.onTrial || found.failedJobs.size >= FAILURES_BEFORE_EXCLUSION) exclude(found);
+  }
+
+  function rememberFailure(job: string, worker: string) {
+    firstFailures.delete(job);
+    firstFailures.set(job, worker);
+    const [oldest] = firstFailures.keys();
+    if (firstFailures.size > MAX_FAILED_JOBS && oldest !== undefined) firstFailures.delete(oldest);
+  }
+
+  /** Trusts the worker again if too little else speaks against it. */
+  function withdrawFailure(worker: string, job: string) {
+    const found = records.get(worker);
+    if (found?.failedJobs.delete(job) !== true || found.stalled) return;
+    if (found.failedJobs.size >= FAILURES_BEFORE_EXCLUSION) return;
+    found.excludedUntil = 0;
+    found.exclusionMs = EXCLUSION_MS;
+    found.onTrial = false;
+  }
+
   return {
-    exclude,
-    record: (worker, job, succeeded) => {
-      if (succeeded) {
-        records.delete(worker);
-        return;
-      }
+    exclude: (worker) => {
       const found = find(worker);
-      found.failedJobs.add(job);
-      if (found.onTrial || found.failedJobs.size >= FAILURES_BEFORE_EXCLUSION) exclude(worker);
+      found.stalled = true;
+      exclude(found);
+    },
+    record: (worker, job, succeeded) => {
+      if (succeeded) records.delete(worker);
+      else recordFailure(worker, job);
     },
     statusOf: (worker) => {
       const found = records.get(worker);
--- a/test/controller/hopeless-jobs.test.ts
+++ b/test/controller/hopeless-jobs.test.ts
@@ -14,17 +14,22 @@
 
 type Shape = Omit<SimulatedJob, 'name' | 'fate'>;
 
-const SHAPE: fc.Arbitrary<Shape> = fc.record({
-  gang: fc.boolean(),
-  count: fc.integer({ min: 1, max: 3 }),
-  cores: fc.integer({ min: 2, max: 4 }),
-});
+const drawShape = (gang: fc.Arbitrary<boolean>): fc.Arbitrary<Shape> =>
+  fc.record({
+    gang,
+    count: fc.integer({ min: 1, max: 3 }),
+    cores: fc.integer({ min: 2, max: 4 }),
+  });
 
 /** Jobs of which up to a half have one of the given fates, in any order. */
-function drawJobs(fates: readonly Fate[]): fc.Arbitrary<SimulatedJob[]> {
-  const hopeless = fc.tuple(fc.constantFrom(...fates), SHAPE);
+function drawJobs(
+  fates: readonly Fate[],
+  { gang = fc.boolean() }: { readonly gang?: fc.Arbitrary<boolean> } = {},
+): fc.Arbitrary<SimulatedJob[]> {
+  const shape = drawShape(gang);
+  const hopeless = fc.tuple(fc.constantFrom(...fates), shape);
   return fc
-    .tuple(fc.array(SHAPE, { minLength: 1, maxLength: 24 }), fc.array(hopeless, { maxLength: 24 }))
+    .tuple(fc.array(shape, { minLength: 1, maxLength: 24 }), fc.array(hopeless, { maxLength: 24 }))
     .map(([sound, others]) => [
       ...sound.map((shape): [Fate, Shape] => ['sound', shape]),
       ...others.slice(0, sound.length),
@@ -52,4 +57,17 @@
       await fc.assert(fc.asyncProperty(jobs, expectAllSoundToRun), { seed: SEED, numRuns: 100 });
     });
   });
+
+  describe('that fail wherever they run', () => {
+    // The failures of hopeless jobs excluded all workers at once, for up to 12 s each time.
+    for (const [kind, gang] of [
+      ['jobs of all kinds', fc.boolean()],
+      ['gangs only', fc.constant(true)],
+    ] as const) {
+      it(`start once there is room, with ${kind}`, async () => {
+        const property = fc.asyncProperty(drawJobs(['failing'], { gang }), expectAllSoundToRun);
+        await fc.assert(property, { seed: SEED, numRuns: 100 });
+      });
+    }
+  });
 });
--- a/test/planner/worker-health.test.ts
+++ b/test/planner/worker-health.test.ts
@@ -48,5 +48,31 @@
         'trusted',
       ]);
     });
+
+    // Two hopeless jobs excluded each worker that they came to, for longer each time.
+    it('says nothing about a worker on which it failed before or after another', () => {
+      const health = create();
+      health.record('a', 'hopeless-1', false);
+      health.record('a', 'hopeless-2', false);
+      expect(health.statusOf('a')).to.equal('avoided');
+      health.record('b', 'hopeless-1', false);
+      health.record('b', 'hopeless-2', false);
+      expect(['a', 'b'].map((worker) => health.statusOf(worker))).to.deep.equal([
+        'trusted',
+        'trusted',
+      ]);
+    });
+
+    it('does not clear a worker that other jobs speak against, or that has stalled', () => {
+      const health = create();
+      for (const job of ['job-1', 'job-2', 'job-3']) health.record('bad', job, false);
+      health.exclude('stalled');
+      health.record('stalled', 'job-4', false);
+      for (const job of ['job-3', 'job-4']) health.record('also-bad', job, false);
+      expect(['bad', 'stalled'].map((worker) => health.statusOf(worker))).to.deep.equal([
+        'avoided',
+        'avoided',
+      ]);
+    });
   });
 });
