Let tasks that take many times their estimate end

The cause is a bound on progress that a sound run can miss each time, with nothing learned from the run before. The class is a retry under the same condition that ended the last try. The time doubles now with each run of the task that has stalled, so that any task that progresses ends after a few attempts: one stopped run for 20 times the estimate, three for 300 times. Three percents of the estimate are the least, so a task that takes as long as estimated is never stopped.

Evidence: the new tests fail on the code before ("expected Infinity to equal 1", "expected Infinity to equal +0").

--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -229,5 +229,7 @@
     if (run.step.step.gang && !options.isGangRunning(run)) continue;
     options.health.exclude(session.incarnation.id);
     options.stop(run, `no progress for ${String(stallTimeoutMs(run))} ms`);
+    const { step, task } = run;
+    for (const stalled of step.step.gang ? step.tasks : [task]) stalled.stalls += 1;
   }
 }
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -93,6 +93,8 @@
 const STALL_FRACTION = 0.15;
 const MIN_STALL_MS = 600;
 const MAX_STALL_MS = 2000;
+/** Workers report whole percents, so even a sound run of a long task shows no progress for some time. */
+const LEAST_STALL_FRACTION = 0.03;
 /** Additional time to resume from a checkpoint. */
 const RESUME_MS = 600;
 
@@ -105,11 +107,16 @@
   return clockMs - run.progressedClockMs >= stallTimeoutMs(run);
 }
 
-/** Milliseconds without a change of `percent` after which a run counts as stalled. */
+/**
+ * Milliseconds without a change of `percent` after which a run counts as stalled. Doubles with each run of the task that
+ * has stalled: estimates are rough, and a task that takes many times its estimate must end some time, too.
+ */
 export function stallTimeoutMs({ step, task }: Run): number {
-  const bound = Math.min(
-    MAX_STALL_MS,
-    Math.max(MIN_STALL_MS, step.step.estimateMs * STALL_FRACTION),
+  const { estimateMs } = step.step;
+  const bound = Math.max(
+    MIN_STALL_MS,
+    estimateMs * LEAST_STALL_FRACTION,
+    Math.min(MAX_STALL_MS, estimateMs * STALL_FRACTION),
   );
-  return Math.round(bound + (task.checkpoint === '' ? 0 : RESUME_MS));
+  return Math.round(bound * 2 ** task.stalls + (task.checkpoint === '' ? 0 : RESUME_MS));
 }
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -27,6 +27,8 @@
   worker: WorkerIncarnation | undefined;
   /** Workers on which a run failed; retries avoid them. */
   failedOn: string[];
+  /** Number of runs that were stopped for want of progress; not durable, so each leader counts from 0. */
+  stalls: number;
 }
 
 export interface StepProgress {
@@ -93,6 +95,7 @@
     checkpoint: '',
     worker: undefined,
     failedOn: [],
+    stalls: 0,
   }));
   return {
     number,
--- a/test/controller/stalled-runs.test.ts
+++ b/test/controller/stalled-runs.test.ts
@@ -16,8 +16,8 @@
 /** Time without progress after which a run of this estimate counts as stalled. */
 const STALL_MS = 600;
 
-function createCase() {
-  const { progress, step, task } = createSingleTask(ESTIMATE_MS);
+function createCase(estimateMs = ESTIMATE_MS) {
+  const { progress, step, task } = createSingleTask(estimateMs);
   const runs = new Map<string, Run>();
   const session = { incarnation: { id: 'w1', born: 1 }, runs } as unknown as WorkerSession;
   const run = createRun({ name: 'job.0.0.0', progress, step, task, session, inherited: false });
@@ -92,4 +92,31 @@
     const { run } = createCase();
     expect(hasStalled(run, 100_000)).to.equal(false);
   });
+
+  describe('of a task that takes many times its estimate', () => {
+    /** Plays runs, each from the beginning, until one ends; returns the number of runs that were stopped before. */
+    async function playUntilDone(durationMs: number, estimateMs: number): Promise<number> {
+      const { run, report, stopped } = createCase(estimateMs);
+      for (let attempt = 0; attempt < 20; attempt += 1) {
+        Object.assign(run, { percent: 0, progressedClockMs: undefined });
+        for (let elapsedMs = 0; stopped.length === attempt; elapsedMs += 100) {
+          if (elapsedMs >= durationMs) return attempt;
+          await report(elapsedMs, Math.floor((100 * elapsedMs) / durationMs));
+        }
+      }
+      return Infinity;
+    }
+
+    // Such a task was stopped for want of progress again and again, because workers report whole percents.
+    it('lets it end after a few attempts', async () => {
+      expect(await playUntilDone(6200 * 20, 6200)).to.equal(1);
+      expect(await playUntilDone(1000 * 300, 1000)).to.equal(3);
+      expect(await playUntilDone(1000 * 3000, 0)).to.be.within(1, 6);
+    });
+
+    it('never stops it when it takes as long as estimated', async () => {
+      for (const durationMs of [1000, 6200, 200_000, 3_600_000])
+        expect(await playUntilDone(durationMs, durationMs)).to.equal(0);
+    });
+  });
 });
