Compare a team's use with its limit exactly

What runs was added and subtracted as binary fractions of a core and compared with the limit without tolerance, and nothing ever brought the sum back to zero.

What a team uses is now kept in whole thousandths of a core, the unit of the platform, so that sums are exact in any order and the comparison stays strict. The unit of the sizes themselves stays as it is, because they are part of the stored jobs. The room of workers was compared with a tolerance, but for one place: a query for further permits left out workers with exactly as much room as a task needs.

--- a/src/controller/cell.ts
+++ b/src/controller/cell.ts
@@ -10,7 +10,7 @@
   isFinal,
   isStepReady,
 } from '../jobs/index.js';
-import { addResources, NO_RESOURCES, subtractResources } from '../model/index.js';
+import { addTasks, NO_RESOURCES } from '../model/index.js';
 import type { Resources } from '../model/index.js';
 import type { Queue } from '../queues/index.js';
 
@@ -102,10 +102,10 @@
       jobs.delete(job);
     },
     charge: (team, size) => {
-      used.set(team, addResources(used.get(team) ?? NO_RESOURCES, size));
+      used.set(team, addTasks(used.get(team) ?? NO_RESOURCES, size, 1));
     },
     release: (team, size) => {
-      used.set(team, subtractResources(used.get(team) ?? NO_RESOURCES, size));
+      used.set(team, addTasks(used.get(team) ?? NO_RESOURCES, size, -1));
     },
     usedBy: (team) => used.get(team) ?? NO_RESOURCES,
     countPending: () => {
--- a/src/controller/permit-requests.ts
+++ b/src/controller/permit-requests.ts
@@ -7,6 +7,7 @@
  * of their own, and one that no worker could ever run takes none. Otherwise steps that cannot start would keep those
  * behind them from starting.
  */
+import { ROUNDING_TOLERANCE } from '../model/index.js';
 import type { PlacementBarrier, WaitingStep } from '../planner/index.js';
 import { countAtLeast } from '../planner/index.js';
 import type { Queue } from '../queues/index.js';
@@ -58,7 +59,7 @@
       timing: queue.advice,
       tasks: tasksOf(step),
       workers: born,
-      withRoom: countAtLeast(freeProcessors, step.size.processors),
+      withRoom: countAtLeast(freeProcessors, step.size.processors - ROUNDING_TOLERANCE),
       renew: isRenewed(step, queue.name, barrier, nextRenewal),
       additional:
         position < ADDITIONAL_QUERY_STEPS || (position + round) % ADDITIONAL_QUERY_STRIDE === 0,
--- a/src/model/resources.ts
+++ b/src/model/resources.ts
@@ -35,6 +35,21 @@
   };
 }
 
+const THOUSANDTHS = 1000;
+
+/**
+ * Adds the size of `count` tasks, or subtracts it if `count` is negative, in whole thousandths of a core. Sums of sizes
+ * in thousandths are then exact whatever their order, and may be compared with a limit without tolerance.
+ */
+export function addTasks(used: Resources, size: Resources, count: number): Resources {
+  const processors = used.processors + size.processors * count;
+  return {
+    processors: Math.round(processors * THOUSANDTHS) / THOUSANDTHS,
+    memoryMb: used.memoryMb + size.memoryMb * count,
+    accelerators: used.accelerators + size.accelerators * count,
+  };
+}
+
 /** Component-wise maximum of both vectors. */
 export function maxResources(left: Resources, right: Resources): Resources {
   return {
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -10,7 +10,7 @@
  * only a fraction of those behind them, a different one each time, so that its cost grows slowly with the backlog. Steps
  * that no worker of the pool could ever run are left out before that, and take nothing from the others.
  */
-import { addResources, fitsWithin, subtractResources } from '../model/index.js';
+import { addTasks, fitsWithin, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
 import type {
   CandidateWorker,
@@ -274,7 +274,5 @@
 function chargeBudget(step: WaitingStep, budgets: ReadonlyMap<string, TeamBudget>, count: number) {
   const budget = budgets.get(step.team);
   if (budget === undefined) return;
-  for (let charged = 0; charged < count; charged += 1) {
-    budget.used = addResources(budget.used, step.size);
-  }
+  budget.used = addTasks(budget.used, step.size, count);
 }
--- a/src/planner/pool.ts
+++ b/src/planner/pool.ts
@@ -2,7 +2,7 @@
  * What the workers of a service and the limits of teams can hold, now and in principle.
  */
 import {
-  addResources,
+  addTasks,
   fitsWithin,
   maxResources,
   NO_RESOURCES,
@@ -99,7 +99,10 @@
 ): boolean {
   if (!fitsWithin(step.size, largest)) return false;
   const budget = budgets.get(step.team);
-  if (budget !== undefined && !isWithinLimit(budget.limit, scale(step.size, tasksAtOnce(step))))
+  if (
+    budget !== undefined &&
+    !isWithinLimit(budget.limit, addTasks(NO_RESOURCES, step.size, tasksAtOnce(step)))
+  )
     return false;
   return couldHold(step, all);
 }
@@ -161,7 +164,7 @@
 ): boolean {
   const budget = budgets.get(step.team);
   if (budget === undefined) return true;
-  return isWithinLimit(budget.limit, addResources(budget.used, scale(step.size, count)));
+  return isWithinLimit(budget.limit, addTasks(budget.used, step.size, count));
 }
 
 /** A limit of 0 means unlimited. */
@@ -173,11 +176,3 @@
     within(limit.accelerators, wanted.accelerators)
   );
 }
-
-function scale({ processors, memoryMb, accelerators }: Resources, factor: number): Resources {
-  return {
-    processors: processors * factor,
-    memoryMb: memoryMb * factor,
-    accelerators: accelerators * factor,
-  };
-}
--- a/test/model/resources.test.ts
+++ b/test/model/resources.test.ts
@@ -2,8 +2,10 @@
 import fc from 'fast-check';
 import {
   addResources,
+  addTasks,
   dominantShare,
   fitsWithin,
+  NO_RESOURCES,
   subtractResources,
 } from '../../src/model/index.js';
 
@@ -34,6 +36,35 @@
     });
   });
 
+  describe('addTasks', () => {
+    const thousandths = fc.integer({ min: 1, max: 64_000 });
+
+    // A rest of 1e-15 cores kept a job that needs its team's whole limit from ever starting.
+    it('leaves nothing once all tasks have ended, whatever their sizes and order', () => {
+      fc.assert(
+        fc.property(
+          fc.array(thousandths, { maxLength: 200 }),
+          fc.infiniteStream(fc.nat()),
+          (sizes, order) => {
+            const tasks = sizes.map((cpu) => ({
+              processors: cpu / 1000,
+              memoryMb: 1,
+              accelerators: 0,
+            }));
+            let used = tasks.reduce((sum, size) => addTasks(sum, size, 1), NO_RESOURCES);
+            expect(used.processors).to.equal(sizes.reduce((sum, cpu) => sum + cpu, 0) / 1000);
+            while (tasks.length > 0) {
+              const [ended] = tasks.splice((order.next().value ?? 0) % tasks.length, 1);
+              if (ended !== undefined) used = addTasks(used, ended, -1);
+            }
+            expect(used).to.deep.equal(NO_RESOURCES);
+          },
+        ),
+        { seed: 20261205 },
+      );
+    });
+  });
+
   describe('dominantShare', () => {
     it('ignores a resource that the cell lacks, instead of dividing by zero', () => {
       const total = { processors: 10, memoryMb: 100, accelerators: 0 };
