--- a/test/controller/failing-loops.test.ts
+++ b/test/controller/failing-loops.test.ts
@@ -25,6 +25,7 @@
     meters: createMeters(),
     epoch: 3,
     mayExtendLeases: () => true,
+    openSuccessor: (session) => session,
     inheritedLeaseUntil: 0,
     onEnd: () => Promise.resolve(true),
     onReport: () => undefined,
