Keep the session with an unlisted worker until its ends are durable

An end could be acknowledged before any record of it was durable. A worker that is not listed for 5 s and has no runs loses its session. If its last run had ended and the record still waited for the store, and the worker was then listed again, a second session with the same life read the unacknowledged end, found no run for it (`foreign-end-ignored`) and acknowledged it. Entries of workers may be removed while the store is down.

Seen before the fix in test/platform-path/ends-in-outages.test.ts, "is not acknowledged before its record is durable, although its worker was not listed for a while": expected 1 to equal +0 (acknowledged through). The log showed worker-unlisted, run-ended, worker-listed, worker-confirmed, foreign-end-ignored.

The session now stays as long as it knows an end that is not durable. An end of a run that is unknown to the leader's only session with that life is either durable or belongs to a run that the leader has ended for certain.

--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -110,12 +110,15 @@
     options.onChange();
   }
 
-  /** Removes sessions of incarnations that have left and have no runs. */
+  /**
+   * Removes sessions of incarnations that have left and have neither runs nor ends that are not durable. Another session
+   * with the same incarnation would not know these ends and acknowledge them.
+   */
   function sweep() {
     const now = performance.now();
     for (const [key, since] of unlistedSince) {
       const session = sessions.get(key);
-      if (session !== undefined && session.runs.size > 0) continue;
+      if (session !== undefined && (session.runs.size > 0 || session.hasUnacknowledged)) continue;
       if (now - since < UNLISTED_GRACE_MS * 2) continue;
       session?.close();
       removeSession(key);
--- a/src/controller/worker-session-types.ts
+++ b/src/controller/worker-session-types.ts
@@ -47,6 +47,8 @@
   /** Whether the worker answers renewals and can be given work. */
   readonly reachable: boolean;
   readonly ended: boolean;
+  /** Whether an end that the worker has listed is not durable yet. */
+  readonly hasUnacknowledged: boolean;
   /**
    * Starts to renew the worker's lease. All inherited runs must be attached before, because an unknown run is stopped
    * and its end is dropped.
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -129,6 +129,9 @@
     get ended() {
       return ended;
     },
+    get hasUnacknowledged() {
+      return reports.hasUnacknowledged;
+    },
     startRenewals: () => {
       void renewUntilClosed();
     },
--- a/test/platform-path/ends-in-outages.test.ts
+++ b/test/platform-path/ends-in-outages.test.ts
@@ -24,6 +24,9 @@
 /** From the return of the store until every host shows the job; 81 to 140 ms were measured. */
 const SHOWN_WITHIN_MS = 1000;
 
+/** The leader closes the session with a life of a worker without runs that has not been listed for 5 s. */
+const UNLISTED_SESSION_MS = 6500;
+
 interface RunningJob {
   readonly id: string;
   readonly worker: WorkerStandIn;
@@ -166,6 +169,22 @@
     await eventually(() => (worker.acknowledgedThrough === 3 ? true : undefined));
   });
 
+  // Guards against an end that is acknowledged as foreign by a second session with the same life of its worker.
+  it('is not acknowledged before its record is durable, although its worker was not listed for a while', async () => {
+    const { id, worker } = await startJob();
+    cell.store.dropTransactionResponses(10_000, 60_000);
+    cell.store.items.apply([], [`servers/${worker.id}`]);
+    await eventually(() => (worker.finished.length === 1 ? true : undefined));
+    await wait(UNLISTED_SESSION_MS);
+    worker.leave();
+    await wait(2 * HOLD_MS);
+    expect(worker.acknowledgedThrough).to.equal(0);
+    cell.store.dropTransactionResponses(0);
+    await awaitState(expectDefined(cell.hosts[0]), id, 'completed');
+    await eventually(() => (worker.acknowledgedThrough === 1 ? true : undefined));
+    expect(startsOf(cell, id)).to.have.length(1);
+  });
+
   describe('with ends on two workers', () => {
     /** Returns the two workers of a job with two tasks, which end in an outage, the first one 200 ms earlier. */
     async function endOnTwoWorkers(step: StepBody, outcome: 'done' | 'failed') {
