--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -110,6 +110,9 @@
     get ended() {
       return ended;
     },
+    get hasUnacknowledged() {
+      return reports.hasUnacknowledged;
+    },
     startRenewals: () => {
       faults.keepRunning('renew leases', renewUntilClosed);
     },
