Conclude nothing from a report that leaves ends out

A worker returns at most 500 ends in one answer and keeps the others until these are acknowledged. With more ends than that waiting for the store, a run that had ended `done` was in neither list. The leader took it for lost, or, if it was being stopped or a previous leader had ordered it, for one that never ran, and started it again.

The cause: a run that a report didn't list was judged as if each report were complete. A report with 500 ends may not be, so now it only adds knowledge: its runs and ends are applied, and no run that it doesn't list is ended or stopped by it.

--- a/src/controller/worker-reports.ts
+++ b/src/controller/worker-reports.ts
@@ -15,6 +15,8 @@
  * in order to acknowledge it.
  */
 const DURABLE_WAIT_MS = 90;
+/** A worker returns so many ends in one report and keeps the rest until these are acknowledged. */
+const MAX_LISTED_ENDS = 500;
 
 export interface WorkerReports {
   /** Ends up to this sequence number are durable, so that the worker may drop them. */
@@ -57,11 +59,13 @@
       .filter(({ sequence }) => sequence > processedThrough)
       .map((end) => applyEnd(end));
     processedThrough = Math.max(processedThrough, ...report.ended.map(({ sequence }) => sequence));
+    // A run whose end is among those that the report leaves out is in neither list.
+    const isComplete = report.ended.length < MAX_LISTED_ENDS;
     const listed = new Map(report.running.map((entry) => [entry.task, entry]));
     for (const run of [...runs.values()]) {
       const entry = listed.get(run.name);
       if (entry?.run === run.number) applyRunning(run, entry, report.clockMs);
-      else applyUnlisted(run, requestedAt);
+      else if (isComplete) applyUnlisted(run, requestedAt);
     }
     const foreign = report.running.filter(({ task, run }) => runs.get(task)?.number !== run);
     for (const { task, run } of foreign) {
--- /dev/null
+++ b/test/controller/session-harness.ts
@@ -0,0 +1,129 @@
+/** Sessions of a leader with one worker in memory, and what becomes of the runs that are ordered there. */
+import { createFleetSessions } from '../../src/controller/fleet-sessions.js';
+import type { FleetSessions } from '../../src/controller/fleet-sessions.js';
+import { createRun } from '../../src/controller/run.js';
+import type { Run, RunEnd } from '../../src/controller/run.js';
+import { createWorkerSession } from '../../src/controller/worker-session.js';
+import type { WorkerSession } from '../../src/controller/worker-session-types.js';
+import type { FleetWorker } from '../../src/fleet/index.js';
+import { createMeters, SILENT_EVENTS } from '../../src/observability/index.js';
+import { createSingleTask, eventually } from './support.js';
+import { createWorkerFake } from './worker-fake.js';
+import type { WorkerFake } from './worker-fake.js';
+
+const EPOCH = 3;
+
+export interface ObservedEnd {
+  readonly run: Run;
+  readonly end: RunEnd;
+  /** Whether the worker has a run of the task at that moment. */
+  readonly atWork: boolean;
+}
+
+export interface SessionHarness {
+  readonly worker: WorkerFake;
+  readonly sessions: FleetSessions;
+  readonly ends: readonly ObservedEnd[];
+  /** Whether the store takes the records of ends. */
+  storesEnds: boolean;
+  /** Applies the entry of the worker's present life. */
+  list(): void;
+  usableSession(): Promise<WorkerSession>;
+  /** Creates a run that is not ordered yet, or one that a previous leader ordered from the first life. */
+  createRun(options?: { readonly index?: number; readonly inherited?: boolean }): Promise<Run>;
+  startRun(index?: number): Promise<Run>;
+  endOf(run: Run): Promise<ObservedEnd>;
+  /** Waits until a report of the life lists the run, and fails if the run is ended while it is at work. */
+  listedBy(run: Run, born: number): Promise<true>;
+  close(): void;
+}
+
+export function createSessionHarness(): SessionHarness {
+  const worker = createWorkerFake();
+  const ends: ObservedEnd[] = [];
+  const sessions = createFleetSessions({
+    open: openSession,
+    events: SILENT_EVENTS,
+    onChange: () => undefined,
+    onLeaving: () => undefined,
+  });
+
+  function openSession(entry: FleetWorker): WorkerSession {
+    const session = createWorkerSession({
+      worker: entry,
+      connect: () => worker.connection,
+      events: SILENT_EVENTS,
+      meters: createMeters(),
+      epoch: EPOCH,
+      mayExtendLeases: () => true,
+      inheritedLeaseUntil: performance.now(),
+      openSuccessor: (former, born) => sessions.openSuccessor(former, born),
+      onEnd: (_session, run, end) => {
+        ends.push({ run, end, atWork: worker.running.has(run.name) });
+        return harness.storesEnds ? Promise.resolve(true) : new Promise(() => undefined);
+      },
+      onReport: () => undefined,
+      onTicketRefused: () => undefined,
+      responsiveNow: () => performance.now(),
+      onStaleEpoch: () => undefined,
+      onChange: () => undefined,
+    });
+    session.startRenewals();
+    return session;
+  }
+
+  const harness: SessionHarness = {
+    worker,
+    sessions,
+    ends,
+    storesEnds: true,
+    list: () => {
+      sessions.update('w1', createEntry(worker.born));
+    },
+    usableSession: () => eventually(() => sessions.usable()[0], 'a worker that can be used'),
+    createRun: async ({ index = 0, inherited = false } = {}) => {
+      const session = inherited
+        ? sessions.sessionOf({ id: 'w1', born: 1 })
+        : await harness.usableSession();
+      const name = `job.0.0.${String(index)}`;
+      const run = createRun({ ...createSingleTask(1000), name, session, inherited });
+      session.attach(run);
+      return run;
+    },
+    startRun: async (index = 0) => {
+      const run = await harness.createRun({ index });
+      void run.session.start(run, 'text', undefined);
+      return run;
+    },
+    endOf: (run) =>
+      eventually(() => ends.find((entry) => entry.run === run), `the end of ${run.name}`),
+    listedBy: (run, born) =>
+      eventually(
+        () => {
+          const ended = ends.find((entry) => entry.run === run);
+          if (ended?.atWork === true) throw new Error(`ended as ${ended.end}, but still at work`);
+          return (run.session.incarnation.born === born && run.listed) || undefined;
+        },
+        `${run.name} to be listed by life ${String(born)}`,
+      ),
+    close: () => {
+      sessions.close();
+    },
+  };
+  harness.list();
+  return harness;
+}
+
+function createEntry(born: number): FleetWorker {
+  return {
+    incarnation: { id: 'w1', born },
+    address: '127.0.0.1:1',
+    service: 'rota',
+    dataCentre: 'dc1',
+    state: 'ready',
+    room: { processors: 8, memoryMb: 100, accelerators: 0 },
+    labels: [],
+    rack: 'r1',
+    leavesInMs: undefined,
+  };
+}
--- a/test/controller/worker-fake.ts
+++ b/test/controller/worker-fake.ts
@@ -33,6 +33,8 @@
   /** Runs at work in the present life, by task. */
   readonly running: ReadonlyMap<string, number>;
   readonly stops: readonly StopOrder[];
+  /** Number of renewals answered. */
+  readonly renewals: number;
   /** Decides what happens with each start; `held` keeps the order until `deliverHeld`. */
   handleStart: (order: StartOrder) => 'answered' | 'unanswered' | 'held' | 'not-delivered';
   /** Whether a renewal waits for the end of a run. */
@@ -50,6 +52,7 @@
   const stops: StopOrder[] = [];
   let held: StartOrder[] = [];
   let waiting = false;
+  let renewals = 0;
   let wake: () => void = () => undefined;
 
   const isCut = () => fake.cut;
@@ -116,6 +119,7 @@
       waiting = false;
     }
     if (isCut() || answering !== life) return UNKNOWN;
+    renewals += 1;
     return {
       kind: 'report',
       report: {
@@ -141,6 +145,9 @@
       return life.running;
     },
     stops,
+    get renewals() {
+      return renewals;
+    },
     get waiting() {
       return waiting;
     },
