Acknowledge ends only while their worker still lists them

A worker had started again under its id, had run a task whose start was meant for its former life, and had counted that end from 1 again. The next renewal of the former life's session still said that the ends up to 57, say, were durable. The new life forgot its own end 1 before anybody had seen it, and the leader took the run for one that never ran.

The cause: `acked-through` is a number in the count of one life, renewals name only the worker's id, and the session repeated the number in every renewal for as long as it lived.

A renewal now acknowledges ends only if the last report listed some, since a worker that lists none has forgotten them already, and only if that report is the answer to the renewal before. After a failure the first renewal acknowledges nothing and shows which life answers. What remains is a renewal that is carried out by another life within 20 to 120 ms after the former one's report, or seconds late.

Evidence: both tests failed before with "expected 'never-ran' to equal 'done'", the second one also with only the first half of the change.

--- a/src/controller/worker-reports.ts
+++ b/src/controller/worker-reports.ts
@@ -19,7 +19,10 @@
 const MAX_LISTED_ENDS = 500;
 
 export interface WorkerReports {
-  /** Ends up to this sequence number are durable, so that the worker may drop them. */
+  /**
+   * Ends up to this sequence number are durable, so that the worker may drop them; 0 once it has dropped them. The next
+   * incarnation numbers its ends anew, and a renewal that reaches it must not acknowledge those.
+   */
   readonly acknowledgedThrough: number;
   /** Whether any reported end is not durable yet. */
   readonly hasUnacknowledged: boolean;
@@ -51,6 +54,8 @@
   let foreignRuns = 0;
   let processedThrough = 0;
   let acknowledgedThrough = 0;
+  /** Whether the last report listed ends, so that there is something to acknowledge. */
+  let endsListed = false;
   /** Resolves to true once all ends reported so far are durable, to false if one never will be. */
   let acknowledgement = Promise.resolve(true);
 
@@ -61,6 +66,7 @@
     processedThrough = Math.max(processedThrough, ...report.ended.map(({ sequence }) => sequence));
     // A run whose end is among those that the report leaves out is in neither list.
     const isComplete = report.ended.length < MAX_LISTED_ENDS;
+    endsListed = report.ended.length > 0;
     const listed = new Map(report.running.map((entry) => [entry.task, entry]));
     for (const run of [...runs.values()]) {
       const entry = listed.get(run.name);
@@ -144,7 +150,7 @@
 
   return {
     get acknowledgedThrough() {
-      return acknowledgedThrough;
+      return endsListed ? acknowledgedThrough : 0;
     },
     get hasUnacknowledged() {
       return acknowledgedThrough < processedThrough;
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -226,15 +226,13 @@
     const extend = confirmed && silentRenewals === 0 && options.mayExtendLeases();
     if (extend) clock.extend(until);
     const first = !confirmed;
+    // Another incarnation may get this renewal, which acknowledges nothing there and whose answer is wanted at once.
+    const silent = silentRenewals > 0;
     const outcome = await connection.renew({
       epoch,
-      acknowledgedThrough: reports.acknowledgedThrough,
+      acknowledgedThrough: silent ? 0 : reports.acknowledgedThrough,
       leaseUntilMs: extend ? until : undefined,
-      // After a failure the next report is wanted at once, because the worker may have been started again.
-      waitMs:
-        first || silentRenewals > 0 || isIdle()
-          ? 0
-          : chooseWaitMs(runs.values(), reports.foreignRuns),
+      waitMs: first || silent || isIdle() ? 0 : chooseWaitMs(runs.values(), reports.foreignRuns),
     });
     if (closed || ended) return true;
     if (outcome.kind === 'report') {
--- a/test/controller/restarted-workers.test.ts
+++ b/test/controller/restarted-workers.test.ts
@@ -70,6 +70,25 @@
         expect([...worker.running.keys()], 'runs that began after their end').to.deep.equal([]);
       });
 
+      // Guards against a renewal for the former life that acknowledges ends of the new one, which counts its own from 1.
+      it('learns the end of a run at the new life, whatever the former one had acknowledged', async () => {
+        const first = await harness.startRun(0);
+        await harness.listedBy(first, 1);
+        worker.end(first.name, 'done');
+        await eventually(
+          () => worker.acknowledgedThrough === 1 || undefined,
+          'the acknowledgement',
+        );
+        const second = await harness.createRun({ index: 1 });
+        const { renewals } = worker;
+        await eventually(() => worker.renewals > renewals || undefined, 'a report without ends');
+        worker.restart();
+        void second.session.start(second, 'text', undefined);
+        worker.end(second.name, 'done');
+        if (noticed === 'by its entry') harness.list();
+        expect((await harness.endOf(second)).end).to.equal('done');
+      });
+
       // Guards against delaying the restart of runs that the new life cannot have.
       it('loses at once the runs that its former life had listed', async () => {
         const run = await harness.startRun();
@@ -98,6 +117,22 @@
     expect((await harness.endOf(run)).end).to.equal('never-ran');
   });
 
+  // Guards against the same by a renewal that is repeated after a failure.
+  it('learns the end of a run at the new life after an acknowledgement that was lost', async () => {
+    const first = await harness.startRun(0);
+    const second = await harness.createRun({ index: 1 });
+    await harness.listedBy(first, 1);
+    worker.end(first.name, 'done');
+    await harness.endOf(first);
+    worker.cut = true;
+    await eventually(() => (second.session.reachable ? undefined : true), 'the failed renewal');
+    worker.restart();
+    worker.cut = false;
+    void second.session.start(second, 'text', undefined);
+    worker.end(second.name, 'done');
+    expect((await harness.endOf(second)).end).to.equal('done');
+  });
+
   // Guards against a second run while a stop that the former life was to get takes effect at the new one.
   it('ends a run that was being stopped only after it has ended at the new life', async () => {
     worker.handleStart = () => 'held';
--- a/test/controller/worker-fake.ts
+++ b/test/controller/worker-fake.ts
@@ -25,6 +25,7 @@
   ended: EndedTask[];
   ends: number;
   epoch: number;
+  acknowledgedThrough: number;
 }
 
 export interface WorkerFake {
@@ -33,6 +34,8 @@
   /** Runs at work in the present life, by task. */
   readonly running: ReadonlyMap<string, number>;
   readonly stops: readonly StopOrder[];
+  /** Highest end that a renewal has acknowledged at the present life. */
+  readonly acknowledgedThrough: number;
   /** Number of renewals answered. */
   readonly renewals: number;
   /** Decides what happens with each start; `held` keeps the order until `deliverHeld`. */
@@ -107,7 +110,9 @@
     if (isCut()) return UNKNOWN;
     const answering = life;
     if (isStale(renewal.epoch)) return refuse('stale-epoch');
-    life.ended = life.ended.filter(({ sequence }) => sequence > renewal.acknowledgedThrough);
+    const through = Math.max(life.acknowledgedThrough, renewal.acknowledgedThrough);
+    life.acknowledgedThrough = through;
+    life.ended = life.ended.filter(({ sequence }) => sequence > through);
     if (life.ended.length === 0 && renewal.waitMs > 0) {
       waiting = true;
       await Promise.race([
@@ -145,6 +150,9 @@
       return life.running;
     },
     stops,
+    get acknowledgedThrough() {
+      return life.acknowledgedThrough;
+    },
     get renewals() {
       return renewals;
     },
@@ -169,7 +177,7 @@
 function createLife(born: number): Life {
   const bornAt = performance.now();
   const life = { running: new Map<string, number>(), closed: new Map<string, number>() };
-  return { ...life, born, bornAt, ended: [], ends: 0, epoch: 0 };
+  return { ...life, born, bornAt, ended: [], ends: 0, epoch: 0, acknowledgedThrough: 0 };
 }
 
 function pause(ms: number): Promise<void> {
