--- a/test/controller/worker-fake.ts
+++ b/test/controller/worker-fake.ts
@@ -25,6 +25,7 @@
   ended: EndedTask[];
   ends: number;
   epoch: number;
+  acknowledgedThrough: number;
 }
 
 export interface WorkerFake {
@@ -33,6 +34,10 @@
   /** Runs at work in the present life, by task. */
   readonly running: ReadonlyMap<string, number>;
   readonly stops: readonly StopOrder[];
+  /** Highest end that a renewal has acknowledged at the present life. */
+  readonly acknowledgedThrough: number;
+  /** Number of renewals answered. */
+  readonly renewals: number;
   /** Decides what happens with each start; `held` keeps the order until `deliverHeld`. */
   handleStart: (order: StartOrder) => 'answered' | 'unanswered' | 'held' | 'not-delivered';
   /** Whether a renewal waits for the end of a run. */
@@ -50,6 +55,7 @@
   const stops: StopOrder[] = [];
   let held: StartOrder[] = [];
   let waiting = false;
+  let renewals = 0;
   let wake: () => void = () => undefined;
 
   const isCut = () => fake.cut;
@@ -104,7 +110,9 @@
     if (isCut()) return UNKNOWN;
     const answering = life;
     if (isStale(renewal.epoch)) return refuse('stale-epoch');
-    life.ended = life.ended.filter(({ sequence }) => sequence > renewal.acknowledgedThrough);
+    const through = Math.max(life.acknowledgedThrough, renewal.acknowledgedThrough);
+    life.acknowledgedThrough = through;
+    life.ended = life.ended.filter(({ sequence }) => sequence > through);
     if (life.ended.length === 0 && renewal.waitMs > 0) {
       waiting = true;
       await Promise.race([
@@ -116,6 +124,7 @@
       waiting = false;
     }
     if (isCut() || answering !== life) return UNKNOWN;
+    renewals += 1;
     return {
       kind: 'report',
       report: {
@@ -141,6 +150,12 @@
       return life.running;
     },
     stops,
+    get acknowledgedThrough() {
+      return life.acknowledgedThrough;
+    },
+    get renewals() {
+      return renewals;
+    },
     get waiting() {
       return waiting;
     },
@@ -162,7 +177,7 @@
 function createLife(born: number): Life {
   const bornAt = performance.now();
   const life = { running: new Map<string, number>(), closed: new Map<string, number>() };
-  return { ...life, born, bornAt, ended: [], ends: 0, epoch: 0 };
+  return { ...life, born, bornAt, ended: [], ends: 0, epoch: 0, acknowledgedThrough: 0 };
 }
 
 function pause(ms: number): Promise<void> {
