Read the items of a listing or watch one by one

Whether the platform's store leaves out the value of an item without bytes is not known. A watch event without a value counted as a removal although the key was there.

Items are decoded one by one now. One without a usable value is shown with an empty value, which no decoder accepts, and one without a key is left out. Only `deleted` counts as a removal. A page that announces a further one and does not tell where it begins fails, since a listing without its rest shows that the rest was removed. The detail of an invalid response is bounded.

--- a/test/platform-adapter/store-client.test.ts
+++ b/test/platform-adapter/store-client.test.ts
@@ -15,13 +15,15 @@
   let client: StoreClient;
   let status = 200;
   let body = '';
+  let respond: (path: string) => string;
 
   beforeEach(async () => {
+    respond = () => body;
     server = createServer((request, response) => {
       request.resume();
       request.on('end', () => {
         response.statusCode = status;
-        response.end(body);
+        response.end(respond(request.url ?? ''));
       });
     });
     server.listen(0, '127.0.0.1');
@@ -43,6 +45,61 @@
     return client.transact({ conditions: [], writes: [write] });
   }
 
+  // A follower that cannot list keeps its copy as it was, however old that is.
+  describe('a listing or watch', () => {
+    const sound = { key: 'servers/b', value: Buffer.from('text').toString('base64'), revision: 7 };
+    const odd = [
+      { key: 'servers/a', revision: 6 },
+      { key: 'servers/a', value: 5, revision: 6 },
+    ];
+
+    for (const item of [...odd, { ...sound, key: 5 }, null, 'text', []]) {
+      it(`shows the other items beside ${JSON.stringify(item)}`, async () => {
+        status = 200;
+        body = JSON.stringify({ items: [item, sound], 'store-revision': 9 });
+        const listing = (await client.list('servers/'))._unsafeUnwrap();
+        expect(listing.entries.at(-1)).to.deep.equal({ ...sound, value: 'text' });
+        body = JSON.stringify({ events: [item, sound], 'store-revision': 9 });
+        const batch = (await client.watch('servers/', 1, 0))._unsafeUnwrap();
+        expect(batch.changes.at(-1)).to.deep.equal({ ...sound, value: 'text' });
+      });
+    }
+
+    it('shows an item without a value as one that is there', async () => {
+      status = 200;
+      body = JSON.stringify({ events: odd, 'store-revision': 9 });
+      const batch = (await client.watch('servers/', 1, 0))._unsafeUnwrap();
+      expect(batch.changes.map(({ value }) => value)).to.deep.equal(['', '']);
+    });
+
+    it('reads the page after one that ends with an item that cannot be read', async () => {
+      status = 200;
+      const pages = [
+        { items: [sound, null], 'has-more': true, 'store-revision': 9 },
+        { items: [{ ...sound, key: 'servers/c' }], 'store-revision': 9 },
+      ];
+      respond = (path) => JSON.stringify(path.includes('after=servers%2Fb') ? pages[1] : pages[0]);
+      const listing = (await client.list('servers/'))._unsafeUnwrap();
+      expect(listing.entries.map(({ key }) => key)).to.deep.equal(['servers/b', 'servers/c']);
+    });
+
+    it('fails if a page does not tell where the next one begins', async () => {
+      status = 200;
+      body = JSON.stringify({ items: [null], 'has-more': true, 'store-revision': 9 });
+      expect((await client.list('servers/')).isErr()).to.equal(true);
+      body = JSON.stringify({ items: [sound], 'has-more': true, 'store-revision': 9 });
+      expect((await client.list('servers/')).isErr()).to.equal(true);
+    });
+
+    it('fails with a short detail if all of it is of another type', async () => {
+      status = 200;
+      body = JSON.stringify({ items: 5, 'store-revision': Array(10_000).fill('x') });
+      const failure = (await client.list('servers/'))._unsafeUnwrapErr();
+      expect(failure.kind).to.equal('unknown');
+      expect(failure.detail.length).to.be.lessThan(200);
+    });
+  });
+
   describe('a write', () => {
     for (const refusal of [400, 403, 429, 503]) {
       it(`was not done if the store answers ${String(refusal)}`, async () => {
