Elect a leader although a record of the leadership cannot be read

A record under leadership/leader that named no leader and had no lease kept every host from standing for election, so nothing was started any more. One with an address such as 300.0.0.1:99999 passed the decoder, and connecting to it threw in the loop of the election. An epoch of "none" or 1e400 became NaN or Infinity, with which no election was won or no order accepted.

All fields of the record are checked now. A record that names no leader may be replaced, under the condition of its revision as before. An epoch that cannot be read is followed by one above the clock's milliseconds, which no count of elections reaches, so workers do not refuse it.

--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -6,11 +6,12 @@
  * A leader that cannot reach the store continues to lead: no other host can win an election without the
  * store, and if others do reach it, workers refuse the old leader because the successor's epoch is higher.
  */
-import { z } from 'zod';
 import { createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { Condition, StoreEntry, KeyValueStore } from '../records/index.js';
 import { pause } from '../records/index.js';
+import { decodeEpoch, decodeLeader, decodeProcessors } from './leadership-records.js';
+import type { Leader } from './leadership-records.js';
 import { deferToStronger, isWeak } from './strength.js';
 
 const LEADER_KEY = 'leadership/leader';
@@ -50,10 +51,6 @@
 /** Time before a host that yielded the leadership stands for election again. */
 const YIELD_PAUSE_MS = 5000;
 
-const leaderSchema = z.object({ host: z.string(), address: z.string(), epoch: z.number() });
-
-export type Leader = z.infer<typeof leaderSchema>;
-
 /** Epoch for orders to workers and condition for durable writes of the current term. */
 export interface LeadershipTerm {
   readonly epoch: number;
@@ -167,17 +164,18 @@
     if (listing.isErr()) return;
     const present = listing.value.entries.find(({ key }) => key === LEADER_KEY);
     const epochEntry = listing.value.entries.find(({ key }) => key === EPOCH_KEY);
-    const lastEpoch = Number(epochEntry?.value ?? 0);
+    const lastEpoch = decodeEpoch(epochEntry?.value, Date.now());
     const strongestEntry = listing.value.entries.find(({ key }) => key === STRONGEST_KEY);
-    const recorded = Number(strongestEntry?.value ?? 0);
+    const recorded = decodeProcessors(strongestEntry?.value);
     strongest = Math.max(strongest, recorded);
     if (present !== undefined) {
-      const found = parseLeader(present.value);
+      const found = decodeLeader(present.value);
       updateLeader(found, present.revision);
       // An earlier attempt of this host may have succeeded with its response lost.
       const isOwn = found?.host === host && found.address === address && held === undefined;
       const isReplaced = replaced !== undefined && found?.epoch === replaced.epoch;
-      if (!isOwn && !isReplaced) return;
+      // A record that names no leader would otherwise prevent every election.
+      if (found !== undefined && !isOwn && !isReplaced) return;
     }
     if (held === undefined && !deferred) {
       deferred = true;
@@ -298,8 +296,9 @@
     const found = await store.get(LEADER_KEY, { timeoutMs: CALL_TIMEOUT_MS });
     if (found.isErr()) return;
     if (found.value !== undefined) {
-      updateLeader(parseLeader(found.value.value), found.value.revision);
-      if (leader?.host === host && held === undefined) await campaign();
+      const named = decodeLeader(found.value.value);
+      updateLeader(named, found.value.revision);
+      if (named === undefined || (leader?.host === host && held === undefined)) await campaign();
       return;
     }
     await campaign();
@@ -338,7 +337,7 @@
     },
     observe: (entries) => {
       const entry = entries.find(({ key }) => key === LEADER_KEY);
-      if (entry !== undefined) updateLeader(parseLeader(entry.value), entry.revision);
+      if (entry !== undefined) updateLeader(decodeLeader(entry.value), entry.revision);
     },
     observeRemoval: (key) => {
       if (key !== LEADER_KEY || stopped) return;
@@ -365,12 +364,3 @@
     },
   };
 }
-
-function parseLeader(text: string): Leader | undefined {
-  try {
-    const parsed = leaderSchema.safeParse(JSON.parse(text));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    return undefined;
-  }
-}
