Refuse late starts of ended runs at the next life of their worker

A start whose answer was lost may be carried out seconds later. The leader closes its run with a stop, after which the worker refuses the start, and starts the task elsewhere. But a worker that starts again under its id has forgotten the stop, so a start that the network still held began there beside the second run (TWICE). The same holds after the run of a repeated start has ended.

A start that arrives before the stop, within milliseconds of the restart being known, is still carried out; the protocol has nothing against that, because orders name no life.

Evidence: without the handing over the new test fails with "timed out waiting for a stop at the new life"; the late start is then carried out.

--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -104,6 +104,14 @@
   return !listed || performance.now() < lateStartUntil;
 }
 
+/** A start without an answer, which may still be carried out after its run has ended. */
+export interface LateStart {
+  readonly task: string;
+  readonly run: number;
+  /** Monotonic time after which it is no longer under way. */
+  readonly until: number;
+}
+
 /** How a run ended. `never-ran`: the worker certainly did not start it. `lost`: its worker ended or lost it. */
 export type RunEnd =
   'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'never-ran' | 'lost';
--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -8,7 +8,7 @@
 import { pause } from '../records/index.js';
 import type { LeaseClock } from './lease-clock.js';
 import { LATE_ORDER_MS } from './run.js';
-import type { Run, RunEnd, RunStatus } from './run.js';
+import type { LateStart, Run, RunEnd, RunStatus } from './run.js';
 
 /** A start must reach the worker within this time; a later one is refused there. */
 const START_WINDOW_MS = 2000;
@@ -21,6 +21,12 @@
   readonly stop: (run: Run, reason: string) => void;
   /** Continues with a run that was ordered from an earlier incarnation. */
   readonly resume: (run: Run) => void;
+  /** Remembers an ended run as long as a start of it may still be carried out. */
+  readonly noteEnd: (run: Run) => void;
+  /** Starts that may still be carried out although their runs have ended; this incarnation refuses them. */
+  readonly lateStarts: () => readonly LateStart[];
+  /** Stops runs that ended at an earlier incarnation, so that this one refuses their starts, too. */
+  readonly refuseStarts: (starts: readonly LateStart[]) => void;
   /** Whether the worker has left a start unanswered for so long that it should get no new work. */
   hasOverdueStart(): boolean;
 }
@@ -56,6 +62,34 @@
   /** Starts that are not answered yet, with the time on the responsive clock at which they were sent. */
   const pendingStarts = new Map<Run, number>();
 
+  let endedStarts: LateStart[] = [];
+
+  function lateStarts(): readonly LateStart[] {
+    const now = performance.now();
+    endedStarts = endedStarts.filter(({ until }) => until > now);
+    return endedStarts;
+  }
+
+  function noteEnd({ name, number, inherited, lateStartUntil }: Run) {
+    // Orders of a previous leader are fenced.
+    if (inherited || lateStartUntil <= performance.now()) return;
+    endedStarts = [...lateStarts(), { task: name, run: number, until: lateStartUntil }];
+  }
+
+  function refuseStarts(starts: readonly LateStart[]) {
+    endedStarts = [...lateStarts(), ...starts];
+    for (const late of starts) void refuseStart(late);
+  }
+
+  async function refuseStart({ task, run, until }: LateStart) {
+    while (options.isOpen() && performance.now() < until) {
+      const outcome = await options.connection().stop({ task, run, epoch });
+      meters.orders.inc({ order: 'stop', outcome: outcome.kind });
+      if (outcome.kind === 'accepted') return;
+      await pause(STOP_RETRY_MS);
+    }
+  }
+
   function hasOverdueStart(): boolean {
     const [oldest] = pendingStarts.values();
     return oldest !== undefined && options.responsiveNow() - oldest > OVERDUE_START_MS;
@@ -209,5 +243,5 @@
     else events.warn(`${order}-not-accepted`, line);
   }
 
-  return { start, stop, resume, hasOverdueStart };
+  return { start, stop, resume, noteEnd, lateStarts, refuseStarts, hasOverdueStart };
 }
--- a/src/controller/worker-session-types.ts
+++ b/src/controller/worker-session-types.ts
@@ -5,7 +5,7 @@
 import type { WorkerIncarnation } from '../jobs/index.js';
 import type { Resources } from '../model/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
-import type { Run, RunEnd } from './run.js';
+import type { LateStart, Run, RunEnd } from './run.js';
 
 export interface WorkerSessionOptions {
   readonly worker: FleetWorker;
@@ -61,6 +61,8 @@
   withdraw(run: Run): void;
   /** Takes over a run whose start may have reached this incarnation instead of an earlier one of the worker. */
   adopt(run: Run): void;
+  /** Makes this incarnation refuse starts whose runs have ended at an earlier one. */
+  refuseStarts(starts: readonly LateStart[]): void;
   /** Ends the incarnation. Runs that may have reached its successor are handed over, all others are lost. */
   end(reason: string, successor: WorkerSession): void;
   /** Stops calling the worker and leaves its runs as they are. */
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -112,6 +112,7 @@
     },
     attach,
     adopt,
+    refuseStarts: orders.refuseStarts,
     start: orders.start,
     stop: orders.stop,
     withdraw: (run) => {
@@ -168,6 +169,7 @@
   function endRun(run: Run, end: RunEnd, checkpoint: string, reason?: string): Promise<boolean> {
     if (runs.get(run.name) !== run) return Promise.resolve(true);
     detach(run);
+    orders.noteEnd(run);
     meters.taskEnds.inc({ how: end });
     events.info('run-ended', {
       job: run.progress.job.id,
@@ -203,6 +205,7 @@
       detach(run);
       next?.adopt(run);
     }
+    next?.refuseStarts(orders.lateStarts());
     endAllRuns('lost', reason);
     connection.close();
     options.onChange();
--- a/test/controller/restarted-workers.test.ts
+++ b/test/controller/restarted-workers.test.ts
@@ -148,6 +148,21 @@
     expect({ end, atWork }).to.deep.equal({ end: 'stopped', atWork: false });
   });
 
+  // Guards against a start that is delivered after its run was closed at the former life and began elsewhere.
+  it('refuses late starts of runs that have ended at its former life', async () => {
+    worker.handleStart = () => 'held';
+    const run = await harness.startRun();
+    expect((await harness.endOf(run)).end).to.equal('never-ran');
+    const stopsBefore = worker.stops.length;
+    restart('by its entry');
+    await eventually(
+      () => worker.stops.length > stopsBefore || undefined,
+      'a stop at the new life',
+    );
+    worker.deliverHeld();
+    expect([...worker.running.keys()]).to.deep.equal([]);
+  });
+
   // Guards against forgetting a run in doubt when its worker starts again twice.
   it('ends a run that a third life cannot have got either', async () => {
     worker.handleStart = () => 'held';
--- a/test/controller/worker-fake.ts
+++ b/test/controller/worker-fake.ts
@@ -100,7 +100,8 @@
     if (isCut()) return UNKNOWN;
     stops.push(order);
     if (isStale(order.epoch)) return refuse('stale-epoch');
-    if (life.running.has(order.task)) setTimeout(end, 10, order.task, 'stopped');
+    const run = life.running.get(order.task);
+    if (run !== undefined && run <= order.run) setTimeout(end, 10, order.task, 'stopped');
     else life.closed.set(order.task, order.run);
     return { kind: 'accepted', clockMs: clockMs() };
   }
