Log an unanswered stop once for each kind of outcome

A stop is sent again until it is answered, up to five times a second for each run, and each attempt was a line of its own: some 50 to 90 lines for a run whose worker is silent until its lease has expired. A line is now written when the outcome changes; the counter of orders still counts every attempt.

--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -2,7 +2,7 @@
  * Sends start and stop orders to one incarnation of a worker and tracks their outcome. A start is sent again once if its
  * answer was lost, a stop until it is answered.
  */
-import type { OrderOutcome, StartOrder, WorkerConnection } from '../fleet/index.js';
+import type { OrderOutcome, OrderRefusal, StartOrder, WorkerConnection } from '../fleet/index.js';
 import type { WorkerIncarnation } from '../jobs/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import { pause } from '../records/index.js';
@@ -57,6 +57,8 @@
   readonly meters: Meters;
 }
 
+type OutcomeName = Exclude<OrderOutcome['kind'], 'refused'> | OrderRefusal;
+
 export function createWorkerOrders(options: WorkerOrdersOptions): WorkerOrders {
   const { worker, epoch, runs, clock, events, meters } = options;
   /** Starts that are not answered yet, with the time on the responsive clock at which they were sent. */
@@ -84,8 +86,7 @@
   async function refuseStart({ task, run, until }: LateStart) {
     while (options.isOpen() && performance.now() < until) {
       const outcome = await options.connection().stop({ task, run, epoch });
-      meters.orders.inc({ order: 'stop', outcome: outcome.kind });
-      if (outcome.kind === 'accepted') return;
+      if (countOutcome('stop', outcome) === 'accepted') return;
       await pause(STOP_RETRY_MS);
     }
   }
@@ -146,7 +147,7 @@
     fields: Readonly<Record<string, unknown>>,
   ): Promise<OrderOutcome> {
     const outcome = await options.connection().start(order);
-    logOrder('start', run, outcome, fields);
+    logOrder('start', run, countOutcome('start', outcome), fields);
     if (outcome.kind === 'unknown') run.lateStartUntil = performance.now() + LATE_ORDER_MS;
     return outcome;
   }
@@ -192,9 +193,13 @@
   }
 
   async function sendStop(run: Run) {
+    let logged: OutcomeName | undefined;
     while (options.isOpen() && runs.get(run.name) === run && run.stopAnsweredAt === undefined) {
       const outcome = await options.connection().stop({ task: run.name, run: run.number, epoch });
-      logOrder('stop', run, outcome, { reason: run.stopReason });
+      // A stop is repeated up to five times a second, for as long as the lease of a silent worker lasts.
+      const result = countOutcome('stop', outcome);
+      if (result !== logged) logOrder('stop', run, result, { reason: run.stopReason });
+      logged = result;
       if (outcome.kind === 'accepted') {
         clock.note(outcome.clockMs);
         run.stopAnsweredAt = performance.now();
@@ -220,14 +225,19 @@
     return true;
   }
 
+  /** Counts the outcome of an order and returns its name. */
+  function countOutcome(order: 'start' | 'stop', outcome: OrderOutcome): OutcomeName {
+    const result = outcome.kind === 'refused' ? outcome.reason : outcome.kind;
+    meters.orders.inc({ order, outcome: result });
+    return result;
+  }
+
   function logOrder(
     order: 'start' | 'stop',
     run: Run,
-    outcome: OrderOutcome,
+    outcome: OutcomeName,
     fields: Readonly<Record<string, unknown>>,
   ) {
-    const result = outcome.kind === 'refused' ? outcome.reason : outcome.kind;
-    meters.orders.inc({ order, outcome: result });
     const line = {
       job: run.progress.job.id,
       task: run.name,
@@ -235,11 +245,11 @@
       worker: worker.id,
       born: worker.born,
       epoch,
-      outcome: result,
+      outcome,
       ...fields,
     };
     // Nearly every order is accepted; the end of the run then tells how long the answer took.
-    if (outcome.kind === 'accepted') events.debug(`${order}-answered`, line);
+    if (outcome === 'accepted') events.debug(`${order}-answered`, line);
     else events.warn(`${order}-not-accepted`, line);
   }
 
--- a/test/controller/session-harness.ts
+++ b/test/controller/session-harness.ts
@@ -7,6 +7,7 @@
 import type { WorkerSession } from '../../src/controller/worker-session-types.js';
 import type { FleetWorker } from '../../src/fleet/index.js';
 import { createMeters, SILENT_EVENTS } from '../../src/observability/index.js';
+import type { EventFields } from '../../src/observability/index.js';
 import { createSingleTask, eventually } from './support.js';
 import { createWorkerFake } from './worker-fake.js';
 import type { WorkerFake } from './worker-fake.js';
@@ -24,6 +25,8 @@
   readonly worker: WorkerFake;
   readonly sessions: FleetSessions;
   readonly ends: readonly ObservedEnd[];
+  /** Warnings of the sessions, in order. */
+  readonly warnings: readonly { readonly event: string; readonly fields: EventFields }[];
   /** Whether the store takes the records of ends. */
   storesEnds: boolean;
   /** Applies the entry of the worker's present life. */
@@ -41,9 +44,16 @@
 export function createSessionHarness(): SessionHarness {
   const worker = createWorkerFake();
   const ends: ObservedEnd[] = [];
+  const warnings: { event: string; fields: EventFields }[] = [];
+  const events = {
+    ...SILENT_EVENTS,
+    warn: (event: string, fields: EventFields = {}) => {
+      warnings.push({ event, fields });
+    },
+  };
   const sessions = createFleetSessions({
     open: openSession,
-    events: SILENT_EVENTS,
+    events,
     onChange: () => undefined,
     onLeaving: () => undefined,
   });
@@ -52,7 +62,7 @@
     const session = createWorkerSession({
       worker: entry,
       connect: () => worker.connection,
-      events: SILENT_EVENTS,
+      events,
       meters: createMeters(),
       epoch: EPOCH,
       mayExtendLeases: () => true,
@@ -76,6 +86,7 @@
     worker,
     sessions,
     ends,
+    warnings,
     storesEnds: true,
     list: () => {
       sessions.update('w1', createEntry(worker.born));
--- a/test/controller/worker-fake.ts
+++ b/test/controller/worker-fake.ts
@@ -33,7 +33,10 @@
   readonly born: number;
   /** Runs at work in the present life, by task. */
   readonly running: ReadonlyMap<string, number>;
+  /** Stops that have reached the worker. */
   readonly stops: readonly StopOrder[];
+  /** Number of stops sent to it. */
+  readonly stopsSent: number;
   /** Highest end that a renewal has acknowledged at the present life. */
   readonly acknowledgedThrough: number;
   /** Number of renewals answered. */
@@ -56,6 +59,7 @@
   let held: StartOrder[] = [];
   let waiting = false;
   let renewals = 0;
+  let stopsSent = 0;
   let wake: () => void = () => undefined;
 
   const isCut = () => fake.cut;
@@ -96,6 +100,7 @@
   }
 
   async function stop(order: StopOrder): Promise<OrderOutcome> {
+    stopsSent += 1;
     await pause(2);
     if (isCut()) return UNKNOWN;
     stops.push(order);
@@ -151,6 +156,9 @@
       return life.running;
     },
     stops,
+    get stopsSent() {
+      return stopsSent;
+    },
     get acknowledgedThrough() {
       return life.acknowledgedThrough;
     },
