--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -2,14 +2,14 @@
  * Sends start and stop orders to one incarnation of a worker and tracks their outcome. A start is sent again once if its
  * answer was lost, a stop until it is answered.
  */
-import type { OrderOutcome, StartOrder, WorkerConnection } from '../fleet/index.js';
+import type { OrderOutcome, OrderRefusal, StartOrder, WorkerConnection } from '../fleet/index.js';
 import type { WorkerIncarnation } from '../jobs/index.js';
 import { createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import { pause } from '../records/index.js';
 import type { LeaseClock } from './lease-clock.js';
 import { LATE_ORDER_MS } from './run.js';
-import type { Run, RunEnd, RunStatus } from './run.js';
+import type { LateStart, Run, RunEnd, RunStatus } from './run.js';
 
 /** A start must reach the worker within this time; a later one is refused there. */
 const START_WINDOW_MS = 2000;
@@ -22,6 +22,12 @@
   readonly stop: (run: Run, reason: string) => void;
   /** Continues with a run that was ordered from an earlier incarnation. */
   readonly resume: (run: Run) => void;
+  /** Remembers an ended run as long as a start of it may still be carried out. */
+  readonly noteEnd: (run: Run) => void;
+  /** Starts that may still be carried out although their runs have ended; this incarnation refuses them. */
+  readonly lateStarts: () => readonly LateStart[];
+  /** Stops runs that ended at an earlier incarnation, so that this one refuses their starts, too. */
+  readonly refuseStarts: (starts: readonly LateStart[]) => void;
   /** Whether the worker has left a start unanswered for so long that it should get no new work. */
   hasOverdueStart(): boolean;
 }
@@ -54,12 +60,41 @@
   readonly meters: Meters;
 }
 
+type OutcomeName = Exclude<OrderOutcome['kind'], 'refused'> | OrderRefusal;
+
 export function createWorkerOrders(options: WorkerOrdersOptions): WorkerOrders {
   const { worker, epoch, runs, clock, events, meters } = options;
   const faults = createFaultContainment({ events, meters });
   /** Starts that are not answered yet, with the time on the responsive clock at which they were sent. */
   const pendingStarts = new Map<Run, number>();
 
+  let endedStarts: LateStart[] = [];
+
+  function lateStarts(): readonly LateStart[] {
+    const now = performance.now();
+    endedStarts = endedStarts.filter(({ until }) => until > now);
+    return endedStarts;
+  }
+
+  function noteEnd({ name, number, inherited, lateStartUntil }: Run) {
+    // Orders of a previous leader are fenced.
+    if (inherited || lateStartUntil <= performance.now()) return;
+    endedStarts = [...lateStarts(), { task: name, run: number, until: lateStartUntil }];
+  }
+
+  function refuseStarts(starts: readonly LateStart[]) {
+    endedStarts = [...lateStarts(), ...starts];
+    for (const late of starts) void refuseStart(late);
+  }
+
+  async function refuseStart({ task, run, until }: LateStart) {
+    while (options.isOpen() && performance.now() < until) {
+      const outcome = await options.connection().stop({ task, run, epoch });
+      if (countOutcome('stop', outcome) === 'accepted') return;
+      await pause(STOP_RETRY_MS);
+    }
+  }
+
   function hasOverdueStart(): boolean {
     const [oldest] = pendingStarts.values();
     return oldest !== undefined && options.responsiveNow() - oldest > OVERDUE_START_MS;
@@ -118,7 +153,7 @@
     fields: Readonly<Record<string, unknown>>,
   ): Promise<OrderOutcome> {
     const outcome = await options.connection().start(order);
-    logOrder('start', run, outcome, fields);
+    logOrder('start', run, countOutcome('start', outcome), fields);
     if (outcome.kind === 'unknown') run.lateStartUntil = performance.now() + LATE_ORDER_MS;
     return outcome;
   }
@@ -164,9 +199,13 @@
   }
 
   async function sendStop(run: Run) {
+    let logged: OutcomeName | undefined;
     while (options.isOpen() && runs.get(run.name) === run && run.stopAnsweredAt === undefined) {
       const outcome = await options.connection().stop({ task: run.name, run: run.number, epoch });
-      logOrder('stop', run, outcome, { reason: run.stopReason });
+      // A stop is repeated up to five times a second, for as long as the lease of a silent worker lasts.
+      const result = countOutcome('stop', outcome);
+      if (result !== logged) logOrder('stop', run, result, { reason: run.stopReason });
+      logged = result;
       if (outcome.kind === 'accepted') {
         clock.note(outcome.clockMs);
         run.stopAnsweredAt = performance.now();
@@ -192,14 +231,19 @@
     return true;
   }
 
+  /** Counts the outcome of an order and returns its name. */
+  function countOutcome(order: 'start' | 'stop', outcome: OrderOutcome): OutcomeName {
+    const result = outcome.kind === 'refused' ? outcome.reason : outcome.kind;
+    meters.orders.inc({ order, outcome: result });
+    return result;
+  }
+
   function logOrder(
     order: 'start' | 'stop',
     run: Run,
-    outcome: OrderOutcome,
+    outcome: OutcomeName,
     fields: Readonly<Record<string, unknown>>,
   ) {
-    const result = outcome.kind === 'refused' ? outcome.reason : outcome.kind;
-    meters.orders.inc({ order, outcome: result });
     const line = {
       job: run.progress.job.id,
       task: run.name,
@@ -207,13 +251,13 @@
       worker: worker.id,
       born: worker.born,
       epoch,
-      outcome: result,
+      outcome,
       ...fields,
     };
     // Nearly every order is accepted; the end of the run then tells how long the answer took.
-    if (outcome.kind === 'accepted') events.debug(`${order}-answered`, line);
+    if (outcome === 'accepted') events.debug(`${order}-answered`, line);
     else events.warn(`${order}-not-accepted`, line);
   }
 
-  return { start, stop, resume, hasOverdueStart };
+  return { start, stop, resume, noteEnd, lateStarts, refuseStarts, hasOverdueStart };
 }
--- a/test/controller/worker-fake.ts
+++ b/test/controller/worker-fake.ts
@@ -33,7 +33,10 @@
   readonly born: number;
   /** Runs at work in the present life, by task. */
   readonly running: ReadonlyMap<string, number>;
+  /** Stops that have reached the worker. */
   readonly stops: readonly StopOrder[];
+  /** Number of stops sent to it. */
+  readonly stopsSent: number;
   /** Highest end that a renewal has acknowledged at the present life. */
   readonly acknowledgedThrough: number;
   /** Number of renewals answered. */
@@ -56,6 +59,7 @@
   let held: StartOrder[] = [];
   let waiting = false;
   let renewals = 0;
+  let stopsSent = 0;
   let wake: () => void = () => undefined;
 
   const isCut = () => fake.cut;
@@ -96,11 +100,13 @@
   }
 
   async function stop(order: StopOrder): Promise<OrderOutcome> {
+    stopsSent += 1;
     await pause(2);
     if (isCut()) return UNKNOWN;
     stops.push(order);
     if (isStale(order.epoch)) return refuse('stale-epoch');
-    if (life.running.has(order.task)) setTimeout(end, 10, order.task, 'stopped');
+    const run = life.running.get(order.task);
+    if (run !== undefined && run <= order.run) setTimeout(end, 10, order.task, 'stopped');
     else life.closed.set(order.task, order.run);
     return { kind: 'accepted', clockMs: clockMs() };
   }
@@ -150,6 +156,9 @@
       return life.running;
     },
     stops,
+    get stopsSent() {
+      return stopsSent;
+    },
     get acknowledgedThrough() {
       return life.acknowledgedThrough;
     },
