--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -4,6 +4,9 @@
  */
 import type { Resources } from '../model/index.js';
 
+/** Limit of tasks per step; protects the leader's memory from a faulty request or record. */
+export const MAX_STEP_TASKS = 10_000;
+
 /** Identical tasks of a job that become ready together. */
 export interface Step {
   readonly count: number;
@@ -63,10 +66,11 @@
 export function estimateCriticalPathMs(steps: readonly Step[]): number {
   const ends: number[] = [];
   for (const step of steps) {
-    const start = Math.max(0, ...step.after.map((index) => ends[index] ?? 0));
+    // Spreading a long list as arguments overflows the stack.
+    const start = step.after.reduce((latest, index) => Math.max(latest, ends[index] ?? 0), 0);
     ends.push(start + step.estimateMs);
   }
-  return Math.max(0, ...ends);
+  return ends.reduce((latest, end) => Math.max(latest, end), 0);
 }
 
 /** Whether each `after` names an earlier step, which rules out dependency cycles. */
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -3,6 +3,7 @@
  * are omitted, so that the record of a job with many tasks stays small until it runs.
  */
 import { z } from 'zod';
+import { MAX_STEP_TASKS } from './job.js';
 import type { Job } from './job.js';
 import type { JobProgress, StepProgress, TaskPhase } from './progress.js';
 import { beginOccurrence, setPhase } from './progress.js';
@@ -29,17 +30,21 @@
     : { id: name, kind: 'job' };
 }
 
+/** A count or an index. */
+const wholeSchema = z.int().nonnegative();
+const amountSchema = z.number().nonnegative().max(Number.MAX_SAFE_INTEGER);
+
 const sizeSchema = z.object({
-  processors: z.number(),
-  memoryMb: z.number(),
-  accelerators: z.number(),
+  processors: amountSchema,
+  memoryMb: amountSchema,
+  accelerators: amountSchema,
 });
 
 const stepSchema = z.object({
-  count: z.number().int().positive(),
+  count: z.int().positive().max(MAX_STEP_TASKS),
   size: sizeSchema,
-  estimateMs: z.number(),
-  after: z.array(z.number()),
+  estimateMs: amountSchema,
+  after: z.array(wholeSchema),
   gang: z.boolean(),
   checkpointing: z.boolean(),
   rackSensitive: z.boolean(),
@@ -58,7 +63,7 @@
   spec: z.string(),
   steps: z.array(stepSchema),
   schedule: z
-    .object({ firstAtMs: z.number(), intervalMs: z.number(), count: z.number() })
+    .object({ firstAtMs: z.number(), intervalMs: amountSchema, count: wholeSchema })
     .exactOptional(),
   acceptedAtMs: z.number(),
   acceptedBy: z.string().default(''),
@@ -77,10 +82,10 @@
 
 /** One task: index, phase, run, failures, checkpoint, worker id, start time of the worker, failedOn. */
 const taskSchema = z.tuple([
-  z.number(),
-  z.number(),
-  z.number(),
-  z.number(),
+  wholeSchema,
+  wholeSchema,
+  wholeSchema,
+  wholeSchema,
   z.string(),
   z.string(),
   z.number(),
@@ -90,13 +95,13 @@
 const progressSchema = z.object({
   state: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']),
   begun: z.boolean().default(false),
-  next: z.number(),
+  next: wholeSchema,
   steps: z.array(
     z.object({
-      occurrence: z.number(),
-      step: z.number(),
-      gangFailures: z.number(),
-      gangFailedRun: z.number(),
+      occurrence: wholeSchema,
+      step: wholeSchema,
+      gangFailures: wholeSchema,
+      gangFailedRun: wholeSchema,
       tasks: z.array(taskSchema),
     }),
   ),
