Bound the open occurrences of a job

A job whose repetitions are all due at once, such as interval-ms 0 with a start in the past, began all of them in one loop without a pause, with objects for each task. A successor also created the ended occurrences of a restored job only to delete them.

At most 500 occurrences with 100,000 tasks are open at once, one at least; the others begin as these end. Restoring creates the open ones only.

--- a/src/controller/housekeeping.ts
+++ b/src/controller/housekeeping.ts
@@ -2,6 +2,7 @@
  * Periodic tasks of the leader: starts due occurrences, publishes the backlog of each queue and removes jobs that ended
  * long ago.
  */
+import type { Job } from '../jobs/index.js';
 import { beginOccurrence, isFinal, JOB_STORE_KEYS, nextDueMs } from '../jobs/index.js';
 import type { EventLog, FaultContainment } from '../observability/index.js';
 import type { Condition, KeyValueStore } from '../records/index.js';
@@ -11,6 +12,12 @@
 const DUE_INTERVAL_MS = 50;
 /** Finished jobs are kept for callers for this long; the platform requires 120 s. */
 const KEEP_FINISHED_MS = 150_000;
+/**
+ * Bounds of the open occurrences of a job and of their tasks. The others begin as earlier ones end, so that a job that
+ * is due very often does not exhaust the memory of the leader.
+ */
+const MAX_OPEN_OCCURRENCES = 500;
+const MAX_OPEN_TASKS = 100_000;
 /** Three keys for each job and the leader's condition have to fit into one transaction. */
 const REMOVALS_PER_SWEEP = 10;
 
@@ -39,8 +46,10 @@
   const { store, cell, finishedBefore, events } = options;
 
   function beginDueOccurrences(entry: JobEntry) {
+    const maxOpen = maxOpenOccurrences(entry.progress.job);
     let due = nextDueMs(entry.progress);
     while (due !== undefined && due <= Date.now() && !isFinal(entry.progress.state)) {
+      if (entry.progress.occurrences.size >= maxOpen) return;
       beginOccurrence(entry.progress);
       cell.refresh(entry);
       options.onChange();
@@ -114,3 +123,8 @@
     },
   };
 }
+
+function maxOpenOccurrences({ steps }: Job): number {
+  const tasks = steps.reduce((sum, { count }) => sum + count, 0);
+  return Math.max(1, Math.min(MAX_OPEN_OCCURRENCES, Math.floor(MAX_OPEN_TASKS / tasks)));
+}
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -155,11 +155,16 @@
 /** Applies a stored record to newly created progress. */
 export function restoreProgress(progress: JobProgress, record: ProgressRecord): void {
   progress.state = record.state;
-  const openOccurrences = new Set(record.steps.map(({ occurrence }) => occurrence));
-  while (progress.nextOccurrence < record.next) beginOccurrence(progress);
-  for (const number of progress.occurrences.keys()) {
-    if (!openOccurrences.has(number)) progress.occurrences.delete(number);
+  const next = Math.max(progress.nextOccurrence, record.next);
+  const open = new Set(record.steps.map(({ occurrence }) => occurrence));
+  progress.occurrences.clear();
+  // Only the open ones are created: of a job that repeats often, millions may have ended.
+  for (const number of [...open].sort((left, right) => left - right)) {
+    if (number >= next) continue;
+    progress.nextOccurrence = number;
+    beginOccurrence(progress);
   }
+  progress.nextOccurrence = next;
   for (const step of record.steps) restoreStep(progress, step);
   // The former leader may have sent the start order of a placed task.
   const hasOrderedTask = record.steps.some(({ tasks }) =>
--- a/test/jobs/records.test.ts
+++ b/test/jobs/records.test.ts
@@ -4,6 +4,7 @@
  */
 import { expect } from 'chai';
 import {
+  beginOccurrence,
   createProgress,
   decodeJob,
   decodeProgress,
@@ -108,6 +109,21 @@
       expect([...restored.occurrences.keys()]).to.deep.equal([]);
       expect(restored.nextOccurrence).to.equal(2);
     });
+
+    // Creating the ended occurrences as well took a successor longer than its lease.
+    it('restores a job of very many occurrences at once', () => {
+      const count = 1_000_000;
+      const job = { ...JOB, schedule: { firstAtMs: 0, intervalMs: 0, count } };
+      const progress = createProgress(job);
+      progress.nextOccurrence = count - 1;
+      beginOccurrence(progress);
+      const text = encodeProgress(progress);
+      const startedAt = performance.now();
+      const restored = restore(text, job);
+      expect(performance.now() - startedAt).to.be.lessThan(100);
+      expect([...restored.occurrences.keys()]).to.deep.equal([count - 1]);
+      expect(restored.nextOccurrence).to.equal(count);
+    });
   });
 
   describe('dependencies', () => {
