Keep the terms of the queue with an accepted job

The number of attempts was looked up in the configuration when a run failed, with 1 for a missing queue. The same lookups made jobs of a missing queue the most urgent of all, and sent their starts without tickets, which workers refuse. A job's record now keeps the terms of its queue (urgency, attempts, objective, advice), as it already kept the service. The configured queue still comes first; the job's own terms hold while there is none.

Evidence: the new test on the stand-ins fails before ("timed out waiting for job to be completed").

--- a/src/controller/cell.ts
+++ b/src/controller/cell.ts
@@ -2,7 +2,13 @@
  * The leader's in-memory state of the cell: jobs with their progress, steps with waiting tasks, and the resources
  * that each team uses.
  */
-import type { JobProgress, OccurrenceProgress, StepProgress } from '../jobs/index.js';
+import type {
+  Job,
+  JobProgress,
+  OccurrenceProgress,
+  QueueTerms,
+  StepProgress,
+} from '../jobs/index.js';
 import {
   estimateCriticalPathMs,
   formatStepName,
@@ -12,7 +18,6 @@
 } from '../jobs/index.js';
 import { addTasks, NO_RESOURCES } from '../model/index.js';
 import type { Resources } from '../model/index.js';
-import type { Queue } from '../queues/index.js';
 
 export interface JobEntry {
   readonly progress: JobProgress;
@@ -123,17 +128,30 @@
 /** A late result is still useful to callers up to this multiple of the objective. */
 const USEFUL_LATENESS_FACTOR = 3;
 
-/** Stretch and target latency of jobs whose queue was removed after they were accepted. */
-const REMOVED_QUEUE_DEFAULTS = { stretch: 2, targetLatencyMs: 1000 };
+/** Terms of jobs whose queue is not configured and whose records hold none. */
+const DEFAULT_TERMS: QueueTerms = {
+  priority: 1,
+  maxAttempts: 3,
+  stretch: 2,
+  targetLatencyMs: 1000,
+};
+
+/**
+ * The terms that apply to a job: those of its queue, or if operators have removed it, even if only for a moment, those
+ * under which the job was accepted.
+ */
+export function termsOf(job: Job, queue: QueueTerms | undefined): QueueTerms {
+  return queue ?? job.terms ?? DEFAULT_TERMS;
+}
 
 export function createJobEntry(options: {
   readonly progress: JobProgress;
-  readonly queue: Queue | undefined;
+  readonly queue: QueueTerms | undefined;
   readonly beyondShare: boolean;
 }): JobEntry {
   const { progress, queue, beyondShare } = options;
   const { job } = progress;
-  const { stretch, targetLatencyMs } = queue ?? REMOVED_QUEUE_DEFAULTS;
+  const { stretch, targetLatencyMs } = termsOf(job, queue);
   const objectiveMs = stretch * estimateCriticalPathMs(job.steps) + targetLatencyMs;
   return {
     progress,
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -12,7 +12,7 @@
 import type { ConfigurationHolder } from '../queues/index.js';
 import type { StoreChange, StoreEntry, Reachability, KeyValueStore } from '../records/index.js';
 import { pause } from '../records/index.js';
-import { createCell } from './cell.js';
+import { createCell, termsOf } from './cell.js';
 import { createCellFeed } from './cell-feed.js';
 import { createDispatcher } from './dispatcher.js';
 import type { PlanningEffort } from './dispatcher.js';
@@ -134,7 +134,7 @@
     cell,
     health,
     events,
-    maxAttempts: (queue) => findQueue(queue)?.maxAttempts ?? 1,
+    maxAttempts: (job) => termsOf(job, findQueue(job.queue)).maxAttempts,
     write: (job, urgency) => log.write(job, urgency),
     onCompleted: announceIfDelayed,
     onEnded: options.announceEnd,
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -9,6 +9,7 @@
 import type { CellConfiguration, Queue } from '../queues/index.js';
 import { setPhase } from '../jobs/index.js';
 import { subtractResources } from '../model/index.js';
+import { termsOf } from './cell.js';
 import type { Cell, ReadyStep } from './cell.js';
 import type { FleetSessions } from './fleet-sessions.js';
 import type { JobLifecycle } from './job-lifecycle.js';
@@ -139,7 +140,8 @@
     const { key, entry, step } = ready;
     const { job } = entry.progress;
     const queue = round.queues.get(job.queue);
-    const permitRequired = queue?.advice !== undefined;
+    const terms = termsOf(job, queue);
+    const permitRequired = terms.advice !== undefined;
     const placed = new Map<string, number>();
     if (step.step.maxPerWorker !== undefined) {
       for (const { phase, worker } of step.tasks) {
@@ -152,7 +154,7 @@
       key,
       service: queue?.service ?? job.service,
       team: job.team,
-      priority: queue?.priority ?? 0,
+      priority: terms.priority,
       beyondShare: entry.beyondShare,
       objectiveAtMs: entry.objectiveAtMs,
       uselessAtMs: entry.uselessAtMs,
@@ -204,7 +206,9 @@
       barriers,
       queueOf: ({ key }) => {
         const ready = cell.ready.get(key);
-        return ready === undefined ? undefined : round.queues.get(ready.entry.progress.job.queue);
+        if (ready === undefined) return undefined;
+        const { job } = ready.entry.progress;
+        return { name: job.queue, ...termsOf(job, round.queues.get(job.queue)) };
       },
       tasksOf: ({ key }) => cell.ready.get(key)?.step.waitingCount ?? 0,
       sessions: [...round.sessionsById.values()],
@@ -313,9 +317,9 @@
   }
 
   function needsPermit(run: Run): boolean {
-    const { queue } = run.progress.job;
-    const found = options.configuration()?.queues.find(({ name }) => name === queue);
-    return found?.advice !== undefined;
+    const { job } = run.progress;
+    const queue = options.configuration()?.queues.find(({ name }) => name === job.queue);
+    return termsOf(job, queue).advice !== undefined;
   }
 
   schedule(IDLE_INTERVAL_MS);
--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -29,7 +29,7 @@
   readonly cell: Cell;
   readonly health: WorkerHealth;
   readonly events: EventLog;
-  readonly maxAttempts: (queue: string) => number;
+  readonly maxAttempts: (job: Job) => number;
   readonly write: (job: string, urgency: WriteUrgency) => Promise<boolean>;
   /** Called when a job is completed; the promise resolves to whether its record is durable. */
   readonly onCompleted: (job: string, durable: Promise<boolean>) => void;
@@ -114,7 +114,7 @@
     if (end !== 'failed' || step.step.longRunning) return;
     task.failures += 1;
     task.failedOn.push(run.session.incarnation.id);
-    if (task.failures >= options.maxAttempts(entry.progress.job.queue)) {
+    if (task.failures >= options.maxAttempts(entry.progress.job)) {
       fail(entry, `task ${run.name} failed ${String(task.failures)} times`);
     }
   }
@@ -130,7 +130,7 @@
       step.gangFailedRun = run.number;
       step.gangFailures += 1;
       run.task.failedOn.push(run.session.incarnation.id);
-      if (step.gangFailures >= options.maxAttempts(entry.progress.job.queue)) {
+      if (step.gangFailures >= options.maxAttempts(entry.progress.job)) {
         fail(entry, `gang ${run.name} failed ${String(step.gangFailures)} times`);
         return;
       }
--- a/src/controller/permit-requests.ts
+++ b/src/controller/permit-requests.ts
@@ -28,8 +28,8 @@
   readonly steps: readonly WaitingStep[];
   /** What kept steps from being placed in this round; steps that it did not get to are missing. */
   readonly barriers: ReadonlyMap<string, PlacementBarrier>;
-  /** Queue of the step's job; undefined if it was removed, or if the step does not wait any more. */
-  readonly queueOf: (step: WaitingStep) => Queue | undefined;
+  /** Queue of the step's job; undefined if the step does not wait any more. */
+  readonly queueOf: (step: WaitingStep) => Pick<Queue, 'name' | 'advice'> | undefined;
   /** Number of tasks of the step that still wait after this round. */
   readonly tasksOf: (step: WaitingStep) => number;
   readonly sessions: readonly PermitWorker[];
--- a/src/intake/caller-service.ts
+++ b/src/intake/caller-service.ts
@@ -5,7 +5,7 @@
  */
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { Job, JobState } from '../jobs/index.js';
+import type { Job, JobState, QueueTerms } from '../jobs/index.js';
 import { isFinal } from '../jobs/index.js';
 import type { EventLog } from '../observability/index.js';
 import type { ConfigurationHolder, ActiveConfiguration, Queue } from '../queues/index.js';
@@ -79,6 +79,11 @@
   readonly events: EventLog;
 }
 
+function termsOf({ priority, maxAttempts, stretch, targetLatencyMs, advice }: Queue): QueueTerms {
+  const terms = { priority, maxAttempts, stretch, targetLatencyMs };
+  return advice === undefined ? terms : { ...terms, advice };
+}
+
 export function createCallerService(options: CallerServiceOptions): CallerService {
   const { store, configuration, submissions, reader, isStoreLost, events } = options;
 
@@ -137,6 +142,7 @@
         team,
         queue: queue.name,
         service: queue.service,
+        terms: termsOf(queue),
         acceptedAtMs: Date.now(),
         acceptedBy: options.host,
       };
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -36,6 +36,22 @@
   readonly count: number;
 }
 
+/** What a queue says about its jobs. */
+export interface QueueTerms {
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  readonly maxAttempts: number;
+  /** A job is on time if it ends within `stretch` times its critical path plus `targetLatencyMs`. */
+  readonly stretch: number;
+  readonly targetLatencyMs: number;
+  /** Timing of the advice service; absent if every worker of the service may run every step. */
+  readonly advice?: {
+    readonly decideMs: number;
+    readonly perWorkerMs: number;
+    readonly validMs: number;
+  };
+}
+
 export interface Job {
   readonly id: string;
   readonly team: string;
@@ -45,6 +61,8 @@
   readonly spec: string;
   readonly steps: readonly Step[];
   readonly schedule?: Schedule;
+  /** Terms of the queue when the job was accepted. They hold while no queue of that name is configured. */
+  readonly terms?: QueueTerms;
   /** Unix milliseconds by the clock of the host that accepted the job. */
   readonly acceptedAtMs: number;
   /** Name of that host, which is notified when the job ends; empty if unknown. */
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -50,6 +50,16 @@
   longRunning: z.boolean(),
 });
 
+const termsSchema = z.object({
+  priority: z.number(),
+  maxAttempts: z.number(),
+  stretch: z.number(),
+  targetLatencyMs: z.number(),
+  advice: z
+    .object({ decideMs: z.number(), perWorkerMs: z.number(), validMs: z.number() })
+    .exactOptional(),
+});
+
 const jobSchema = z.object({
   id: z.string(),
   team: z.string(),
@@ -60,6 +70,7 @@
   schedule: z
     .object({ firstAtMs: z.number(), intervalMs: z.number(), count: z.number() })
     .exactOptional(),
+  terms: termsSchema.exactOptional(),
   acceptedAtMs: z.number(),
   acceptedBy: z.string().default(''),
 });
--- a/test/controller/exact-limits.test.ts
+++ b/test/controller/exact-limits.test.ts
@@ -5,7 +5,6 @@
 import { createCell } from '../../src/controller/cell.js';
 import { describePermitRequests } from '../../src/controller/permit-requests.js';
 import type { PermitWorker } from '../../src/controller/permit-requests.js';
-import type { Queue } from '../../src/queues/index.js';
 import { planRound } from '../../src/planner/index.js';
 import { amount, candidate, waiting } from '../planner/support.js';
 
@@ -39,7 +38,7 @@
     const [request] = describePermitRequests({
       steps: [waiting('step', { size: amount(0.2) })],
       barriers: new Map(),
-      queueOf: () => ({ name: 'q', advice: { decideMs: 1, perWorkerMs: 1, validMs: 1 } }) as Queue,
+      queueOf: () => ({ name: 'q', advice: { decideMs: 1, perWorkerMs: 1, validMs: 1 } }),
       tasksOf: () => 1,
       sessions: [session as unknown as PermitWorker],
       round: 0,
--- a/test/jobs/records.test.ts
+++ b/test/jobs/records.test.ts
@@ -44,7 +44,10 @@
 describe('job records', () => {
   describe('a job', () => {
     it('is the same after encoding and decoding', () => {
-      expect(decodeJob(encodeJob(JOB))).to.deep.equal(JOB);
+      const advice = { decideMs: 12, perWorkerMs: 0.2, validMs: 2500 };
+      const terms = { priority: 0, maxAttempts: 3, stretch: 1.5, targetLatencyMs: 250, advice };
+      for (const job of [JOB, { ...JOB, terms }])
+        expect(decodeJob(encodeJob(job))).to.deep.equal(job);
     });
 
     it('is undefined when decoded from invalid text', () => {
--- a/test/platform-path/jobs.test.ts
+++ b/test/platform-path/jobs.test.ts
@@ -114,6 +114,26 @@
     });
   });
 
+  describe('a job whose queue is removed from the configuration for a while', () => {
+    // Such a job counted as failed after its first failed run.
+    it('keeps its number of attempts', async () => {
+      const host = expectDefined(cell.hosts[0]);
+      const failing = await cell.addWorker({
+        processorMillis: 64_000,
+        workMs: () => 400,
+        outcome: () => 'failed',
+      });
+      const { id } = await submit(host, { steps: [{ cpu: 32_000 }] });
+      await eventually(() => (failing.running.size > 0 ? true : undefined));
+      cell.configure({ version: 2, queues: [{ name: 'other', priority: 0 }] });
+      await eventually(() =>
+        host.configuration.current?.configuration.version === 2 ? true : undefined,
+      );
+      await cell.addWorker({ processorMillis: 64_000 });
+      await awaitState(host, id, 'completed');
+    });
+  });
+
   describe('a team at its limit', () => {
     it('never runs more tasks than the limit allows', async () => {
       cell.configure({ version: 2, cpuLimitMillicores: 2000 });
