Wait for stopped runs before a planned stop of the leader

The successor restores unfinished jobs only. The runs of an ended job are foreign to it: it gives their workers no work until they are gone, but does not know the team that they are charged to. The class: charges that do not outlive the process that made them. The leader now gives up its lease only once such runs of teams with a limit are gone, for 1.3 s at most; it places nothing meanwhile. It covers planned stops and hand-overs for speed. After a kill the successor still does not know these runs; to know them it would need them in the record of the ended job.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -8,6 +8,7 @@
 import type { LeadershipTerm } from '../leadership/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { AdviceCaller } from '../peers/index.js';
+import { isUnlimited } from '../model/index.js';
 import { createWorkerHealth } from '../planner/index.js';
 import type { ConfigurationHolder } from '../queues/index.js';
 import type { StoreChange, StoreEntry, Reachability, KeyValueStore } from '../records/index.js';
@@ -92,6 +93,10 @@
  */
 const ANNOUNCE_AFTER_MS = 300;
 
+/** Longest wait for runs that are being stopped, before a planned stop. A worker takes up to 0.9 s to stop a run. */
+const MAX_STOP_WAIT_MS = 1300;
+const STOP_POLL_MS = 20;
+
 export function createController(options: ControllerOptions): Controller {
   const { store, reachability, term, configuration, events, meters } = options;
   const now = () => performance.now();
@@ -216,6 +221,23 @@
     return session;
   }
 
+  /** Whether runs of ended jobs are still being stopped whose teams have a limit. */
+  function isStoppingLimitedRuns(): boolean {
+    const { teams } = configuration.current?.configuration ?? { teams: [] };
+    const limited = new Set(
+      teams.filter(({ limit }) => !isUnlimited(limit)).map(({ name }) => name),
+    );
+    return [...sessions.all()].some(({ runs }) =>
+      [...runs.values()].some(({ team, progress }) => limited.has(team) && isFinal(progress.state)),
+    );
+  }
+
+  /** A successor does not know these runs, so it would not count them against the limits of their teams. */
+  async function awaitStoppedRuns() {
+    const giveUpAt = now() + MAX_STOP_WAIT_MS;
+    while (!closed && now() < giveUpAt && isStoppingLimitedRuns()) await pause(STOP_POLL_MS);
+  }
+
   function checkStalls(session: WorkerSession, clockMs: number) {
     stopStalledRuns(session, {
       clockMs,
@@ -355,6 +377,7 @@
     },
     quiesce: async (timeoutMs) => {
       dispatcher.stop();
+      await awaitStoppedRuns();
       await Promise.race([log.drain(), pause(timeoutMs)]);
     },
     close: () => {
--- a/src/model/resources.ts
+++ b/src/model/resources.ts
@@ -50,6 +50,11 @@
   };
 }
 
+/** Whether a limit bounds no resource; 0 stands for no bound. */
+export function isUnlimited({ processors, memoryMb, accelerators }: Resources): boolean {
+  return processors === 0 && memoryMb === 0 && accelerators === 0;
+}
+
 /** Component-wise maximum of both vectors. */
 export function maxResources(left: Resources, right: Resources): Resources {
   return {
--- a/test/platform-path/jobs.test.ts
+++ b/test/platform-path/jobs.test.ts
@@ -114,6 +114,47 @@
     });
   });
 
+  describe('a planned stop of the leader while a cancelled job is being stopped', () => {
+    // The successor did not know the runs of the cancelled job, and the team had twice its limit running.
+    it('keeps the team within its limit', async () => {
+      const small = await startTestCell({ hosts: 2, workers: 0 });
+      try {
+        small.configure({ version: 2, cpuLimitMillicores: 2000 });
+        for (let count = 0; count < 2; count += 1)
+          await small.addWorker({ processorMillis: 2000, workMs: () => 5000, stopMs: 700 });
+        const leader = await small.leader();
+        const other = expectDefined(small.hosts.find((host) => host !== leader));
+        const isCurrent = () =>
+          small.hosts.every((host) => host.configuration.current?.configuration.version === 2);
+        await eventually(() => (isCurrent() ? true : undefined));
+        const countRunning = () =>
+          small.workers.reduce((sum, { running }) => sum + running.size, 0);
+        const first = await submit(leader, { steps: [{ count: 2, cpu: 1000 }] });
+        await eventually(() => (countRunning() === 2 ? true : undefined));
+        const second = await submit(leader, { steps: [{ count: 2, cpu: 1000 }] });
+        await leader.service.cancel(first.id, performance.now() + 3000);
+        await eventually(() =>
+          leader.service
+            .state(first.id)
+            .then((state) => (state === 'cancelled' ? true : undefined)),
+        );
+        let mostRunning = 0;
+        const sampler = setInterval(() => {
+          mostRunning = Math.max(mostRunning, countRunning());
+        }, 2);
+        await new Promise((resolve) => setTimeout(resolve, 100));
+        void leader.drain();
+        await eventually(() => (startsOf(small, second.id).length === 2 ? true : undefined));
+        await new Promise((resolve) => setTimeout(resolve, 50));
+        clearInterval(sampler);
+        expect(await small.leader()).to.equal(other);
+        expect(mostRunning).to.equal(2);
+      } finally {
+        await small.close();
+      }
+    });
+  });
+
   describe('a job whose queue is removed from the configuration for a while', () => {
     // Such a job counted as failed after its first failed run.
     it('keeps its number of attempts', async () => {
