--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -9,11 +9,12 @@
 import { createEntryReader, createFaultContainment } from '../observability/index.js';
 import type { DecodedEntry, EventLog, Meters } from '../observability/index.js';
 import type { AdviceCaller } from '../peers/index.js';
+import { isUnlimited } from '../model/index.js';
 import { createWorkerHealth } from '../planner/index.js';
 import type { ConfigurationHolder } from '../queues/index.js';
 import type { StoreChange, StoreEntry, Reachability, KeyValueStore } from '../records/index.js';
 import { pause } from '../records/index.js';
-import { createCell } from './cell.js';
+import { createCell, termsOf } from './cell.js';
 import { createCellFeed } from './cell-feed.js';
 import { createDispatcher } from './dispatcher.js';
 import type { PlanningEffort } from './dispatcher.js';
@@ -97,6 +98,10 @@
 /** Margin on the upper bound of inherited leases for the drift of workers' clocks. */
 const INHERITED_SLACK_MS = 800;
 
+/** Longest wait for runs that are being stopped, before a planned stop. A worker takes up to 0.9 s to stop a run. */
+const MAX_STOP_WAIT_MS = 1300;
+const STOP_POLL_MS = 20;
+
 export function createController(options: ControllerOptions): Controller {
   const { store, reachability, term, configuration, events, meters } = options;
   const { drainMs = DEFAULT_DRAIN_MS, cancelMs = DEFAULT_CANCEL_MS } = options;
@@ -141,7 +146,7 @@
     cell,
     health,
     events,
-    maxAttempts: (queue) => findQueue(queue)?.maxAttempts ?? 1,
+    maxAttempts: (job) => termsOf(job, findQueue(job.queue)).maxAttempts,
     write: (job, urgency) => log.write(job, urgency),
     onEnded: options.announceEnd,
     onChange: requestPlan,
@@ -222,6 +227,23 @@
     return session;
   }
 
+  /** Whether runs of ended jobs are still being stopped whose teams have a limit. */
+  function isStoppingLimitedRuns(): boolean {
+    const { teams } = configuration.current?.configuration ?? { teams: [] };
+    const limited = new Set(
+      teams.filter(({ limit }) => !isUnlimited(limit)).map(({ name }) => name),
+    );
+    return [...sessions.all()].some(({ runs }) =>
+      [...runs.values()].some(({ team, progress }) => limited.has(team) && isFinal(progress.state)),
+    );
+  }
+
+  /** A successor does not know these runs, so it would not count them against the limits of their teams. */
+  async function awaitStoppedRuns() {
+    const giveUpAt = now() + MAX_STOP_WAIT_MS;
+    while (!closed && now() < giveUpAt && isStoppingLimitedRuns()) await pause(STOP_POLL_MS);
+  }
+
   function checkStalls(session: WorkerSession, clockMs: number) {
     stopStalledRuns(session, {
       clockMs,
@@ -378,6 +400,7 @@
     },
     quiesce: async (timeoutMs) => {
       dispatcher.stop();
+      await awaitStoppedRuns();
       await Promise.race([log.drain(), pause(timeoutMs)]);
     },
     close: () => {
--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -27,7 +27,7 @@
   readonly cell: Cell;
   readonly health: WorkerHealth;
   readonly events: EventLog;
-  readonly maxAttempts: (queue: string) => number;
+  readonly maxAttempts: (job: Job) => number;
   readonly write: (job: string, urgency: WriteUrgency) => Promise<boolean>;
   /** Called when a job has ended and its record is durable. */
   readonly onEnded: (job: Job, state: JobState) => void;
@@ -112,7 +112,7 @@
     if (end !== 'failed' || step.step.longRunning) return;
     task.failures += 1;
     task.failedOn.push(run.session.incarnation.id);
-    if (task.failures >= options.maxAttempts(entry.progress.job.queue)) {
+    if (task.failures >= options.maxAttempts(entry.progress.job)) {
       fail(entry, `task ${run.name} failed ${String(task.failures)} times`);
     }
   }
@@ -128,7 +128,7 @@
       step.gangFailedRun = run.number;
       step.gangFailures += 1;
       run.task.failedOn.push(run.session.incarnation.id);
-      if (step.gangFailures >= options.maxAttempts(entry.progress.job.queue)) {
+      if (step.gangFailures >= options.maxAttempts(entry.progress.job)) {
         fail(entry, `gang ${run.name} failed ${String(step.gangFailures)} times`);
         return;
       }
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -55,6 +55,16 @@
   longRunning: z.boolean(),
 });
 
+const termsSchema = z.object({
+  priority: z.number(),
+  maxAttempts: z.number(),
+  stretch: z.number(),
+  targetLatencyMs: z.number(),
+  advice: z
+    .object({ decideMs: z.number(), perWorkerMs: z.number(), validMs: z.number() })
+    .exactOptional(),
+});
+
 const jobSchema = z.object({
   id: z.string(),
   team: z.string(),
@@ -65,6 +75,7 @@
   schedule: z
     .object({ firstAtMs: z.number(), intervalMs: amountSchema, count: wholeSchema })
     .exactOptional(),
+  terms: termsSchema.exactOptional(),
   acceptedAtMs: z.number(),
   acceptedBy: z.string().default(''),
 });
