Start no job again whose progress cannot be read

What callers would see (TWICE): after a takeover, a job whose progress record another writer or version had changed began from nothing, although any of its tasks may have run. Cause: an existing record that cannot be decoded was taken for none. The guarantee that a booking runs at most once goes before its completion.

--- a/src/controller/job-intake.ts
+++ b/src/controller/job-intake.ts
@@ -67,12 +67,15 @@
     meters: options.meters,
   });
 
+  /** Jobs whose progress cannot be read. Any of their tasks may have run, so none is started again. */
+  const withheld = new Set<string>();
+
   function findQueue(name: string): Queue | undefined {
     return options.configuration()?.queues.find((queue) => queue.name === name);
   }
 
   function addJob(job: Job, cancelled: boolean) {
-    if (cell.jobs.has(job.id)) return;
+    if (cell.jobs.has(job.id) || withheld.has(job.id)) return;
     const progress = createProgress(job);
     const entry = createJobEntry({
       progress,
@@ -81,6 +84,10 @@
     });
     const record = savedProgress.get(job.id);
     const decoded = record === undefined ? undefined : progressRecords.read(record, decodeProgress);
+    if (record !== undefined && decoded === undefined) {
+      withheld.add(job.id);
+      return;
+    }
     if (record !== undefined) log.setRevision(job.id, record.revision);
     if (decoded !== undefined) restoreProgress(progress, decoded);
     if (isFinal(progress.state)) entry.finishedAtMs = Date.now();
--- /dev/null
+++ b/test/controller/job-intake.test.ts
@@ -0,0 +1,64 @@
+/** Guards against work that starts again from nothing because the leader cannot read how far it has come. */
+import { expect } from 'chai';
+import { createCell } from '../../src/controller/cell.js';
+import type { FleetSessions } from '../../src/controller/fleet-sessions.js';
+import { createJobIntake } from '../../src/controller/job-intake.js';
+import type { JobLifecycle } from '../../src/controller/job-lifecycle.js';
+import type { ProgressLog } from '../../src/controller/progress-log.js';
+import { createShareMeter } from '../../src/controller/share-meter.js';
+import { encodeJob, JOB_STORE_KEYS } from '../../src/jobs/index.js';
+import { SILENT_EVENTS } from '../../src/observability/index.js';
+import type { StoreEntry } from '../../src/records/index.js';
+import { STEP } from '../jobs/support.js';
+
+const JOB_IDS = ['00000000000000a1', '00000000000000a2'] as const;
+const [SOUND, ODD] = JOB_IDS;
+
+function listJobs(): StoreEntry[] {
+  return JOB_IDS.map((id) => ({
+    key: JOB_STORE_KEYS.job(id),
+    value: encodeJob({
+      id,
+      team: 'lawns',
+      queue: 'lookups',
+      service: 'rota',
+      spec: '',
+      steps: [STEP],
+      acceptedAtMs: Date.now(),
+      acceptedBy: 'h1',
+    }),
+    revision: 1,
+  }));
+}
+
+describe('job intake', () => {
+  describe('a job with a progress record that cannot be read', () => {
+    // Guards against a second run of tasks that had run under a former leader (TWICE).
+    it('is withheld at the restore and at later listings, and others are not', () => {
+      const cell = createCell({ now: () => 0, onStepSettled: () => undefined });
+      const odd = { key: JOB_STORE_KEYS.progressOf(ODD), value: '{"state":5}', revision: 7 };
+      const savedProgress = new Map<string, StoreEntry>([[ODD, odd]]);
+      const intake = createJobIntake({
+        cell,
+        sessions: {} as FleetSessions,
+        lifecycle: {} as JobLifecycle,
+        log: { setRevision: () => undefined } as unknown as ProgressLog,
+        share: createShareMeter({ now: () => 0 }),
+        savedProgress,
+        finishedBefore: new Map(),
+        configuration: () => undefined,
+        beginDueOccurrences: () => undefined,
+        onChange: () => undefined,
+        contain: (_source, _fields, handle) => {
+          handle();
+        },
+        events: SILENT_EVENTS,
+      });
+      intake.applyListing(listJobs());
+      expect([...cell.jobs.keys()]).to.deep.equal([SOUND]);
+      savedProgress.clear();
+      intake.applyListing(listJobs());
+      expect([...cell.jobs.keys()]).to.deep.equal([SOUND]);
+    });
+  });
+});
