--- /dev/null
+++ b/test/review/later-lives.test.ts
@@ -0,0 +1,189 @@
+/**
+ * Guards against ends of a later life of a worker that are lost because of what the leader knew of the former one.
+ */
+import { expect } from 'chai';
+import { createFleetSessions } from '../../src/controller/fleet-sessions.js';
+import type { FleetSessions } from '../../src/controller/fleet-sessions.js';
+import { createRun } from '../../src/controller/run.js';
+import type { Run, RunEnd } from '../../src/controller/run.js';
+import { createWorkerSession } from '../../src/controller/worker-session.js';
+import type { WorkerSession } from '../../src/controller/worker-session-types.js';
+import type { FleetWorker, WorkerConnection } from '../../src/fleet/index.js';
+import { createMeters, SILENT_EVENTS } from '../../src/observability/index.js';
+import { createSingleTask, eventually } from '../controller/support.js';
+import { createWorkerFake } from '../controller/worker-fake.js';
+import type { WorkerFake } from '../controller/worker-fake.js';
+
+const EPOCH = 3;
+
+function createEntry(born: number): FleetWorker {
+  return {
+    incarnation: { id: 'w1', born },
+    address: '127.0.0.1:1',
+    service: 'rota',
+    dataCentre: 'dc1',
+    state: 'ready',
+    room: { processors: 8, memoryMb: 100, accelerators: 0 },
+    labels: [],
+    rack: 'r1',
+    leavesInMs: undefined,
+  };
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+describe('the end of a run at a later life of its worker', () => {
+  let worker: WorkerFake;
+  let sessions: FleetSessions;
+  let ends: { readonly run: Run; readonly end: RunEnd }[];
+
+  beforeEach(() => {
+    worker = createWorkerFake();
+    ends = [];
+    sessions = createFleetSessions({
+      open: openSession,
+      events: SILENT_EVENTS,
+      onChange: () => undefined,
+      onLeaving: () => undefined,
+    });
+  });
+
+  afterEach(() => {
+    sessions.close();
+  });
+
+  function openSession(entry: FleetWorker): WorkerSession {
+    const session = createWorkerSession({
+      worker: entry,
+      connect: () => worker.connection,
+      events: SILENT_EVENTS,
+      meters: createMeters(),
+      epoch: EPOCH,
+      mayExtendLeases: () => true,
+      inheritedLeaseUntil: performance.now() + 1000,
+      openSuccessor: (former, born) => sessions.openSuccessor(former, born),
+      onEnd: (_session, run, end) => {
+        ends.push({ run, end });
+        return Promise.resolve(true);
+      },
+      onReport: () => undefined,
+      onTicketRefused: () => undefined,
+      responsiveNow: () => performance.now(),
+      onStaleEpoch: () => undefined,
+      onChange: () => undefined,
+    });
+    session.startRenewals();
+    return session;
+  }
+
+  function createRunOf(session: WorkerSession, index: number, inherited = false): Run {
+    const name = `job.0.0.${String(index)}`;
+    const run = createRun({ ...createSingleTask(1000), name, session, inherited });
+    session.attach(run);
+    return run;
+  }
+
+  const endOf = (run: Run) =>
+    eventually(() => ends.find((entry) => entry.run === run), `the end of ${run.name}`);
+
+  // The first renewal that reached the new life carried the acknowledgement of the former one. The new life counts its
+  // ends from 1 again and forgot the end, which nobody had read, and the task was started again.
+  it('is not acknowledged by the number of an end of the former life', async () => {
+    sessions.update('w1', createEntry(worker.born));
+    const session = await eventually(() => sessions.usable()[0], 'a worker that can be used');
+    const first = createRunOf(session, 0);
+    await session.start(first, 'text', undefined);
+    worker.end(first.name, 'done');
+    await endOf(first);
+    await pause(100);
+    const second = createRunOf(session, 1);
+    worker.handleStart = () => {
+      worker.restart();
+      return 'answered';
+    };
+    const started = session.start(second, 'text', undefined);
+    await eventually(() => worker.running.has(second.name) || undefined, 'the start');
+    worker.cut = true;
+    await started;
+    await pause(200);
+    worker.end(second.name, 'done');
+    worker.cut = false;
+    expect((await endOf(second)).end).to.equal('done');
+  });
+
+  // Clocks can jump back, so a later life can have the earlier time. A run that it took over is recorded with the former
+  // life, so the next leader acknowledged its end as that of a run it did not know, and started it again.
+  it('is applied by a next leader whose record names the former life', async () => {
+    await worker.connection.start({
+      task: 'job.0.0.0',
+      run: 1,
+      spec: 'text',
+      startBeforeMs: 10_000,
+      epoch: EPOCH - 1,
+      checkpoint: '',
+      ticket: undefined,
+    });
+    worker.end('job.0.0.0', 'done');
+    const former = sessions.sessionOf({ id: 'w1', born: worker.born + 5 });
+    const run = createRunOf(former, 0, true);
+    sessions.update('w1', createEntry(worker.born));
+    sessions.endFormerIncarnations();
+    expect((await endOf(run)).end).to.equal('done');
+  });
+});
+
+describe('a session in which the application of one end fails', () => {
+  // The rejected promise of one end failed each later application of a report, so that the loop of the renewals ended
+  // and was run again each time, with pauses that grew to 2 s, and no end was acknowledged for the rest of the term.
+  it('goes on renewing the lease without failures', async () => {
+    const worker = createWorkerFake();
+    let renewals = 0;
+    const connection: WorkerConnection = {
+      ...worker.connection,
+      renew: (renewal) => {
+        renewals += 1;
+        return worker.connection.renew(renewal);
+      },
+    };
+    let applied = 0;
+    const meters = createMeters();
+    const session = createWorkerSession({
+      worker: createEntry(worker.born),
+      connect: () => connection,
+      events: SILENT_EVENTS,
+      meters,
+      epoch: EPOCH,
+      mayExtendLeases: () => true,
+      inheritedLeaseUntil: performance.now(),
+      openSuccessor: (former) => former,
+      onEnd: () => {
+        applied += 1;
+        return applied === 1 ? Promise.reject(new Error('unreadable')) : Promise.resolve(true);
+      },
+      onReport: () => undefined,
+      onTicketRefused: () => undefined,
+      responsiveNow: () => performance.now(),
+      onStaleEpoch: () => undefined,
+      onChange: () => undefined,
+    });
+    session.startRenewals();
+    await eventually(() => session.reachable || undefined, 'the first answer');
+    const name = 'job.0.0.0';
+    const run = createRun({ ...createSingleTask(1000), name, session, inherited: false });
+    session.attach(run);
+    await session.start(run, 'text', undefined);
+    worker.end(name, 'done');
+    await eventually(() => applied > 0 || undefined, 'the end');
+    await pause(3000);
+    const before = renewals;
+    await pause(2000);
+    session.close();
+    expect(renewals - before, 'renewals in 2 s').to.be.at.least(2);
+    const failures = await meters.loopFailures.get();
+    expect(failures.values.reduce((sum, { value }) => sum + value, 0)).to.be.at.most(1);
+  });
+});
