--- /dev/null
+++ b/test/review/former-sessions.test.ts
@@ -0,0 +1,58 @@
+/** Guards against sessions with former lives of workers that are kept for the rest of the term. */
+import { expect } from 'chai';
+import { createFleetSessions } from '../../src/controller/fleet-sessions.js';
+import type { WorkerSession } from '../../src/controller/worker-session-types.js';
+import type { FleetWorker } from '../../src/fleet/index.js';
+import type { EventLog } from '../../src/observability/index.js';
+import { SILENT_EVENTS } from '../../src/observability/index.js';
+
+const LISTING_MS = 800;
+
+function createEntry(born: number): FleetWorker {
+  return {
+    incarnation: { id: 'w1', born },
+    address: '127.0.0.1:1',
+    service: 'rota',
+    dataCentre: 'dc1',
+    state: 'ready',
+    room: { processors: 8, memoryMb: 100, accelerators: 0 },
+    labels: [],
+    rack: 'r1',
+    leavesInMs: undefined,
+  };
+}
+
+describe('the session of a former life with the later time', () => {
+  // Each listing set the time anew from which the session counts as unlisted, and logged the listed life as unlisted.
+  it('is removed although its worker is listed again and again', async () => {
+    const lines: string[] = [];
+    const events: EventLog = { ...SILENT_EVENTS, info: (event) => void lines.push(event) };
+    const sessions = createFleetSessions({
+      open: (worker) =>
+        ({
+          incarnation: worker.incarnation,
+          worker,
+          update: () => undefined,
+          runs: new Map(),
+          reachable: true,
+          ended: false,
+          end: () => undefined,
+          close: () => undefined,
+        }) as unknown as WorkerSession,
+      events,
+      onChange: () => undefined,
+      onLeaving: () => undefined,
+    });
+    sessions.replace(new Map([['w1', createEntry(5)]]), new Set());
+    for (let listing = 0; listing < 10; listing += 1) {
+      sessions.replace(new Map([['w1', createEntry(1)]]), new Set());
+      await new Promise((resolve) => setTimeout(resolve, LISTING_MS));
+    }
+    const count = [...sessions.all()].length;
+    sessions.close();
+    expect({
+      count,
+      unlisted: lines.filter((line) => line === 'worker-unlisted').length,
+    }).to.deep.equal({ count: 1, unlisted: 1 });
+  });
+});
--- a/test/review/later-lives.test.ts
+++ b/test/review/later-lives.test.ts
@@ -4,7 +4,7 @@
 import { expect } from 'chai';
 import { createFleetSessions } from '../../src/controller/fleet-sessions.js';
 import type { FleetSessions } from '../../src/controller/fleet-sessions.js';
-import { createRun } from '../../src/controller/run.js';
+import { createRun, LATE_ORDER_MS } from '../../src/controller/run.js';
 import type { Run, RunEnd } from '../../src/controller/run.js';
 import { createWorkerSession } from '../../src/controller/worker-session.js';
 import type { WorkerSession } from '../../src/controller/worker-session-types.js';
@@ -134,6 +134,24 @@
     sessions.endFormerIncarnations();
     expect((await endOf(run)).end).to.equal('done');
   });
+
+  // The time in which a late start may still arrive was not counted, only the lease that it extends. A start that the
+  // network delivered last to an unreachable later life began a lease that outlasted the end of the run.
+  it('is not assumed while a start that arrives late may hold a lease', async () => {
+    sessions.update('w1', createEntry(worker.born));
+    const session = await eventually(() => sessions.usable()[0], 'a worker that can be used');
+    worker.handleStart = () => 'held';
+    const run = createRunOf(session, 0);
+    await session.start(run, 'text', undefined);
+    worker.cut = true;
+    worker.restart();
+    sessions.update('w1', createEntry(worker.born));
+    await pause(LATE_ORDER_MS - 500);
+    worker.deliverHeld();
+    await pause(3000);
+    expect(worker.running.has(run.name)).to.equal(true);
+    expect(ends.map(({ end }) => end)).to.deep.equal([]);
+  }).timeout(30_000);
 });
 
 describe('a session in which the application of one end fails', () => {
