--- a/test/review/later-lives.test.ts
+++ b/test/review/later-lives.test.ts
@@ -152,6 +152,34 @@
     expect(worker.running.has(run.name)).to.equal(true);
     expect(ends.map(({ end }) => end)).to.deep.equal([]);
   }).timeout(30_000);
+
+  // A worker returns 500 ends at a time. A run whose end came after them was neither listed as running nor as ended, and
+  // was taken for one that never ran.
+  it('is not taken for a run that never ran when more ends are listed before it', async () => {
+    const ends500 = 500;
+    for (let index = 0; index <= ends500; index += 1) {
+      await startAtWorker(index);
+      worker.end(`job.0.0.${String(index)}`, 'done');
+    }
+    sessions.update('w1', createEntry(worker.born));
+    const session = sessions.sessionOf({ id: 'w1', born: worker.born });
+    const runs = Array.from({ length: ends500 + 1 }, (_, index) => createRunOf(session, index, true));
+    const last = runs.at(-1);
+    if (last === undefined) throw new Error('no run');
+    expect((await endOf(last)).end).to.equal('done');
+  });
+
+  async function startAtWorker(index: number) {
+    await worker.connection.start({
+      task: `job.0.0.${String(index)}`,
+      run: 1,
+      spec: 'text',
+      startBeforeMs: 10_000,
+      epoch: EPOCH - 1,
+      checkpoint: '',
+      ticket: undefined,
+    });
+  }
 });
 
 describe('a session in which the application of one end fails', () => {
