Go on renewing a worker's lease after an end that could not be applied

One error while an end was applied left the promise of the acknowledgements rejected, so every later report of that worker failed, its renewals came every 2 s, and nothing that it ran was noted as ended. Evidence: 'a session in which the application of one end fails' failed before; it asks for two renewals in 2 s. Change: such an end is logged (end-not-applied) and counts as not durable. It is never acknowledged in this term, and the next leader reads it again.

--- a/src/controller/worker-reports.ts
+++ b/src/controller/worker-reports.ts
@@ -89,11 +89,18 @@
 
   /** Acknowledges ends in order; an end that is not durable holds back those after it. */
   function acknowledgeWhenDurable(durable: Promise<readonly boolean[]>, through: number) {
-    acknowledgement = Promise.all([acknowledgement, durable]).then(([earlier, current]) => {
-      if (!earlier || !current.every(Boolean)) return false;
-      acknowledgedThrough = through;
-      return true;
-    });
+    acknowledgement = Promise.all([acknowledgement, durable]).then(
+      ([earlier, current]) => {
+        if (!earlier || !current.every(Boolean)) return false;
+        acknowledgedThrough = through;
+        return true;
+      },
+      (error: unknown) => {
+        // Without this, waiting for the acknowledgement would fail each later report as well.
+        events.error('end-not-applied', { worker, born, error: String(error) });
+        return false;
+      },
+    );
   }
 
   async function applyEnd(end: EndedTask): Promise<boolean> {
--- a/test/review/later-lives.test.ts
+++ b/test/controller/later-lives.test.ts
@@ -10,9 +10,9 @@
 import type { WorkerSession } from '../../src/controller/worker-session-types.js';
 import type { FleetWorker, WorkerConnection } from '../../src/fleet/index.js';
 import { createMeters, SILENT_EVENTS } from '../../src/observability/index.js';
-import { createSingleTask, eventually } from '../controller/support.js';
-import { createWorkerFake } from '../controller/worker-fake.js';
-import type { WorkerFake } from '../controller/worker-fake.js';
+import { createSingleTask, eventually } from './support.js';
+import { createWorkerFake } from './worker-fake.js';
+import type { WorkerFake } from './worker-fake.js';
 
 const EPOCH = 3;
 
