Count a late start in full before a lease at a later life counts as over

A start that the network delivered 9.5 s late to an unreachable later life of its worker began a lease of up to 10 s, and the leader took the run for lapsed after 10.7 s. Evidence: 'is not assumed while a start that arrives late may hold a lease' failed before with 'expected [ lapsed ] to deeply equal []'. Change: the bound of such a lease begins when the start can no longer arrive.

--- a/src/controller/lease-clock.ts
+++ b/src/controller/lease-clock.ts
@@ -18,10 +18,10 @@
   /** Records that a call that extends the lease until then was sent or is about to be. */
   extend(untilMs: number): void;
   /**
-   * Records that an order for an earlier incarnation may extend the lease. Its deadline was meant for the earlier
-   * clock, so only the worker's own limit bounds the lease.
+   * Records that an order for an earlier incarnation may extend the lease until it is no longer under way, at the given
+   * monotonic time. Its deadline was meant for the earlier clock, so only the worker's own limit bounds the lease.
    */
-  noteForeignExtension(): void;
+  noteForeignExtension(underWayUntil: number): void;
   /** Whether the lease has certainly expired and all runs have ended. */
   hasExpired(): boolean;
 }
@@ -51,8 +51,10 @@
     extend: (untilMs) => {
       leaseUntilMs = Math.max(leaseUntilMs, untilMs);
     },
-    noteForeignExtension: () => {
-      foreignLeaseUntil = monotonicNow() + MAX_LEASE_MS / (1 - CLOCK_DRIFT) + EXPIRY_MARGIN_MS;
+    noteForeignExtension: (underWayUntil) => {
+      const latest = Math.max(monotonicNow(), underWayUntil);
+      const leaseUntil = latest + MAX_LEASE_MS / (1 - CLOCK_DRIFT) + EXPIRY_MARGIN_MS;
+      foreignLeaseUntil = Math.max(foreignLeaseUntil, leaseUntil);
     },
     hasExpired: () => {
       const now = monotonicNow();
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -166,7 +166,7 @@
       void endRun(run, 'lost', run.task.checkpoint, 'the later incarnation has ended, too');
       return;
     }
-    clock.noteForeignExtension();
+    clock.noteForeignExtension(run.lateStartUntil);
     orders.resume(run);
     wake();
   }
