Exclude a worker once for all runs that stall together

Four tasks of one step that take many times their estimate stalled together and excluded their sound worker for 12 s, because each one doubled the exclusion. Evidence: 'exclude it no longer than one would' failed before: expected 'avoided' to equal 'trial' after 3 s. Change: a report excludes its worker once, however many of its runs have stalled.

--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -211,11 +211,14 @@
     readonly isGangRunning: (run: Run) => boolean;
   },
 ): void {
+  let excluded = false;
   for (const run of session.runs.values()) {
     if (run.status !== 'running' || run.percent >= 100 || run.step.step.longRunning) continue;
     if (!hasStalled(run, options.clockMs)) continue;
     if (run.step.step.gang && !options.isGangRunning(run)) continue;
-    options.health.exclude(session.incarnation.id);
+    // One exclusion for all of them: each further one would double it.
+    if (!excluded) options.health.exclude(session.incarnation.id);
+    excluded = true;
     options.stop(run, `no progress for ${String(stallTimeoutMs(run))} ms`);
     const { step, task } = run;
     for (const stalled of step.step.gang ? step.tasks : [task]) stalled.stalls += 1;
