Let the session with a former life of a worker end although the worker is listed

Found by the review: with a clock that jumped back, the session of the former life stayed for good, because each listing set its time anew, and the listed life was logged as unlisted at every listing (10 lines in 8 s). Change: only the life that a listing does not name is marked, and its time is kept.

--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -83,19 +83,24 @@
     }
   }
 
-  function markUnlisted(id: string) {
-    for (const key of keysById.get(id) ?? []) {
-      if (unlistedSince.has(key)) continue;
-      unlistedSince.set(key, performance.now());
-      events.info('worker-unlisted', { worker: id, runs: sessions.get(key)?.runs.size });
-    }
+  function markUnlisted(key: string) {
+    if (unlistedSince.has(key)) return;
+    unlistedSince.set(key, performance.now());
+    const session = sessions.get(key);
+    events.info('worker-unlisted', {
+      worker: session?.incarnation.id,
+      born: session?.incarnation.born,
+      runs: session?.runs.size,
+    });
     options.onChange();
   }
 
   /** Gives no work to the incarnations of a worker, except to the one that its entry names. Their runs go on. */
   function markUnusable(id: string, named?: string) {
     for (const key of keysById.get(id) ?? []) {
-      if (key !== named) unlistedSince.set(key, performance.now() - UNLISTED_GRACE_MS);
+      if (key === named) continue;
+      const withoutGrace = performance.now() - UNLISTED_GRACE_MS;
+      unlistedSince.set(key, Math.min(unlistedSince.get(key) ?? Infinity, withoutGrace));
     }
   }
 
@@ -116,7 +121,7 @@
 
   function update(id: string, worker: FleetWorker | undefined) {
     if (worker === undefined) {
-      markUnlisted(id);
+      for (const key of keysById.get(id) ?? []) markUnlisted(key);
       return;
     }
     const key = keyOf(worker.incarnation);
@@ -185,7 +190,7 @@
         if (listed.has(key)) continue;
         const { id } = session.incarnation;
         if (unreadable.has(id)) markUnreadable(id);
-        else markUnlisted(id);
+        else markUnlisted(key);
       }
       for (const [id, worker] of workers) {
         contain('worker', { worker: id }, () => {
--- a/test/controller/later-lives.test.ts
+++ b/test/controller/later-lives.test.ts
@@ -163,7 +163,9 @@
     }
     sessions.update('w1', createEntry(worker.born));
     const session = sessions.sessionOf({ id: 'w1', born: worker.born });
-    const runs = Array.from({ length: ends500 + 1 }, (_, index) => createRunOf(session, index, true));
+    const runs = Array.from({ length: ends500 + 1 }, (_, index) =>
+      createRunOf(session, index, true),
+    );
     const last = runs.at(-1);
     if (last === undefined) throw new Error('no run');
     expect((await endOf(last)).end).to.equal('done');
