--- a/test/review/lost-settings.test.ts
+++ b/test/platform-path/lost-settings.test.ts
@@ -3,8 +3,8 @@
  */
 import { expect } from 'chai';
 import { pause } from '../../src/records/index.js';
-import { eventually, expectDefined, startTestCell, submit } from '../platform-path/support.js';
-import type { TestCell } from '../platform-path/support.js';
+import { eventually, expectDefined, startTestCell, submit } from './support.js';
+import type { TestCell } from './support.js';
 
 describe('what the leader no longer knows', () => {
   let cell: TestCell;
--- a/test/review/orders-on-missed-changes.test.ts
+++ b/test/platform-path/orders-on-missed-changes.test.ts
@@ -11,14 +11,8 @@
 import { SILENT_EVENTS } from '../../src/observability/index.js';
 import type { KeyValueStore } from '../../src/records/index.js';
 import { followPrefix, pause } from '../../src/records/index.js';
-import {
-  eventually,
-  expectDefined,
-  startsOf,
-  startTestCell,
-  submit,
-} from '../platform-path/support.js';
-import type { TestCell } from '../platform-path/support.js';
+import { eventually, expectDefined, startsOf, startTestCell, submit } from './support.js';
+import type { TestCell } from './support.js';
 
 const CANCEL_MS = 3000;
 const DRAIN_MS = 2000;
