--- a/test/controller/failing-loops.test.ts
+++ b/test/controller/failing-loops.test.ts
@@ -37,6 +37,24 @@
 }
 
 describe('a loop of the leader that fails', () => {
+  // A late start that is not refused runs beside the run that has replaced it (TWICE).
+  it('refuses a late start again', async () => {
+    let stops = 0;
+    const session = openSession({
+      start: () => Promise.resolve({ kind: 'accepted', clockMs: 1 }),
+      stop: () => {
+        stops += 1;
+        if (stops === 1) return Promise.reject(new Error('unreadable'));
+        return Promise.resolve({ kind: 'accepted', clockMs: 1 });
+      },
+      renew: () => Promise.resolve({ kind: 'refused', reason: 'unreachable', clockMs: undefined }),
+      close: () => undefined,
+    });
+    session.refuseStarts([{ task: 'job.0.0.0', run: 1, until: performance.now() + 10_000 }]);
+    await eventually(() => (stops === 2 ? true : undefined));
+    session.close();
+  });
+
   // Without renewals a worker ends its runs, while the leader goes on giving it new ones.
   it('renews the lease of a worker again', async () => {
     let renewals = 0;
