--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -6,18 +6,19 @@
 import type { Job, JobState, WorkerIncarnation } from '../jobs/index.js';
 import { encodeProgress, isFinal, isFinalRecord, JOB_STORE_KEYS } from '../jobs/index.js';
 import type { LeadershipTerm } from '../leadership/index.js';
-import { createEntryReader, createFaultContainment } from '../observability/index.js';
-import type { DecodedEntry, EventLog, Meters } from '../observability/index.js';
+import { createFaultContainment } from '../observability/index.js';
+import type { EventLog, Meters } from '../observability/index.js';
 import type { AdviceCaller } from '../peers/index.js';
-import { isUnlimited } from '../model/index.js';
 import { createWorkerHealth } from '../planner/index.js';
 import type { ConfigurationHolder } from '../queues/index.js';
-import type { StoreChange, StoreEntry, Reachability, KeyValueStore } from '../records/index.js';
+import type { StoreEntry, Reachability, KeyValueStore } from '../records/index.js';
 import { pause } from '../records/index.js';
 import { createCell, termsOf } from './cell.js';
 import { createCellFeed } from './cell-feed.js';
 import { createDispatcher } from './dispatcher.js';
 import type { PlanningEffort } from './dispatcher.js';
+import { createFleetEntries } from './fleet-entries.js';
+import type { FleetSource } from './fleet-entries.js';
 import { createFleetSessions } from './fleet-sessions.js';
 import { createHousekeeping } from './housekeeping.js';
 import { createJobIntake } from './job-intake.js';
@@ -28,6 +29,7 @@
 import { createResponsiveClock } from './responsive-clock.js';
 import { stepNameOf } from './run.js';
 import { createShareMeter } from './share-meter.js';
+import { awaitStoppingRuns } from './stopping-runs.js';
 import { createWorkerSession, LEASE_MS } from './worker-session.js';
 import type { WorkerSession } from './worker-session-types.js';
 
@@ -80,12 +82,6 @@
   readonly meters: Meters;
 }
 
-/** Key prefix of the workers' entries and their decoder. */
-export interface FleetSource {
-  readonly prefix: string;
-  readonly decode: (key: string, text: string) => FleetWorker | undefined;
-}
-
 /**
  * A leader that cannot reach the store goes on extending leases for this long. A successor that cannot reach a worker
  * declares its runs lost only after this time and the duration of a lease have passed.
@@ -98,10 +94,6 @@
 /** Margin on the upper bound of inherited leases for the drift of workers' clocks. */
 const INHERITED_SLACK_MS = 800;
 
-/** Longest wait for runs that are being stopped, before a planned stop. A worker takes up to 0.9 s to stop a run. */
-const MAX_STOP_WAIT_MS = 1300;
-const STOP_POLL_MS = 20;
-
 export function createController(options: ControllerOptions): Controller {
   const { store, reachability, term, configuration, events, meters } = options;
   const { drainMs = DEFAULT_DRAIN_MS, cancelMs = DEFAULT_CANCEL_MS } = options;
@@ -227,23 +219,6 @@
     return session;
   }
 
-  /** Whether runs of ended jobs are still being stopped whose teams have a limit. */
-  function isStoppingLimitedRuns(): boolean {
-    const { teams } = configuration.current?.configuration ?? { teams: [] };
-    const limited = new Set(
-      teams.filter(({ limit }) => !isUnlimited(limit)).map(({ name }) => name),
-    );
-    return [...sessions.all()].some(({ runs }) =>
-      [...runs.values()].some(({ team, progress }) => limited.has(team) && isFinal(progress.state)),
-    );
-  }
-
-  /** A successor does not know these runs, so it would not count them against the limits of their teams. */
-  async function awaitStoppedRuns() {
-    const giveUpAt = now() + MAX_STOP_WAIT_MS;
-    while (!closed && now() < giveUpAt && isStoppingLimitedRuns()) await pause(STOP_POLL_MS);
-  }
-
   function checkStalls(session: WorkerSession, clockMs: number) {
     stopStalledRuns(session, {
       clockMs,
@@ -270,36 +245,7 @@
     }
   }
 
-  const workerEntries = createEntryReader({
-    prefix: options.fleet.prefix,
-    event: 'worker-entry-unreadable',
-    events,
-    meters,
-  });
-  const decodeWorker = (entry: DecodedEntry) =>
-    workerEntries.read(entry, (text) => options.fleet.decode(entry.key, text));
-
-  function applyFleet(entries: readonly StoreEntry[]) {
-    const workers = new Map<string, FleetWorker>();
-    const unreadable = new Set<string>();
-    for (const entry of entries) {
-      const worker = decodeWorker(entry);
-      if (worker === undefined) unreadable.add(entry.key.slice(options.fleet.prefix.length));
-      else workers.set(worker.incarnation.id, { ...worker, revision: entry.revision });
-    }
-    sessions.replace(workers, unreadable);
-  }
-
-  function applyFleetChange({ key, value, revision }: StoreChange) {
-    const id = key.slice(options.fleet.prefix.length);
-    if (value === undefined) {
-      sessions.update(id, undefined);
-      return;
-    }
-    const worker = decodeWorker({ key, value, revision });
-    if (worker === undefined) sessions.markUnreadable(id);
-    else sessions.update(id, { ...worker, revision });
-  }
+  const fleetEntries = createFleetEntries({ fleet: options.fleet, sessions, events, meters });
 
   /** Keeps only the ids of ended jobs, so that a takeover spends no time decoding their records. */
   function applyProgress(entries: readonly StoreEntry[]) {
@@ -358,8 +304,12 @@
     fleetMaxAgeMs: drainMs,
     jobsMaxAgeMs: cancelMs,
     onProgress: applyProgress,
-    onFleet: applyFleet,
-    onFleetChange: applyFleetChange,
+    onFleet: (entries) => {
+      fleetEntries.applyListing(entries);
+    },
+    onFleetChange: (change) => {
+      fleetEntries.applyChange(change);
+    },
     onJobs: (entries) => {
       intake.applyListing(entries);
     },
@@ -400,7 +350,11 @@
     },
     quiesce: async (timeoutMs) => {
       dispatcher.stop();
-      await awaitStoppedRuns();
+      await awaitStoppingRuns({
+        sessions,
+        teams: () => configuration.current?.configuration.teams ?? [],
+        isClosed: () => closed,
+      });
       await Promise.race([log.drain(), pause(timeoutMs)]);
     },
     close: () => {
--- a/src/controller/index.ts
+++ b/src/controller/index.ts
@@ -2,3 +2,4 @@
  * The scheduler that runs on the leader: restores the cell, places tasks and tracks them to their end.
  */
 export * from './controller.js';
+export type { FleetSource } from './fleet-entries.js';
