Contain errors in the two loops that still sent stops without it

What callers would see (TWICE): an unexpected error ended the loop that makes the next incarnation of a worker refuse a late start, or the one that stops a run that it has taken over, and the start ran beside its replacement.

--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -84,7 +84,9 @@
 
   function refuseStarts(starts: readonly LateStart[]) {
     endedStarts = [...lateStarts(), ...starts];
-    for (const late of starts) void refuseStart(late);
+    for (const late of starts) {
+      faults.keepRunning('refuse late starts', () => refuseStart(late));
+    }
   }
 
   async function refuseStart({ task, run, until }: LateStart) {
@@ -195,7 +197,7 @@
       return;
     }
     run.stopAnsweredAt = undefined;
-    void sendStop(run);
+    faults.keepRunning('send stops', () => sendStop(run));
   }
 
   async function sendStop(run: Run) {
