Show ends of a cut-off data centre once the next leader has recorded them

Cause: the leader that is cut off from the store is the only host that reads the end from its worker, and nobody that it talks to can make the end durable. The hosts on the other side elect a leader, whose record would be durable, and leave the old one without a word, so that it neither steps down nor knows whom to tell.

Change: a host that leaves a leader names the leader that it has found. A leader that learns of a later epoch in this way steps down and connects to the successor, so that its callers' calls are forwarded. It goes on reading the reports of workers with its runs, sends no orders, extends no lease and acknowledges nothing, until the worker has seen the successor, has no such runs left, or no lease that it granted can last. Ends `done` and `failed` go to the successor, again every 300 ms because links break. The successor applies an end only to the run and incarnation named, writes the record and then tells the host that accepted the job. It keeps the end unacknowledged at the worker until the record is durable.

Why this holds: nothing is shown that is not in the store, so no loss of hosts, of a data centre or of workers, alone or together, makes it untrue. Where the links are cut with the store, or the store is away for all, nothing is shown as before: the worker's unacknowledged end is lost with the worker, and what hosts remember with the hosts.

The new test "is shown as completed by a host that is cut off with its worker ..." failed with the code of src/ before ("timed out waiting for job ... to be completed").

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -143,6 +143,8 @@
   const strengthMonitor = createStrengthMonitor(processors);
   const loadReport = createLoadReport({ events });
   let controller: Controller | undefined;
+  /** Controller of a term that ended while this host was cut off from the store. */
+  let formerController: Controller | undefined;
   let stopping = false;
 
   hub.onCallerConnected(() => {
@@ -152,6 +154,12 @@
   hub.onAccepted((job) => {
     controller?.addAcceptedJob(job);
   });
+  hub.onLeaderChanged((leader) => {
+    election.observeReported(leader);
+  });
+  hub.onEndReported((end) => {
+    controller?.applyReportedEnd(end);
+  });
 
   const election: Election = createElection({
     store,
@@ -164,6 +172,7 @@
     eligible: () => !stopping,
     onElected: (term) => {
       controller?.close();
+      formerController?.close();
       meters.leader.set(1);
       loadMonitor.startTerm(performance.now());
       strengthMonitor.startTerm(performance.now());
@@ -195,8 +204,14 @@
     onReacquired: (term) => {
       controller?.updateTerm(term);
     },
-    onLeadershipLost: () => {
-      controller?.close();
+    onLeadershipLost: (_reason, isCutOff) => {
+      formerController?.close();
+      formerController = isCutOff ? controller : undefined;
+      if (isCutOff)
+        controller?.observeRuns((end) => {
+          link.reportEnd(end);
+        });
+      else controller?.close();
       controller = undefined;
       meters.leader.set(0);
       meters.fleetAgeSeconds.set(0);
@@ -208,6 +223,7 @@
     onLeaderChange: (leader) => {
       link.setLeaderAddress(
         leader === undefined || leader.host === host ? undefined : leader.address,
+        leader,
       );
     },
   });
@@ -275,6 +291,7 @@
       leadershipWatch.stop();
       feed.stop();
       controller?.close();
+      formerController?.close();
       link.close();
       hub.close();
       clearInterval(eventLoopTimer);
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -20,6 +20,8 @@
 import { createFleetEntries } from './fleet-entries.js';
 import type { FleetSource } from './fleet-entries.js';
 import { createFleetSessions } from './fleet-sessions.js';
+import { createFormerLeader } from './former-leader.js';
+import type { FormerLeader, ReportedEnd } from './former-leader.js';
 import { createHousekeeping } from './housekeeping.js';
 import { createJobIntake } from './job-intake.js';
 import { createJobLifecycle, stopStalledRuns } from './job-lifecycle.js';
@@ -46,6 +48,13 @@
   describeLoad(): CellLoad;
   /** Stops placement and waits until all progress is durable, before a planned stop. */
   quiesce(timeoutMs: number): Promise<void>;
+  /**
+   * Ends the term and reports the ends that workers still list to the successor, which may not reach them; for a leader
+   * that is cut off from the store.
+   */
+  observeRuns(report: (end: ReportedEnd) => void): void;
+  /** Applies an end that a former leader has read from a worker. */
+  applyReportedEnd(end: ReportedEnd): void;
   close(): void;
 }
 
@@ -93,13 +102,16 @@
 const DEFAULT_CANCEL_MS = 3000;
 /** Margin on the upper bound of inherited leases for the drift of workers' clocks. */
 const INHERITED_SLACK_MS = 800;
+const MAX_INHERITED_LEASE_MS = EXTEND_WITHOUT_STORE_MS + LEASE_MS + INHERITED_SLACK_MS;
 
 export function createController(options: ControllerOptions): Controller {
   const { store, reachability, term, configuration, events, meters } = options;
   const { drainMs = DEFAULT_DRAIN_MS, cancelMs = DEFAULT_CANCEL_MS } = options;
   const now = () => performance.now();
   const startedAt = now();
+  /** Whether the term has ended. */
   let closed = false;
+  let formerLeader: FormerLeader | undefined;
   let condition = term.condition;
   const savedProgress = new Map<string, StoreEntry>();
   /** Jobs that ended before this term, with the time at which this leader read their records. */
@@ -201,9 +213,12 @@
       epoch: term.epoch,
       mayExtendLeases,
       openSuccessor: (former, born) => sessions.openSuccessor(former, born),
-      inheritedLeaseUntil: startedAt + EXTEND_WITHOUT_STORE_MS + LEASE_MS + INHERITED_SLACK_MS,
-      onEnd: (session, run, end, checkpoint) =>
-        closed ? Promise.resolve(false) : lifecycle.applyEnd(run, end, checkpoint),
+      inheritedLeaseUntil: startedAt + MAX_INHERITED_LEASE_MS,
+      onEnd: (session, run, end, checkpoint) => {
+        if (!closed) return lifecycle.applyEnd(run, end, checkpoint);
+        formerLeader?.noteEnd(session, run, end, checkpoint);
+        return Promise.resolve(false);
+      },
       onReport: checkStalls,
       onTicketRefused: (run) => {
         permits.invalidate(stepNameOf(run), run.session.incarnation.id);
@@ -220,6 +235,7 @@
   }
 
   function checkStalls(session: WorkerSession, clockMs: number) {
+    if (closed) return;
     stopStalledRuns(session, {
       clockMs,
       health,
@@ -357,14 +373,31 @@
       });
       await Promise.race([log.drain(), pause(timeoutMs)]);
     },
+    observeRuns: (report) => {
+      endTerm();
+      formerLeader = createFormerLeader({
+        sessions,
+        report,
+        observeMs: MAX_INHERITED_LEASE_MS,
+        events,
+      });
+    },
+    applyReportedEnd: (end) => {
+      if (feed.restored && !closed) sessions.find(end.worker)?.applyReported(end);
+    },
     close: () => {
-      closed = true;
-      responsiveClock.stop();
-      dispatcher.stop();
-      housekeeping.close();
-      feed.stop();
+      endTerm();
+      formerLeader?.close();
       sessions.close();
-      log.close();
     },
   };
+
+  function endTerm() {
+    closed = true;
+    responsiveClock.stop();
+    dispatcher.stop();
+    housekeeping.close();
+    feed.stop();
+    log.close();
+  }
 }
--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -28,6 +28,8 @@
   markUnreadable(id: string): void;
   /** The session of an incarnation, created without a connection if the incarnation is not listed. */
   sessionOf(incarnation: WorkerIncarnation): WorkerSession;
+  /** The session of an incarnation, if there is one. */
+  find(incarnation: WorkerIncarnation): WorkerSession | undefined;
   /** The session with an incarnation that has answered in place of the given one, at its address. */
   openSuccessor(former: WorkerSession, born: number): WorkerSession;
   /** Ends the sessions of incarnations that a later one of the same worker has replaced. */
@@ -210,6 +212,7 @@
       }
       return session;
     },
+    find: (incarnation) => sessions.get(keyOf(incarnation)),
     openSuccessor,
     endFormerIncarnations: () => {
       for (const session of [...sessions.values()]) endOlderIncarnations(session);
--- /dev/null
+++ b/src/controller/former-leader.ts
@@ -0,0 +1,70 @@
+/**
+ * What a leader that is cut off from the store still does after another host was elected: it reads the ends of its runs
+ * and reports them to the successor, which records them.
+ *
+ * The successor may reach neither the worker nor, until it does, know of the end. Only its record makes an end durable,
+ * so callers of the former leader learn of it from the successor's answer and not from what this host has read.
+ */
+import type { WorkerIncarnation } from '../jobs/index.js';
+import type { EventLog } from '../observability/index.js';
+import type { FleetSessions } from './fleet-sessions.js';
+import type { Run, RunEnd } from './run.js';
+import type { WorkerSession } from './worker-session-types.js';
+
+/** The end of a run as its worker has listed it to a former leader. */
+export interface ReportedEnd {
+  readonly worker: WorkerIncarnation;
+  readonly task: string;
+  readonly run: number;
+  readonly end: RunEnd;
+  readonly checkpoint: string;
+}
+
+export interface FormerLeader {
+  /** Reports the end of a run, if a worker has listed it. */
+  noteEnd(session: WorkerSession, run: Run, end: RunEnd, checkpoint: string): void;
+  close(): void;
+}
+
+export interface FormerLeaderOptions {
+  readonly sessions: FleetSessions;
+  /** Sends an end to the present leader, if it is connected. */
+  readonly report: (end: ReportedEnd) => void;
+  /** Time after which no lease that this leader has granted can still last. */
+  readonly observeMs: number;
+  readonly events: EventLog;
+}
+
+/** Interval at which ends are reported again: the link to the successor may break, or the successor be replaced. */
+const REPORT_INTERVAL_MS = 300;
+/** The others are concluded by a leader, which the successor does itself. */
+const LISTED_ENDS: ReadonlySet<RunEnd> = new Set(['done', 'failed']);
+
+export function createFormerLeader(options: FormerLeaderOptions): FormerLeader {
+  const { sessions, events } = options;
+  const ends: ReportedEnd[] = [];
+  for (const session of sessions.all()) session.observe();
+  const timer = setInterval(() => {
+    for (const end of ends) options.report(end);
+  }, REPORT_INTERVAL_MS);
+  const deadline = setTimeout(close, options.observeMs);
+  timer.unref();
+  deadline.unref();
+
+  function close() {
+    clearInterval(timer);
+    clearTimeout(deadline);
+    sessions.close();
+  }
+
+  return {
+    noteEnd: ({ incarnation }, { name, number }, end, checkpoint) => {
+      if (!LISTED_ENDS.has(end)) return;
+      const reported = { worker: incarnation, task: name, run: number, end, checkpoint };
+      events.info('end-reported-to-leader', reported);
+      ends.push(reported);
+      options.report(reported);
+    },
+    close,
+  };
+}
--- a/src/controller/index.ts
+++ b/src/controller/index.ts
@@ -3,3 +3,4 @@
  */
 export * from './controller.js';
 export type { FleetSource } from './fleet-entries.js';
+export type { ReportedEnd } from './former-leader.js';
--- a/src/controller/worker-reports.ts
+++ b/src/controller/worker-reports.ts
@@ -6,6 +6,7 @@
 import type { WorkerIncarnation } from '../jobs/index.js';
 import type { EventLog } from '../observability/index.js';
 import { pause } from '../records/index.js';
+import type { ReportedEnd } from './former-leader.js';
 import type { Run, RunEnd } from './run.js';
 
 /** Time for a run with an unanswered start to appear in a report before it is stopped. */
@@ -30,6 +31,8 @@
   readonly foreignRuns: number;
   /** Applies a report that was requested at `requestedAt` in monotonic milliseconds. */
   apply(report: WorkerReport, requestedAt: number): Promise<void>;
+  /** Applies an end that a former leader has read from the worker. */
+  applyReported(end: ReportedEnd): void;
 }
 
 export interface WorkerReportsOptions {
@@ -56,6 +59,8 @@
   let acknowledgedThrough = 0;
   /** Whether the last report listed ends, so that there is something to acknowledge. */
   let endsListed = false;
+  /** Number of ends that a former leader has reported and that are not durable yet. */
+  let reportedEnds = 0;
   /** Resolves to true once all ends reported so far are durable, to false if one never will be. */
   let acknowledgement = Promise.resolve(true);
 
@@ -103,6 +108,25 @@
     );
   }
 
+  /** The worker lists the end as well, and must not drop it before its record is durable. */
+  function applyReported({ task, run: number, end, checkpoint }: ReportedEnd) {
+    const run = runs.get(task);
+    if (run?.number !== number) return;
+    reportedEnds += 1;
+    const durable = endRun(run, end, checkpoint, 'a former leader has read the end');
+    const earlier = acknowledgement;
+    acknowledgement = Promise.all([earlier, durable]).then(
+      (outcomes) => {
+        reportedEnds -= 1;
+        return outcomes.every(Boolean);
+      },
+      (error: unknown) => {
+        events.error('end-not-applied', { worker, born, error: String(error) });
+        return false;
+      },
+    );
+  }
+
   async function applyEnd(end: EndedTask): Promise<boolean> {
     const run = runs.get(end.task);
     if (run?.number !== end.run) {
@@ -160,11 +184,12 @@
       return endsListed ? acknowledgedThrough : 0;
     },
     get hasUnacknowledged() {
-      return acknowledgedThrough < processedThrough;
+      return reportedEnds > 0 || acknowledgedThrough < processedThrough;
     },
     get foreignRuns() {
       return foreignRuns;
     },
     apply,
+    applyReported,
   };
 }
--- a/src/controller/worker-session-types.ts
+++ b/src/controller/worker-session-types.ts
@@ -5,6 +5,7 @@
 import type { WorkerIncarnation } from '../jobs/index.js';
 import type { Resources } from '../model/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
+import type { ReportedEnd } from './former-leader.js';
 import type { LateStart, Run, RunEnd } from './run.js';
 
 export interface WorkerSessionOptions {
@@ -69,6 +70,13 @@
   refuseStarts(starts: readonly LateStart[]): void;
   /** Ends the incarnation. Runs that may have reached its successor are handed over, all others are lost. */
   end(reason: string, successor: WorkerSession): void;
+  /** Applies an end that a former leader has read from this incarnation. */
+  applyReported(end: ReportedEnd): void;
+  /**
+   * Sends no more orders and extends no lease, because another host leads, but goes on reading the ends of runs until
+   * the worker has seen the other leader.
+   */
+  observe(): void;
   /** Stops calling the worker and leaves its runs as they are. */
   close(): void;
 }
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -39,6 +39,8 @@
   let silentRenewals = 0;
   let closed = false;
   let ended = false;
+  /** Whether another host leads, so that this one only reads the worker's reports. */
+  let observing = false;
   let successor: WorkerSession | undefined;
   const clock = createLeaseClock({
     inheritedLeaseUntil: options.inheritedLeaseUntil,
@@ -51,7 +53,7 @@
     runs,
     connection: () => connection,
     clock,
-    isOpen: () => !closed && !ended,
+    isOpen: () => !closed && !ended && !observing,
     onStart: () => {
       wake();
     },
@@ -59,9 +61,7 @@
     onOtherIncarnation: () => {
       endIncarnation('another incarnation answers at its address');
     },
-    onStaleEpoch: () => {
-      options.onStaleEpoch(incarnation.id);
-    },
+    onStaleEpoch: handleStaleEpoch,
     onTicketRefused: options.onTicketRefused,
     responsiveNow: options.responsiveNow,
     startWindowMs: () => options.startWindowMs?.(session) ?? Infinity,
@@ -75,7 +75,7 @@
     endRun,
     stop: orders.stop,
     stopForeign: (task, run) => {
-      void connection.stop({ task, run, epoch });
+      if (!observing) void connection.stop({ task, run, epoch });
     },
     onReport: (clockMs) => {
       options.onReport(session, clockMs);
@@ -125,12 +125,27 @@
       void endRun(run, 'never-ran', '');
     },
     end: endIncarnation,
-    close: () => {
-      closed = true;
-      connection.close();
+    applyReported: (end) => {
+      reports.applyReported(end);
+    },
+    observe: () => {
+      observing = true;
+      if (runs.size === 0) close();
     },
+    close,
   };
 
+  function close() {
+    closed = true;
+    connection.close();
+  }
+
+  function handleStaleEpoch() {
+    // The successor reaches the worker and reads its reports.
+    if (observing) close();
+    else options.onStaleEpoch(incarnation.id);
+  }
+
   /** An incarnation that is not listed has no address. */
   function connectTo(address: string): WorkerConnection {
     return address === '' ? UNREACHABLE_CONNECTION : options.connect(address, incarnation);
@@ -250,6 +265,10 @@
     if (outcome.kind === 'report') {
       const { born } = outcome.report;
       if (born !== undefined && born !== incarnation.born) {
+        if (observing) {
+          close();
+          return true;
+        }
         // Even with an earlier time of start it is a later incarnation, because it answers after this one was listed.
         const next = options.openSuccessor(session, born);
         endIncarnation('another incarnation reports under its id', next);
@@ -282,7 +301,7 @@
       return true;
     }
     if (outcome.kind === 'refused' && outcome.reason === 'stale-epoch') {
-      options.onStaleEpoch(incarnation.id);
+      handleStaleEpoch();
       return false;
     }
     silentRenewals += 1;
@@ -314,6 +333,10 @@
         events.warn('worker-lease-lapsed', { worker: incarnation.id, runs: runs.size });
         endAllRuns('lapsed', 'the lease has expired');
       }
+      if (observing && runs.size === 0) {
+        close();
+        return;
+      }
       const { hasUnacknowledged } = reports;
       const pauseMs = choosePauseMs({ answered, idle: isIdle(), hasUnacknowledged });
       const sleepMs = pauseMs - (performance.now() - startedAt);
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -74,7 +74,11 @@
   readonly onElected: (term: LeadershipTerm) => void;
   /** Called when the lease expired and this host took the leadership again, with no other leader in between. */
   readonly onReacquired: (term: LeadershipTerm) => void;
-  readonly onLeadershipLost: (reason: string) => void;
+  /**
+   * Called when a term ends. `isCutOff`: another host has told of the successor before the store did, so the successor
+   * may not reach what this host reaches.
+   */
+  readonly onLeadershipLost: (reason: string, isCutOff: boolean) => void;
   /** Called when the store rejects renewals of this leader; other hosts may still reach the store. */
   readonly onStoreRejection: () => void;
   readonly onLeaderChange: (leader: Leader | undefined) => void;
@@ -90,6 +94,8 @@
   observe(entries: readonly StoreEntry[]): void;
   observeRemoval(key: string): void;
   start(): void;
+  /** Applies a leader that another host names, which this host may be unable to read from the store. */
+  observeReported(leader: Leader): void;
   /** Called when the leader's process seems to be gone or the store rejects its renewals. */
   suspectLeader(): void;
   /** Records the processors of a connected host in the store if it is the strongest so far. */
@@ -128,22 +134,33 @@
   /** Ends the pause between two checks or renewals. */
   let wake: () => void = () => undefined;
 
-  function updateLeader(next: Leader | undefined, revision: number) {
+  function updateLeader(next: Leader | undefined, revision: number, isReported = false) {
     if (revision < leaderRevision) return;
     leaderRevision = revision;
     if (next?.host === leader?.host && next?.epoch === leader?.epoch) return;
     leader = next;
     leaderSince = performance.now();
-    events.info('leader-observed', { leader: next?.host, epoch: next?.epoch, revision });
+    events.info('leader-observed', {
+      leader: next?.host,
+      epoch: next?.epoch,
+      revision,
+      isReported,
+    });
     options.onLeaderChange(next);
-    if (next !== undefined && next.host !== host) stepDown(`${next.host} leads`);
+    if (next !== undefined && next.host !== host) stepDown(`${next.host} leads`, isReported);
   }
 
-  function stepDown(reason: string) {
+  function stepDown(reason: string, isCutOff = false) {
     if (held === undefined) return;
-    events.warn('leadership-lost', { epoch: held.term.epoch, reason });
+    events.warn('leadership-lost', { epoch: held.term.epoch, reason, isCutOff });
     held = undefined;
-    options.onLeadershipLost(reason);
+    options.onLeadershipLost(reason, isCutOff);
+  }
+
+  function observeReported(reported: Leader) {
+    // Hosts learn of elections at different times, so one may name a leader that has been replaced.
+    if (reported.epoch <= (leader?.epoch ?? 0)) return;
+    updateLeader(reported, leaderRevision, true);
   }
 
   /** Takes the leadership if the leader's key is free or held by `replaced`. */
@@ -288,7 +305,7 @@
     if (current === undefined) return;
     events.info(event, { epoch: current.term.epoch, reason });
     held = undefined;
-    options.onLeadershipLost(reason);
+    options.onLeadershipLost(reason, false);
     await store.endLease(current.lease);
   }
 
@@ -348,6 +365,7 @@
     start: () => {
       faults.keepRunning('election', run);
     },
+    observeReported,
     suspectLeader,
     recordStrongestHost,
     stepDown,
--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -2,5 +2,6 @@
  * Election of the leader, the host that decides placement, and hand-over from overloaded or weak leaders.
  */
 export * from './election.js';
+export type { Leader } from './leadership-records.js';
 export * from './load-monitor.js';
 export { createStrengthMonitor } from './strength.js';
--- a/src/peers/hub.ts
+++ b/src/peers/hub.ts
@@ -5,8 +5,10 @@
 import type { AddressInfo } from 'node:net';
 import { Packr } from 'msgpackr';
 import { WebSocket, WebSocketServer } from 'ws';
+import type { ReportedEnd } from '../controller/index.js';
 import type { RelayedAnswer, RelayedCall } from '../intake/index.js';
 import type { Job, JobState } from '../jobs/index.js';
+import type { Leader } from '../leadership/index.js';
 import type { EventLog } from '../observability/index.js';
 import type { AdviceResponse, CallRequest, PeerMessage, Permit } from './messages.js';
 
@@ -33,6 +35,10 @@
   setCallHandler(handler: (call: RelayedCall) => Promise<RelayedAnswer>): void;
   /** Calls the listener with each job that a host has accepted. */
   onAccepted(listener: (job: Job) => void): void;
+  /** Calls the listener with the leader for which a host has left this one. */
+  onLeaderChanged(listener: (leader: Leader) => void): void;
+  /** Calls the listener with each end that a former leader has read from a worker. */
+  onEndReported(listener: (end: ReportedEnd) => void): void;
   /** Notifies the host, if it is connected, that a job which it accepted has ended. */
   announceEnd(host: string, job: string, state: JobState): void;
   /** Asks the connected hosts to replace this leader, because the store rejects it. */
@@ -62,6 +68,8 @@
   const connectionListeners: (() => void)[] = [];
   let callHandler: ((call: RelayedCall) => Promise<RelayedAnswer>) | undefined;
   const acceptanceListeners: ((job: Job) => void)[] = [];
+  const successionListeners: ((leader: Leader) => void)[] = [];
+  const endListeners: ((end: ReportedEnd) => void)[] = [];
   const server = new WebSocketServer({
     host: options.ip,
     port: options.port,
@@ -110,6 +118,12 @@
       if (message.kind === 'job-accepted') {
         for (const listener of acceptanceListeners) listener(message.job);
       }
+      if (message.kind === 'leader-changed') {
+        for (const listener of successionListeners) listener(message.leader);
+      }
+      if (message.kind === 'run-ended') {
+        for (const listener of endListeners) listener(message.end);
+      }
     }
 
     async function answer({ id, call }: CallRequest) {
@@ -165,6 +179,12 @@
     onAccepted: (listener) => {
       acceptanceListeners.push(listener);
     },
+    onLeaderChanged: (listener) => {
+      successionListeners.push(listener);
+    },
+    onEndReported: (listener) => {
+      endListeners.push(listener);
+    },
     announceEnd: (host, job, state) => {
       for (const [socket, { name }] of callers) {
         if (name === host) socket.send(packr.pack({ kind: 'job-ended', job, state }));
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -6,17 +6,24 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { WebSocket } from 'ws';
+import type { ReportedEnd } from '../controller/index.js';
 import type { RelayedAnswer, RelayedCall, RelayFailure, RelaySender } from '../intake/index.js';
 import type { Job, JobState } from '../jobs/index.js';
+import type { Leader } from '../leadership/index.js';
 import type { EventLog } from '../observability/index.js';
 import type { AdviceAnswer } from './hub.js';
 import type { AdviceRequest, PeerMessage } from './messages.js';
 
 export interface LeaderLink {
-  /** Connects to the leader at this address; undefined disconnects. */
-  setLeaderAddress(address: string | undefined): void;
+  /**
+   * Connects to the leader at this address; undefined disconnects. The former leader is told of `successor`, because it
+   * may be cut off from the store.
+   */
+  setLeaderAddress(address: string | undefined, successor?: Leader): void;
   /** Notifies the leader, if it is connected, of a job that this host has accepted. */
   announceAccepted(job: Job): void;
+  /** Reports an end that this host, a former leader, has read from a worker. */
+  reportEnd(end: ReportedEnd): void;
   /** Forwards a caller's call to the leader. */
   readonly relay: RelaySender;
   close(): void;
@@ -99,6 +106,7 @@
       isSilent = false;
     });
     dialled.on('message', (data) => {
+      if (socket !== dialled) return;
       isSilent = false;
       try {
         const message = packr.unpack(data as Buffer) as PeerMessage;
@@ -158,17 +166,26 @@
     });
   }
 
-  function setLeaderAddress(address: string | undefined) {
+  function setLeaderAddress(address: string | undefined, successor?: Leader) {
     if (address === target) return;
     target = address;
     hasConnected = false;
     const former = socket;
     socket = undefined;
-    former?.terminate();
+    if (former !== undefined) leave(former, successor);
     failPendingCalls();
     if (address !== undefined) dial(address);
   }
 
+  function leave(former: WebSocket, successor: Leader | undefined) {
+    if (successor === undefined || former.readyState !== WebSocket.OPEN) {
+      former.terminate();
+      return;
+    }
+    former.send(packr.pack({ kind: 'leader-changed', leader: successor }));
+    former.close();
+  }
+
   return {
     setLeaderAddress,
     relay,
@@ -176,6 +193,10 @@
       if (socket?.readyState !== WebSocket.OPEN) return;
       socket.send(packr.pack({ kind: 'job-accepted', job }));
     },
+    reportEnd: (end) => {
+      if (socket?.readyState !== WebSocket.OPEN) return;
+      socket.send(packr.pack({ kind: 'run-ended', end }));
+    },
     close: () => {
       setLeaderAddress(undefined);
     },
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -2,11 +2,14 @@
  * Messages between a host and the leader. The leader distributes calls to the advice service over the connected
  * hosts, because the service handles one call at a time per calling host. It notifies hosts of jobs that have ended
  * and reports when the store rejects it. Hosts notify the leader of jobs that they accept, which saves a call to
- * the store per job, and forward calls while the store rejects them.
+ * the store per job, and forward calls while the store rejects them. A former leader that is cut off from the store
+ * learns of its successor from the hosts that leave it, and reports to the successor what workers tell it.
  */
 
+import type { ReportedEnd } from '../controller/index.js';
 import type { RelayedAnswer, RelayedCall } from '../intake/index.js';
 import type { Job, JobState } from '../jobs/index.js';
+import type { Leader } from '../leadership/index.js';
 
 export interface Permit {
   readonly worker: string;
@@ -68,6 +71,18 @@
   readonly kind: 'leader-turned-away';
 }
 
+/** The sender leaves the receiver because another host leads. */
+export interface LeaderChanged {
+  readonly kind: 'leader-changed';
+  readonly leader: Leader;
+}
+
+/** An end that a former leader has read from a worker, which the present leader may not reach. */
+export interface RunEnded {
+  readonly kind: 'run-ended';
+  readonly end: ReportedEnd;
+}
+
 export type PeerMessage =
   | Hello
   | AdviceRequest
@@ -76,4 +91,6 @@
   | CallResponse
   | JobAccepted
   | JobEnded
-  | LeaderTurnedAway;
+  | LeaderChanged
+  | LeaderTurnedAway
+  | RunEnded;
--- a/test/leadership/election.test.ts
+++ b/test/leadership/election.test.ts
@@ -4,8 +4,9 @@
  * start no more tasks (day trouble-3 of pielaru-sched, seed 32866715750).
  */
 import { expect } from 'chai';
-import { ok } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import { createElection } from '../../src/leadership/index.js';
+import type { Election } from '../../src/leadership/index.js';
 import { SILENT_EVENTS } from '../../src/observability/index.js';
 import type { StoreEntry, KeyValueStore } from '../../src/records/index.js';
 import { eventually } from '../platform-path/support.js';
@@ -95,3 +96,57 @@
     expect(election.leader?.epoch).to.equal(2);
   });
 });
+
+describe('a leader that another host names', () => {
+  const leaderOf = (host: string, epoch: number) => ({ host, epoch, address: '127.0.0.1:1' });
+  let lost: { readonly isCutOff: boolean }[];
+  let election: Election;
+
+  beforeEach(async () => {
+    lost = [];
+    const store = {
+      get: () => Promise.resolve(ok(undefined)),
+      list: () => Promise.resolve(ok({ entries: [], revision: 1 })),
+      grantLease: () => Promise.resolve(ok(1)),
+      transact: () => Promise.resolve(ok({ kind: 'committed', revision: 10 })),
+      renewLease: () => Promise.resolve(err({ kind: 'unknown', detail: 'no response' })),
+    } as unknown as KeyValueStore;
+    election = createElection({
+      store,
+      host: 'own',
+      address: '127.0.0.1:2',
+      minLeaseMs: 1000,
+      processors: 1,
+      events: SILENT_EVENTS,
+      eligible: () => true,
+      onElected: () => undefined,
+      onReacquired: () => undefined,
+      onLeadershipLost: (_reason, isCutOff) => {
+        lost.push({ isCutOff });
+      },
+      onStoreRejection: () => undefined,
+      onLeaderChange: () => undefined,
+      random: () => 0,
+    });
+    election.start();
+    await eventually(() => (election.term === undefined ? undefined : true));
+  });
+
+  afterEach(() => {
+    election.stop();
+  });
+
+  // Guards against a leader that is cut off from the store and never learns that it has been replaced.
+  it('ends the term if it was elected later', () => {
+    election.observeReported(leaderOf('other', 2));
+    expect(lost).to.deep.equal([{ isCutOff: true }]);
+    expect(election.leader?.host).to.equal('other');
+  });
+
+  // Hosts learn of elections at different times.
+  it('does not end the term if it was elected before', () => {
+    election.observeReported(leaderOf('other', 1));
+    expect(lost).to.deep.equal([]);
+    expect(election.leader?.host).to.equal('own');
+  });
+});
--- a/test/platform-path/ends-in-outages.test.ts
+++ b/test/platform-path/ends-in-outages.test.ts
@@ -5,6 +5,7 @@
 import { expect } from 'chai';
 import type { CellHost } from '../../src/cell-host/index.js';
 import type { StateAnswer } from '../../src/intake/index.js';
+import { isFinalRecord } from '../../src/jobs/index.js';
 import type { EventLog } from '../../src/observability/index.js';
 import { SILENT_EVENTS } from '../../src/observability/index.js';
 import type { WorkerStandIn } from '../../stand-ins/platform/worker.js';
@@ -126,6 +127,23 @@
     });
   }
 
+  // Guards against callers of a cut-off data centre that do not learn of an end that only its hosts can read: the former
+  // leader kept the end to itself, and nobody could make it durable (review/1).
+  it('is shown as completed by a host that is cut off with its worker once the next leader has recorded it', async () => {
+    const { id, worker, leader } = await startJob(2500);
+    cell.isolate(leader, worker);
+    await eventually(() => (worker.finished.length === 1 ? true : undefined));
+    await awaitState(leader, id, 'completed');
+    const record = expectDefined(cell.store.items.get(`progress/${id}`));
+    expect(isFinalRecord(Buffer.from(record.value, 'base64').toString())).to.equal(true);
+    expect(worker.acknowledgedThrough, 'ends that a former leader has acknowledged').to.equal(0);
+    cell.kill(leader);
+    cell.reconnect(worker);
+    await restart(worker);
+    await wait(UNLISTED_SESSION_MS);
+    expect(startsOf(cell, id)).to.have.length(1);
+  });
+
   for (const outage of ['reset', 'error', 'hang'] as const) {
     // Guards against a completion that is shown before it is durable, and against one that is shown late afterwards.
     it(`is shown as completed by all hosts soon after the store is back, and not before (${outage})`, async () => {
