Let only listings confirm the view of the workers that orders rest on

While watches ended without the changes that were made and the next listing failed, orders were allowed up to 2288 ms after the last good listing, where 2000 ms are allowed.

Cause: each successful watch counted as a confirmation of the view, so the window of orders moved on with every watch that had missed the change. Only the listing that follows could stop it, and only if it succeeded.

Change: a follower whose content must not be outdated is confirmed by listings alone. Watches still deliver changes sooner. So that the view stays young enough for placement, workers are listed after 0.25 of the drain time instead of 0.4.

New: "allows placement between listings at a store that answers within 4 ms / 240 ms" plays the follower for two drain times; placement was allowed all the time.

--- a/src/controller/cell-feed.ts
+++ b/src/controller/cell-feed.ts
@@ -106,6 +106,8 @@
     store,
     prefix: JOB_STORE_KEYS.jobs,
     ...followTiming(options.jobsMaxAgeMs),
+    // Listings of all jobs are too long to repeat in time for orders.
+    confirmedBy: 'calls',
     batchDelayMs: JOBS_BATCH_DELAY_MS,
     events,
     meters,
--- a/src/controller/order-window.ts
+++ b/src/controller/order-window.ts
@@ -11,18 +11,15 @@
 /** Nothing is placed on an older view, because the record of the order takes until 240 ms to become durable. */
 const PLACEMENT_SHARE = 0.6;
 /**
- * Shares of the greatest age for the calls of a follower. Without changes a view is as old as two waits, and as two
- * waits and the slack if a watch gets no response, so that its age stays within the share for placement. A slow store
- * adds 240 ms to each call, which the slack covers on sites with a greatest age of 2 s.
+ * Shares of the greatest age for the calls of a follower. A listing follows the first watch that ends after the
+ * interval of listings. A slow store adds 240 ms to each call, which the slack covers on sites with a greatest age of 2 s;
+ * the view's age then stays within the share for placement, and also if a watch gets no response.
  */
 const WATCH_WAIT_SHARE = 0.15;
 const WATCH_SLACK_SHARE = 1 / 6;
 const LISTING_SHARE = 0.25;
-/**
- * Share of the greatest age after which all workers are listed again. A watch can miss a change without an error, and
- * its responses then confirm a view without that change.
- */
-const LISTING_INTERVAL_SHARE = 0.4;
+/** Share of the greatest age after which the view is listed again, because only listings confirm it. */
+const LISTING_INTERVAL_SHARE = 0.25;
 /** Longer calls would only detect a dead connection later. */
 const MAX_WATCH_WAIT_MS = 1500;
 const MAX_WATCH_SLACK_MS = 700;
@@ -69,11 +66,12 @@
   };
 }
 
-/** Durations of the calls of a follower whose content must not grow older than `maxAgeMs`. */
+/** Calls of a follower whose content must not grow older than `maxAgeMs`. */
 export interface FollowTiming {
   readonly waitMs: number;
   readonly watchTimeoutMs: number;
   readonly listTimeoutMs: number;
+  readonly confirmedBy: 'listings';
 }
 
 export function followTiming(maxAgeMs: number): FollowTiming {
@@ -83,6 +81,7 @@
     waitMs,
     watchTimeoutMs: waitMs + slackMs,
     listTimeoutMs: Math.round(Math.min(MAX_LISTING_MS, LISTING_SHARE * maxAgeMs)),
+    confirmedBy: 'listings',
   };
 }
 
--- a/src/records/follow-prefix.ts
+++ b/src/records/follow-prefix.ts
@@ -22,8 +22,8 @@
   /** Revision up to which changes have been applied; 0 before the first listing. */
   readonly revision: number;
   /**
-   * When the last successful call was sent, in monotonic milliseconds; the content was current then. Minus infinity
-   * before the first listing.
+   * When the last call was sent that shows the content to be current, in monotonic milliseconds. Minus infinity before
+   * the first listing.
    */
   readonly confirmedAt: number;
   stop(): void;
@@ -42,6 +42,11 @@
   readonly watchTimeoutMs?: number;
   readonly listTimeoutMs?: number;
   readonly refreshMs?: number;
+  /**
+   * Calls whose success shows the content to be current. A watch can miss a change without an error, so content that
+   * must not be outdated is confirmed by listings alone. By default, `calls` of both kinds.
+   */
+  readonly confirmedBy?: 'calls' | 'listings';
   /** Delay between a batch of changes and the next call, so that changes share calls; 0 by default. */
   readonly batchDelayMs?: number;
   /** Signals when a hanging call should be abandoned. */
@@ -56,6 +61,7 @@
     events,
     waitMs = WATCH_WAIT_MS,
     refreshMs = REFRESH_MS,
+    confirmedBy = 'calls',
     batchDelayMs = 0,
   } = options;
   const state = { revision: 0, confirmedAt: -Infinity, listed: false, stopped: false, listedAt: 0 };
@@ -80,8 +86,8 @@
     });
   }
 
-  function reportSuccess(sentAt: number) {
-    state.confirmedAt = sentAt;
+  function reportSuccess(call: 'list' | 'watch', sentAt: number) {
+    if (call === 'list' || confirmedBy === 'calls') state.confirmedAt = sentAt;
     if (reachable) return;
     reachable = true;
     events.info('store-feed-regained', { prefix, revision: state.revision });
@@ -104,7 +110,7 @@
     state.revision = listing.value.revision;
     state.listed = true;
     state.listedAt = sentAt;
-    reportSuccess(sentAt);
+    reportSuccess('list', sentAt);
     return true;
   }
 
@@ -120,7 +126,7 @@
       return false;
     }
     if (state.stopped) return false;
-    reportSuccess(sentAt);
+    reportSuccess('watch', sentAt);
     // Only delivered changes move the position. A watch that hears of no change reports the store's revision as well,
     // and a position at that revision would skip what it has missed.
     const delivered = batch.value.changes.map(({ revision }) => revision);
--- a/test/controller/order-window.test.ts
+++ b/test/controller/order-window.test.ts
@@ -3,7 +3,15 @@
  * for orders while the store answers.
  */
 import { expect } from 'chai';
-import { createOrderWindow, followTiming } from '../../src/controller/order-window.js';
+import { ok } from 'neverthrow';
+import {
+  createOrderWindow,
+  followTiming,
+  listingIntervalMs,
+} from '../../src/controller/order-window.js';
+import { SILENT_EVENTS } from '../../src/observability/index.js';
+import type { KeyValueStore } from '../../src/records/index.js';
+import { followPrefix, pause } from '../../src/records/index.js';
 
 const MAX_AGE_MS = 2000;
 /** Response time of the platform's store while it is slow. */
@@ -38,6 +46,42 @@
     expect(windowAt([2 * (waitMs + SLOW_CALL_MS)]).allowsPlacement).to.equal(true);
   });
 
+  // Guards against a view that only listings confirm and that is too old for placement between two of them.
+  for (const delayMs of [4, SLOW_CALL_MS]) {
+    it(`allows placement between listings at a store that answers within ${String(delayMs)} ms`, async () => {
+      const store = {
+        list: async () => {
+          await pause(delayMs);
+          return ok({ entries: [], revision: 1 });
+        },
+        watch: async (_prefix: string, _after: number, waitMs: number) => {
+          await pause(waitMs + delayMs);
+          return ok({ changes: [], revision: 1 });
+        },
+      } as unknown as KeyValueStore;
+      const follower = followPrefix({
+        store,
+        prefix: 'servers/',
+        ...followTiming(MAX_AGE_MS),
+        refreshMs: listingIntervalMs(MAX_AGE_MS),
+        events: SILENT_EVENTS,
+        onListing: () => undefined,
+        onChange: () => undefined,
+      });
+      const orderWindow = createOrderWindow({
+        views: [{ confirmedAt: () => follower.confirmedAt, maxAgeMs: MAX_AGE_MS }],
+      });
+      await pause(2 * delayMs);
+      const endsAt = performance.now() + 2 * MAX_AGE_MS;
+      while (performance.now() < endsAt) {
+        const ageMs = performance.now() - follower.confirmedAt;
+        expect(orderWindow.allowsPlacement, `placement at ${String(ageMs)} ms`).to.equal(true);
+        await pause(10);
+      }
+      follower.stop();
+    });
+  }
+
   for (const maxAgeMs of [1000, 2000, 3000, 4000, 60_000]) {
     it(`allows placement after a watch without a response, at ${String(maxAgeMs)} ms`, () => {
       const { waitMs, watchTimeoutMs } = followTiming(maxAgeMs);
