Give no work to an unlisted worker that may have begun to leave unseen

A worker that reports its leaving and loses its entry while the leader's watch and listings get no answer got work 2936 ms after its report, where 2000 ms are allowed.

Cause: an entry that is gone was always taken for one that had expired while the store was away, and left its worker in use for 2.5 s from the moment at which the absence was found. Nothing asked when the entry had last been read as ready.

Change: such a worker gets work only until the latest time at which an order may rest on the last confirmed view before the absence, and for 2.5 s at most. An incarnation that its worker's entry no longer names, or that was never listed, gets none, as before. After an outage that is longer than the drain time, workers without an entry wait until it is back.

New: "leaves no worker usable whose entry was last read too long ago".

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -25,7 +25,7 @@
 import { createHousekeeping } from './housekeeping.js';
 import { createJobIntake } from './job-intake.js';
 import { createJobLifecycle, stopStalledRuns } from './job-lifecycle.js';
-import { createOrderWindow } from './order-window.js';
+import { createOrderWindow, latestOrderAt } from './order-window.js';
 import { createPermitClient } from './permit-client.js';
 import { createProgressLog } from './progress-log.js';
 import { createResponsiveClock } from './responsive-clock.js';
@@ -167,13 +167,12 @@
     events,
     onChange: requestPlan,
     onLeaving: evacuate,
+    latestOrderAt: () => latestOrderAt(fleetView),
     contain: faults.contain,
   });
+  const fleetView = { confirmedAt: () => feed.fleetConfirmedAt, maxAgeMs: drainMs };
   const orderWindow = createOrderWindow({
-    views: [
-      { confirmedAt: () => feed.fleetConfirmedAt, maxAgeMs: drainMs },
-      { confirmedAt: () => feed.jobsConfirmedAt, maxAgeMs: cancelMs },
-    ],
+    views: [fleetView, { confirmedAt: () => feed.jobsConfirmedAt, maxAgeMs: cancelMs }],
   });
   const fleetAgeMs = () => Math.round(now() - feed.fleetConfirmedAt);
   const dispatcher = createDispatcher({
--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -8,10 +8,7 @@
 import type { EventLog, FaultContainment } from '../observability/index.js';
 import type { WorkerSession } from './worker-session-types.js';
 
-/**
- * Entries that expired during an outage of the store return within 2 s; after that, a worker without one has left. It
- * has not reported that it leaves, because its entry would have said so before it was removed.
- */
+/** Entries that expired during an outage of the store return within 2 s; after that, a worker without one has left. */
 const UNLISTED_GRACE_MS = 2500;
 
 export interface FleetSessions {
@@ -42,16 +39,29 @@
   readonly events: EventLog;
   readonly onChange: () => void;
   readonly onLeaving: (session: WorkerSession) => void;
+  /**
+   * Monotonic time until which a worker may be given work whose entry is found to be gone now. It may have reported that
+   * it leaves, and lost its entry, since its entry was last read. By default, as long as an entry may be away.
+   */
+  readonly latestOrderAt?: () => number;
   /** Keeps an error that one worker of a listing causes away from the others. */
   readonly contain?: FaultContainment['contain'];
 }
 
+/** The time for which an incarnation has no entry. */
+interface Absence {
+  /** Monotonic milliseconds, like `usableUntil`. */
+  readonly since: number;
+  /** Until then, the incarnation may be given work all the same. */
+  readonly usableUntil: number;
+}
+
 export function createFleetSessions(options: FleetSessionsOptions): FleetSessions {
-  const { events, contain = callDirectly } = options;
+  const { events, contain = callDirectly, latestOrderAt = () => Infinity } = options;
   const sessions = new Map<string, WorkerSession>();
   /** Keys of the sessions with incarnations of a worker, by its id; one, except after a restart. */
   const keysById = new Map<string, Set<string>>();
-  const unlistedSince = new Map<string, number>();
+  const unlisted = new Map<string, Absence>();
 
   const keyOf = ({ id, born }: WorkerIncarnation) => `${id}@${String(born)}`;
 
@@ -68,7 +78,7 @@
   function removeSession(key: string) {
     const id = sessions.get(key)?.incarnation.id;
     sessions.delete(key);
-    unlistedSince.delete(key);
+    unlisted.delete(key);
     if (id === undefined) return;
     const keys = keysById.get(id);
     keys?.delete(key);
@@ -86,8 +96,9 @@
   }
 
   function markUnlisted(key: string) {
-    if (unlistedSince.has(key)) return;
-    unlistedSince.set(key, performance.now());
+    if (unlisted.has(key)) return;
+    const since = performance.now();
+    unlisted.set(key, { since, usableUntil: Math.min(since + UNLISTED_GRACE_MS, latestOrderAt()) });
     const session = sessions.get(key);
     events.info('worker-unlisted', {
       worker: session?.incarnation.id,
@@ -101,8 +112,7 @@
   function markUnusable(id: string, named?: string) {
     for (const key of keysById.get(id) ?? []) {
       if (key === named) continue;
-      const withoutGrace = performance.now() - UNLISTED_GRACE_MS;
-      unlistedSince.set(key, Math.min(unlistedSince.get(key) ?? Infinity, withoutGrace));
+      unlisted.set(key, { since: unlisted.get(key)?.since ?? performance.now(), usableUntil: 0 });
     }
   }
 
@@ -117,7 +127,7 @@
     const key = keyOf(incarnation);
     const known = sessions.get(key);
     if (known?.ended === false) return known;
-    unlistedSince.set(key, performance.now());
+    unlisted.set(key, { since: performance.now(), usableUntil: 0 });
     return addSession(key, { ...describeUnlisted(incarnation), address: worker.address });
   }
 
@@ -129,7 +139,7 @@
     const key = keyOf(worker.incarnation);
     // With clocks that jump, a former incarnation can have the higher time; its end is for its worker to tell.
     markUnusable(id, key);
-    unlistedSince.delete(key);
+    unlisted.delete(key);
     const session = sessions.get(key);
     if (session?.ended === true) return;
     if (session === undefined) {
@@ -163,13 +173,12 @@
    */
   function sweep() {
     const now = performance.now();
-    for (const [key, since] of unlistedSince) {
+    for (const [key, { since }] of unlisted) {
       const session = sessions.get(key);
       if (session !== undefined && (session.runs.size > 0 || session.hasUnacknowledged)) continue;
       if (now - since < UNLISTED_GRACE_MS * 2) continue;
       session?.close();
       removeSession(key);
-      unlistedSince.delete(key);
     }
   }
   const sweeper = setInterval(sweep, 1000);
@@ -177,8 +186,8 @@
 
   function acceptsWork({ worker, incarnation }: WorkerSession): boolean {
     if (worker.state !== 'ready') return false;
-    const since = unlistedSince.get(keyOf(incarnation));
-    return since === undefined || performance.now() - since < UNLISTED_GRACE_MS;
+    const absence = unlisted.get(keyOf(incarnation));
+    return absence === undefined || performance.now() < absence.usableUntil;
   }
 
   return {
@@ -207,7 +216,7 @@
       let session = sessions.get(key);
       if (session === undefined) {
         session = addSession(key, describeUnlisted(incarnation));
-        unlistedSince.set(key, performance.now() - UNLISTED_GRACE_MS);
+        unlisted.set(key, { since: performance.now(), usableUntil: 0 });
         events.warn('worker-not-listed', { worker: incarnation.id, born: incarnation.born });
       }
       return session;
--- a/src/controller/order-window.ts
+++ b/src/controller/order-window.ts
@@ -32,6 +32,11 @@
   readonly maxAgeMs: number;
 }
 
+/** Monotonic time after which no order may reach a worker because of what the view shows. */
+export function latestOrderAt({ confirmedAt, maxAgeMs }: ConfirmedView): number {
+  return confirmedAt() + (1 - MARGIN_SHARE) * maxAgeMs;
+}
+
 export interface OrderWindow {
   /** Whether tasks may be placed, whose orders are sent when their record is durable. */
   readonly allowsPlacement: boolean;
@@ -58,10 +63,7 @@
     },
     remainingMs: () => {
       if (!isWithin(SENDING_SHARE)) return 0;
-      const ends = views.map(
-        ({ confirmedAt, maxAgeMs }) => confirmedAt() + (1 - MARGIN_SHARE) * maxAgeMs,
-      );
-      return Math.min(...ends) - now();
+      return Math.min(...views.map(latestOrderAt)) - now();
     },
   };
 }
--- a/test/controller/fleet-sessions.test.ts
+++ b/test/controller/fleet-sessions.test.ts
@@ -37,15 +37,18 @@
 
 describe('fleet sessions', () => {
   let sessions: FleetSessions;
+  let latestOrderAt: number;
 
   const bornOfUsable = () => sessions.usable().map(({ incarnation }) => incarnation.born);
 
   beforeEach(() => {
+    latestOrderAt = Infinity;
     sessions = createFleetSessions({
       open: openSession,
       events: SILENT_EVENTS,
       onChange: () => undefined,
       onLeaving: () => undefined,
+      latestOrderAt: () => latestOrderAt,
     });
     sessions.replace(new Map([['w1', describeWorker()]]), new Set());
   });
@@ -100,5 +103,12 @@
       sessions.update('w1', undefined);
       expect(bornOfUsable()).to.deep.equal([BORN]);
     });
+
+    // After a gap of the view, a worker that had reported its leaving in it passed for one whose entry had expired.
+    it('leaves no worker usable whose entry was last read too long ago', () => {
+      latestOrderAt = performance.now() - 1;
+      sessions.replace(new Map(), new Set());
+      expect(bornOfUsable()).to.deep.equal([]);
+    });
   });
 });
