List cancellations often enough for orders, in an index of their own

While watches ended without the changes that were made, a job that had been cancelled 4.5 s before was started, where 3 s are allowed.

Cause: a cancellation was found by watches and by the listing of jobs, which is repeated every 15 s because it is long. The same watches confirmed the view on which orders rest. This is the class of the missed changes of workers (DRAIN).

Change: a cancellation also writes `cancelled/ID`, in the same transaction and only while the job's record exists; the write of the job's end removes both keys with the record. The leader lists this prefix every 0.25 of cancel_ms and orders rest on these listings. A cancellation that is listed before its job is kept until the job is read. `jobs/ID/cancelled` stays, so queries and hosts of the former version work as before; a cancellation by such a host shows to the leader as late as formerly. leader-load says cancellationsAgeMs instead of jobsAgeMs.

New: silence about `cancelled/` as about `jobs/`, no entry of the index outlives its job, and a cancellation known before its job.

--- a/src/controller/cell-feed.ts
+++ b/src/controller/cell-feed.ts
@@ -24,8 +24,8 @@
   readonly restored: boolean;
   /** When the workers' entries were current for certain, in monotonic milliseconds. */
   readonly fleetConfirmedAt: number;
-  /** When the records of jobs and of their cancellations were current for certain, in monotonic milliseconds. */
-  readonly jobsConfirmedAt: number;
+  /** When the cancellations were current for certain, in monotonic milliseconds. */
+  readonly cancellationsConfirmedAt: number;
   stop(): void;
 }
 
@@ -35,13 +35,16 @@
   readonly fleetPrefix: string;
   /** Age of the workers' entries that orders must not exceed. */
   readonly fleetMaxAgeMs: number;
-  /** Age of the records of jobs and of their cancellations that orders must not exceed. */
-  readonly jobsMaxAgeMs: number;
+  /** Age of the cancellations that orders must not exceed. */
+  readonly cancellationsMaxAgeMs: number;
   readonly onProgress: (entries: readonly StoreEntry[]) => void;
   readonly onFleet: (entries: readonly StoreEntry[]) => void;
   readonly onFleetChange: (change: StoreChange) => void;
   readonly onJobs: (entries: readonly StoreEntry[]) => void;
   readonly onJobChange: (change: StoreChange) => void;
+  /** Called with the ids of all cancelled jobs that have not ended. */
+  readonly onCancelledJobs: (ids: readonly string[]) => void;
+  readonly onCancelledJob: (id: string) => void;
   /** Called once, after progress, workers and jobs were applied. */
   readonly onRestored: () => void;
   readonly events: EventLog;
@@ -105,9 +108,6 @@
   const jobFollower = followPrefix({
     store,
     prefix: JOB_STORE_KEYS.jobs,
-    ...followTiming(options.jobsMaxAgeMs),
-    // Listings of all jobs are too long to repeat in time for orders.
-    confirmedBy: 'calls',
     batchDelayMs: JOBS_BATCH_DELAY_MS,
     events,
     meters,
@@ -126,6 +126,24 @@
       else changes.push(change);
     },
   });
+  const idOfCancelled = (key: string) => key.slice(JOB_STORE_KEYS.cancelled.length);
+  // Listings of all jobs are too long to repeat in time for orders, those of cancelled jobs are not.
+  const cancellationFollower = followPrefix({
+    store,
+    prefix: JOB_STORE_KEYS.cancelled,
+    ...followTiming(options.cancellationsMaxAgeMs),
+    refreshMs: listingIntervalMs(options.cancellationsMaxAgeMs),
+    batchDelayMs: JOBS_BATCH_DELAY_MS,
+    events,
+    meters,
+    reachability,
+    onListing: (entries) => {
+      options.onCancelledJobs(entries.map(({ key }) => idOfCancelled(key)));
+    },
+    onChange: ({ key, value }) => {
+      if (value !== undefined) options.onCancelledJob(idOfCancelled(key));
+    },
+  });
   faults.keepRunning('read progress', readProgress);
 
   return {
@@ -135,13 +153,14 @@
     get fleetConfirmedAt() {
       return fleetFollower.confirmedAt;
     },
-    get jobsConfirmedAt() {
-      return jobFollower.confirmedAt;
+    get cancellationsConfirmedAt() {
+      return cancellationFollower.confirmedAt;
     },
     stop: () => {
       stopped = true;
       fleetFollower.stop();
       jobFollower.stop();
+      cancellationFollower.stop();
     },
   };
 }
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -65,8 +65,8 @@
   readonly pendingWrites: number;
   /** Age of what this leader knows of the workers. */
   readonly fleetAgeMs: number;
-  /** Age of what this leader knows of jobs and cancellations. */
-  readonly jobsAgeMs: number;
+  /** Age of what this leader knows of cancellations. */
+  readonly cancellationsAgeMs: number;
 }
 
 export interface ControllerOptions {
@@ -104,6 +104,12 @@
 const INHERITED_SLACK_MS = 800;
 const MAX_INHERITED_LEASE_MS = EXTEND_WITHOUT_STORE_MS + LEASE_MS + INHERITED_SLACK_MS;
 
+/** Keys of a job that are removed with the write of its final state. */
+function keysUntilEnd(job: string): readonly string[] {
+  const { cancellation, cancelledJob } = JOB_STORE_KEYS;
+  return [JOB_STORE_KEYS.job(job), cancellation(job), cancelledJob(job)];
+}
+
 export function createController(options: ControllerOptions): Controller {
   const { store, reachability, term, configuration, events, meters } = options;
   const { drainMs = DEFAULT_DRAIN_MS, cancelMs = DEFAULT_CANCEL_MS } = options;
@@ -134,9 +140,7 @@
     removalsOf: (job) => {
       const state = cell.jobs.get(job)?.progress.state;
       // Of an ended job only the progress record is kept.
-      return state !== undefined && isFinal(state)
-        ? [JOB_STORE_KEYS.job(job), JOB_STORE_KEYS.cancellation(job)]
-        : [];
+      return state !== undefined && isFinal(state) ? keysUntilEnd(job) : [];
     },
     encode: (job) => {
       const entry = cell.jobs.get(job);
@@ -171,9 +175,11 @@
     contain: faults.contain,
   });
   const fleetView = { confirmedAt: () => feed.fleetConfirmedAt, maxAgeMs: drainMs };
-  const orderWindow = createOrderWindow({
-    views: [fleetView, { confirmedAt: () => feed.jobsConfirmedAt, maxAgeMs: cancelMs }],
-  });
+  const cancellationView = {
+    confirmedAt: () => feed.cancellationsConfirmedAt,
+    maxAgeMs: cancelMs,
+  };
+  const orderWindow = createOrderWindow({ views: [fleetView, cancellationView] });
   const fleetAgeMs = () => Math.round(now() - feed.fleetConfirmedAt);
   const dispatcher = createDispatcher({
     cell,
@@ -317,7 +323,7 @@
     reachability,
     fleetPrefix: options.fleet.prefix,
     fleetMaxAgeMs: drainMs,
-    jobsMaxAgeMs: cancelMs,
+    cancellationsMaxAgeMs: cancelMs,
     onProgress: applyProgress,
     onFleet: (entries) => {
       fleetEntries.applyListing(entries);
@@ -331,6 +337,12 @@
     onJobChange: (change) => {
       intake.applyChange(change);
     },
+    onCancelledJobs: (ids) => {
+      intake.applyCancelledJobs(ids);
+    },
+    onCancelledJob: (id) => {
+      intake.applyCancelledJob(id);
+    },
     onRestored: handleRestored,
     events,
     meters,
@@ -360,7 +372,7 @@
         workers: all.length,
         pendingWrites: log.pending,
         fleetAgeMs: fleetAgeMs(),
-        jobsAgeMs: Math.round(now() - feed.jobsConfirmedAt),
+        cancellationsAgeMs: Math.round(now() - feed.cancellationsConfirmedAt),
       };
     },
     quiesce: async (timeoutMs) => {
--- a/src/controller/job-intake.ts
+++ b/src/controller/job-intake.ts
@@ -28,6 +28,9 @@
   /** Applies a complete listing of the prefix of jobs. */
   applyListing(entries: readonly StoreEntry[]): void;
   applyChange(change: StoreChange): void;
+  /** Applies a complete listing of the cancelled jobs that have not ended. */
+  applyCancelledJobs(ids: readonly string[]): void;
+  applyCancelledJob(id: string): void;
   /** Adds a newly accepted job before the feed delivers it. */
   addAccepted(job: Job): void;
 }
@@ -70,6 +73,9 @@
   /** Jobs whose progress cannot be read. Any of their tasks may have run, so none is started again. */
   const withheld = new Set<string>();
 
+  /** Jobs that are known to be cancelled, of which some may not have been read yet. */
+  let cancelledJobs = new Set<string>();
+
   function findQueue(name: string): Queue | undefined {
     return options.configuration()?.queues.find((queue) => queue.name === name);
   }
@@ -104,7 +110,7 @@
       beyondShare: entry.beyondShare,
       restored: decoded !== undefined,
     });
-    if (cancelled) lifecycle.cancel(entry);
+    if (cancelled || cancelledJobs.has(job.id)) lifecycle.cancel(entry);
     if (progress.job.schedule !== undefined) options.beginDueOccurrences(entry);
     options.onChange();
   }
@@ -155,6 +161,18 @@
   return {
     applyListing,
     applyChange,
+    applyCancelledJobs: (ids) => {
+      cancelledJobs = new Set(ids);
+      for (const id of ids) {
+        options.contain('cancellation', { job: id }, () => {
+          applyCancellation(id);
+        });
+      }
+    },
+    applyCancelledJob: (id) => {
+      cancelledJobs.add(id);
+      applyCancellation(id);
+    },
     addAccepted: (job) => {
       if (!finishedBefore.has(job.id)) addJob(job, false);
     },
--- a/src/intake/cancellations.ts
+++ b/src/intake/cancellations.ts
@@ -34,13 +34,20 @@
       if (accepted === undefined) return 'no-such-job';
       const outcome = await store.transact(
         {
-          conditions: [{ key: JOB_STORE_KEYS.cancellation(job), revision: 0 }],
-          writes: [{ key: JOB_STORE_KEYS.cancellation(job), value: '{}' }],
+          conditions: [
+            { key: JOB_STORE_KEYS.cancellation(job), revision: 0 },
+            // The leader removes the record of a job that has ended, and the keys below with it.
+            { key: accepted.key, revision: accepted.revision },
+          ],
+          writes: [
+            { key: JOB_STORE_KEYS.cancellation(job), value: '{}' },
+            { key: JOB_STORE_KEYS.cancelledJob(job), value: '{}' },
+          ],
         },
         { timeoutMs: CALL_TIMEOUT_MS },
       );
-      if (outcome.isOk() && outcome.value.kind !== 'lease-ended') {
-        events.info('cancellation-accepted', { job, outcome: outcome.value.kind });
+      if (outcome.isOk() && outcome.value.kind === 'committed') {
+        events.info('cancellation-accepted', { job });
         return 'cancelled';
       }
     }
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -10,6 +10,7 @@
 
 const JOB_PREFIX = 'jobs/';
 const CANCEL_SUFFIX = '/cancelled';
+const CANCELLED_PREFIX = 'cancelled/';
 const PROGRESS_PREFIX = 'progress/';
 
 /** Keys and key prefixes in the store. */
@@ -17,7 +18,11 @@
   jobs: JOB_PREFIX,
   progress: PROGRESS_PREFIX,
   job: (id: string) => `${JOB_PREFIX}${id}`,
+  /** Record of a cancellation beside the job's, so that one listing shows both. */
   cancellation: (id: string) => `${JOB_PREFIX}${id}${CANCEL_SUFFIX}`,
+  /** Index of the cancellations of jobs that have not ended; short enough to be listed often. */
+  cancelled: CANCELLED_PREFIX,
+  cancelledJob: (id: string) => `${CANCELLED_PREFIX}${id}`,
   progressOf: (id: string) => `${PROGRESS_PREFIX}${id}`,
   backlog: 'backlog',
 } as const;
--- a/test/controller/job-intake.test.ts
+++ b/test/controller/job-intake.test.ts
@@ -1,6 +1,7 @@
 /** Guards against work that starts again from nothing because the leader cannot read how far it has come. */
 import { expect } from 'chai';
 import { createCell } from '../../src/controller/cell.js';
+import type { JobEntry } from '../../src/controller/cell.js';
 import type { FleetSessions } from '../../src/controller/fleet-sessions.js';
 import { createJobIntake } from '../../src/controller/job-intake.js';
 import type { JobLifecycle } from '../../src/controller/job-lifecycle.js';
@@ -32,6 +33,35 @@
 }
 
 describe('job intake', () => {
+  describe('a job whose cancellation is known before its record', () => {
+    // The cancellations are listed more often than the jobs, so one of a job that is not known yet must not be dropped.
+    it('is cancelled as soon as its record is read', () => {
+      const cell = createCell({ now: () => 0, onStepSettled: () => undefined });
+      const cancelled: string[] = [];
+      const intake = createJobIntake({
+        cell,
+        sessions: {} as FleetSessions,
+        lifecycle: {
+          cancel: ({ progress }: JobEntry) => cancelled.push(progress.job.id),
+        } as unknown as JobLifecycle,
+        log: {} as ProgressLog,
+        share: createShareMeter({ now: () => 0 }),
+        savedProgress: new Map(),
+        finishedBefore: new Map(),
+        configuration: () => undefined,
+        beginDueOccurrences: () => undefined,
+        onChange: () => undefined,
+        contain: (_source, _fields, handle) => {
+          handle();
+        },
+        events: SILENT_EVENTS,
+      });
+      intake.applyCancelledJobs([ODD]);
+      intake.applyListing(listJobs());
+      expect(cancelled).to.deep.equal([ODD]);
+    });
+  });
+
   describe('a job with a progress record that cannot be read', () => {
     // Guards against a second run of tasks that had run under a former leader (TWICE).
     it('is withheld at the restore and at later listings, and others are not', () => {
--- a/test/platform-path/cancelled-jobs.test.ts
+++ b/test/platform-path/cancelled-jobs.test.ts
@@ -4,7 +4,14 @@
  */
 import { expect } from 'chai';
 import { pause } from '../../src/records/index.js';
-import { eventually, expectDefined, startsOf, startTestCell, submit } from './support.js';
+import {
+  awaitState,
+  eventually,
+  expectDefined,
+  startsOf,
+  startTestCell,
+  submit,
+} from './support.js';
 import type { TestCell } from './support.js';
 
 /** Time from an acknowledged cancellation until no task of the job may be started, the default of a host. */
@@ -25,21 +32,38 @@
     await cell.close();
   });
 
-  it('is not started late while the store answers nothing about jobs', async () => {
-    // A watch and listings without a response hid the cancellation, and the job started when its turn came.
-    const host = expectDefined(cell.hosts[0]);
-    const worker = expectDefined(cell.workers[0]);
-    const steps = [{ cpu: ALL_PROCESSORS }];
-    await submit(host, { steps, spec: String(CANCEL_MS + 1000) });
-    await eventually(() => (worker.running.size > 0 ? true : undefined));
-    const { id } = await submit(host, { steps, spec: '50' });
-    cell.store.silentPrefix = 'jobs/';
-    expect(await host.service.cancel(id, performance.now() + 1000)).to.equal('cancelled');
-    await eventually(() => (worker.running.size === 0 ? true : undefined));
-    await pause(500);
-    cell.store.silentPrefix = undefined;
-    const next = await submit(host, { steps, spec: '50' });
-    await eventually(() => (startsOf(cell, next.id).length > 0 ? true : undefined));
-    expect(startsOf(cell, id)).to.deep.equal([]);
-  });
+  for (const prefix of ['jobs/', 'cancelled/']) {
+    it(`is not started late while the store answers nothing about ${prefix}`, async () => {
+      // A watch and listings without a response hid the cancellation, and the job started when its turn came.
+      const host = expectDefined(cell.hosts[0]);
+      const worker = expectDefined(cell.workers[0]);
+      const steps = [{ cpu: ALL_PROCESSORS }];
+      await submit(host, { steps, spec: String(CANCEL_MS + 1000) });
+      await eventually(() => (worker.running.size > 0 ? true : undefined));
+      const { id } = await submit(host, { steps, spec: '50' });
+      cell.store.silentPrefix = prefix;
+      expect(await host.service.cancel(id, performance.now() + 1000)).to.equal('cancelled');
+      await eventually(() => (worker.running.size === 0 ? true : undefined));
+      await pause(500);
+      cell.store.silentPrefix = undefined;
+      const next = await submit(host, { steps, spec: '50' });
+      await eventually(() => (startsOf(cell, next.id).length > 0 ? true : undefined));
+      expect(startsOf(cell, id)).to.deep.equal([]);
+    });
+  }
+
+  // Guards against an index of cancellations that grows, because each listing of it would become longer.
+  for (const workMs of ['50', '60000']) {
+    it(`leaves no entry in the index after it has ended (work of ${workMs} ms)`, async () => {
+      const host = expectDefined(cell.hosts[0]);
+      const { id } = await submit(host, { spec: workMs });
+      await eventually(() => (startsOf(cell, id).length > 0 ? true : undefined));
+      await host.service.cancel(id, performance.now() + 1000);
+      await awaitState(host, id, 'cancelled');
+      await eventually(() => cell.store.items.get(`jobs/${id}`) === undefined || undefined);
+      expect(cell.store.items.get(`cancelled/${id}`)).to.equal(undefined);
+      await host.service.cancel(id, performance.now() + 1000);
+      expect(cell.store.items.get(`cancelled/${id}`)).to.equal(undefined);
+    });
+  }
 });
