Tell the present incarnation of a worker by its answers, not by its time

A later incarnation that has the earlier time, after a jump of its clock, had taken over a run that is recorded under the former one. A next leader acknowledged the end of that run as that of a run it did not know, and started the task again.

Cause: a new leader compared the times of incarnations. It ended the listed one in favour of the one that only its record named, and applied the worker's first report before it had asked which runs that report could concern.

Change: an incarnation that answers a renewal is later than all that have answered before the renewal was sent and than those that never have. Before its first report is applied, the sessions with the others end, and runs that may have reached it are handed over. If another has answered since the renewal was sent, the report is dropped and requested again. Times of incarnations no longer end a listed one in favour of one that is not.

--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -67,6 +67,7 @@
 
   function addSession(key: string, worker: FleetWorker): WorkerSession {
     const session = options.open(worker);
+    session.setConfirmation((requestedAt) => endOtherIncarnations(session, requestedAt));
     sessions.set(key, session);
     const { id } = worker.incarnation;
     const keys = keysById.get(id);
@@ -90,11 +91,31 @@
     for (const key of [...(keysById.get(id) ?? [])]) {
       const session = sessions.get(key);
       if (session === undefined || session.incarnation.born >= born) continue;
+      // With clocks that jump, the later incarnation can have the earlier time. Only its report tells.
+      if (!unlisted.has(key) && unlisted.has(keyOf(successor.incarnation))) continue;
       session.end('a later incarnation is listed under its id', successor);
       removeSession(key);
     }
   }
 
+  /**
+   * An incarnation that answers a renewal is later than those that have answered before the renewal was sent, whatever
+   * their times are, and than those that never have. Returns false if it is not known to be the present one, because
+   * another has answered since.
+   */
+  function endOtherIncarnations(present: WorkerSession, requestedAt: number): boolean {
+    const others = [...(keysById.get(present.incarnation.id) ?? [])].flatMap((key) => {
+      const session = sessions.get(key);
+      return session === undefined || session === present ? [] : [{ key, session }];
+    });
+    if (others.some(({ session }) => session.answeredAt >= requestedAt)) return false;
+    for (const { key, session } of others) {
+      session.end('another incarnation reports under its id', present);
+      removeSession(key);
+    }
+    return true;
+  }
+
   function markUnlisted(key: string) {
     if (unlisted.has(key)) return;
     const since = performance.now();
--- a/src/controller/worker-session-types.ts
+++ b/src/controller/worker-session-types.ts
@@ -43,6 +43,13 @@
 export interface WorkerSession {
   readonly incarnation: WorkerIncarnation;
   readonly worker: FleetWorker;
+  /**
+   * Asks before the first report is applied, which was requested at `requestedAt`, whether it shows that this incarnation
+   * is the present one. If not, the report is dropped and requested again.
+   */
+  setConfirmation(isPresent: (requestedAt: number) => boolean): void;
+  /** Monotonic time of the last report of this incarnation; minus infinity before the first. */
+  readonly answeredAt: number;
   /** Applies a changed entry of the same incarnation. */
   update(worker: FleetWorker): void;
   readonly runs: Map<string, Run>;
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -42,6 +42,8 @@
   /** Whether another host leads, so that this one only reads the worker's reports. */
   let observing = false;
   let successor: WorkerSession | undefined;
+  let isPresent: (requestedAt: number) => boolean = () => true;
+  let answeredAt = -Infinity;
   const clock = createLeaseClock({
     inheritedLeaseUntil: options.inheritedLeaseUntil,
     isConfirmed: () => confirmed,
@@ -89,6 +91,12 @@
     get worker() {
       return worker;
     },
+    setConfirmation: (next) => {
+      isPresent = next;
+    },
+    get answeredAt() {
+      return answeredAt;
+    },
     update: (next) => {
       if (next.address !== worker.address) {
         connection.close();
@@ -274,6 +282,8 @@
         endIncarnation('another incarnation reports under its id', next);
         return true;
       }
+      if (first && !isPresent(requestedAt)) return true;
+      answeredAt = performance.now();
       if (first) {
         // A previous leader may have granted a lease that ends as late as this.
         clock.extend(outcome.report.clockMs + LEASE_MS);
--- a/test/controller/fleet-sessions.test.ts
+++ b/test/controller/fleet-sessions.test.ts
@@ -29,6 +29,7 @@
     runs: new Map(),
     reachable: true,
     ended: false,
+    setConfirmation: () => undefined,
     end: () => undefined,
     close: () => undefined,
   };
--- a/test/controller/former-sessions.test.ts
+++ b/test/controller/former-sessions.test.ts
@@ -23,6 +23,7 @@
           runs: new Map(),
           reachable: true,
           ended: false,
+          setConfirmation: () => undefined,
           end: () => undefined,
           close: () => undefined,
         }) as unknown as WorkerSession,
--- a/test/controller/worker-fake.ts
+++ b/test/controller/worker-fake.ts
@@ -23,6 +23,7 @@
   readonly running: Map<string, number>;
   readonly closed: Map<string, number>;
   ended: EndedTask[];
+  readonly forgotten: EndedTask[];
   ends: number;
   epoch: number;
   acknowledgedThrough: number;
@@ -39,6 +40,8 @@
   readonly stopsSent: number;
   /** Highest end that a renewal has acknowledged at the present incarnation. */
   readonly acknowledgedThrough: number;
+  /** Ends that the present incarnation has dropped because they were acknowledged. */
+  readonly forgottenEnds: readonly EndedTask[];
   /** Number of renewals answered. */
   readonly renewals: number;
   /** Decides what happens with each start; `held` keeps the order until `deliverHeld`. */
@@ -47,8 +50,10 @@
   readonly waiting: boolean;
   /** While set, nothing reaches the worker. */
   cut: boolean;
-  /** Starts again under the same id. */
-  restart(): void;
+  /** Time until a start without an answer is given up; 2 by default. */
+  startTimeoutMs: number;
+  /** Starts again under the same id, by a clock that has advanced by `clockStepMs`, 1 by default. */
+  restart(clockStepMs?: number): void;
   end(task: string, how: EndKind): void;
   deliverHeld(): void;
 }
@@ -95,7 +100,7 @@
     const fate = isCut() ? 'not-delivered' : fake.handleStart(order);
     if (fate === 'held') held.push(order);
     const outcome = fate === 'held' || fate === 'not-delivered' ? UNKNOWN : execute(order);
-    await pause(2);
+    await pause(fate === 'answered' ? 2 : fake.startTimeoutMs);
     return fate === 'answered' ? outcome : UNKNOWN;
   }
 
@@ -118,6 +123,7 @@
     if (isStale(renewal.epoch)) return refuse('stale-epoch');
     const through = Math.max(incarnation.acknowledgedThrough, renewal.acknowledgedThrough);
     incarnation.acknowledgedThrough = through;
+    incarnation.forgotten.push(...incarnation.ended.filter(({ sequence }) => sequence <= through));
     incarnation.ended = incarnation.ended.filter(({ sequence }) => sequence > through);
     if (incarnation.ended.length === 0 && renewal.waitMs > 0) {
       waiting = true;
@@ -162,6 +168,9 @@
     get acknowledgedThrough() {
       return incarnation.acknowledgedThrough;
     },
+    get forgottenEnds() {
+      return incarnation.forgotten;
+    },
     get renewals() {
       return renewals;
     },
@@ -170,8 +179,9 @@
     },
     handleStart: () => 'answered',
     cut: false,
-    restart: () => {
-      incarnation = createIncarnation(incarnation.born + 1);
+    startTimeoutMs: 2,
+    restart: (clockStepMs = 1) => {
+      incarnation = createIncarnation(incarnation.born + clockStepMs);
       wake();
     },
     end,
@@ -186,7 +196,8 @@
 function createIncarnation(born: number): Incarnation {
   const bornAt = performance.now();
   const incarnation = { running: new Map<string, number>(), closed: new Map<string, number>() };
-  return { ...incarnation, born, bornAt, ended: [], ends: 0, epoch: 0, acknowledgedThrough: 0 };
+  const counts = { ends: 0, epoch: 0, acknowledgedThrough: 0 };
+  return { ...incarnation, ...counts, born, bornAt, ended: [], forgotten: [] };
 }
 
 function pause(ms: number): Promise<void> {
--- /dev/null
+++ b/test/controller/worker-lives.test.ts
@@ -0,0 +1,256 @@
+/**
+ * Drawn lives of a worker under drawn leaders. The worker starts again under its id with a clock that may have jumped, is
+ * cut off and listed late, starts are answered, lost or held back, and leaders replace each other; a new leader knows of a
+ * run only what was recorded when it was placed.
+ *
+ * Guards against work that is done twice because of what is known of another incarnation: a run that is concluded as not
+ * done while it is at work, or an end that is acknowledged and not applied.
+ */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { createFleetSessions } from '../../src/controller/fleet-sessions.js';
+import type { FleetSessions } from '../../src/controller/fleet-sessions.js';
+import { createRun } from '../../src/controller/run.js';
+import type { RunEnd } from '../../src/controller/run.js';
+import { createWorkerSession } from '../../src/controller/worker-session.js';
+import type { WorkerSession } from '../../src/controller/worker-session-types.js';
+import type { FleetWorker } from '../../src/fleet/index.js';
+import type { WorkerIncarnation } from '../../src/jobs/index.js';
+import { createMeters, SILENT_EVENTS } from '../../src/observability/index.js';
+import { createSingleTask, createWorkerEntry } from './support.js';
+import { createWorkerFake } from './worker-fake.js';
+import type { WorkerFake } from './worker-fake.js';
+
+const SEED = Number(process.env.SEED ?? 20_261_205);
+const SCENARIOS = Number(process.env.SCENARIOS ?? 300);
+/** Scenarios that are played at the same time; they spend their time in pauses. */
+const BATCH = 60;
+/** For reports, stops and repeated starts after the last event. */
+const SETTLE_MS = 2000;
+const RESTART_MS = 150;
+/** Leaves time for a restart between an order and its repetition. */
+const START_TIMEOUT_MS = 250;
+/** Time of the first incarnation, so that clocks can jump back. */
+const FIRST_CLOCK_STEP_MS = 1000;
+
+type Fate = ReturnType<WorkerFake['handleStart']>;
+
+type Event =
+  | {
+      readonly kind: 'start';
+      /** Fates of the order and of its repetition. */
+      readonly fates: readonly [Fate, Fate];
+    }
+  | { readonly kind: 'restart'; readonly clockStepMs: number }
+  | { readonly kind: 'list' | 'unlist' | 'cut' | 'reach' | 'end' | 'deliver' | 'takeover' }
+  | { readonly kind: 'wait'; readonly forMs: number };
+
+const fate = fc.constantFrom<Fate>('answered', 'answered', 'unanswered', 'held', 'not-delivered');
+const clockStepMs = fc.constantFrom(1, 5, -1, -5);
+const start = fc.record({
+  kind: fc.constant('start' as const),
+  fates: fc.tuple(fate, fate),
+});
+const restart = fc.record({ kind: fc.constant('restart' as const), clockStepMs });
+const pauseBetween = fc.record({
+  kind: fc.constant('wait' as const),
+  forMs: fc.constantFrom(1, 10, 100, 300),
+});
+const plain = (...kinds: readonly ('cut' | 'reach' | 'end' | 'deliver' | 'takeover' | 'list')[]) =>
+  fc.record({ kind: fc.constantFrom(...kinds) });
+
+/** What happens to one run: each event takes place or not, and each may be followed by a pause. */
+const life: fc.Arbitrary<Event[]> = fc
+  .tuple(
+    ...[
+      restart,
+      start,
+      restart,
+      plain('cut'),
+      plain('end'),
+      plain('deliver', 'takeover', 'list'),
+    ].map((drawn: fc.Arbitrary<Event>) => fc.option(drawn, { freq: 2 })),
+    fc.option(plain('reach', 'takeover', 'list'), { freq: 3 }),
+    fc.option(plain('reach', 'takeover', 'list'), { freq: 3 }),
+    fc.array(fc.tuple(fc.nat({ max: 7 }), pauseBetween), { maxLength: 3 }),
+  )
+  .map((drawn) => {
+    const pauses = drawn.at(-1) as readonly (readonly [number, Event])[];
+    return (drawn.slice(0, -1) as readonly (Event | null)[]).flatMap((happened, index) => [
+      ...(happened === null ? [] : [happened]),
+      ...pauses.filter(([after]) => after === index).map(([, paused]) => paused),
+    ]);
+  });
+/** The leader is in touch with the worker at the beginning. */
+const scenario = fc
+  .array(life, { minLength: 1, maxLength: 3 })
+  .map((lives): Event[] => [{ kind: 'wait', forMs: 100 }, ...lives.flat()]);
+
+interface PlacedRun {
+  readonly task: string;
+  /** As recorded when the run was placed; a successor knows no more. */
+  readonly worker: WorkerIncarnation;
+  end: RunEnd | undefined;
+}
+
+async function play(events: readonly Event[]): Promise<readonly string[]> {
+  const worker = createWorkerFake();
+  worker.restart(FIRST_CLOCK_STEP_MS);
+  worker.startTimeoutMs = START_TIMEOUT_MS;
+  let isCut = false;
+  let restarting = 0;
+  const placed: PlacedRun[] = [];
+  const violations: string[] = [];
+  let epoch = 0;
+  let sessions = lead();
+
+  function lead(): FleetSessions {
+    epoch += 1;
+    const term = epoch;
+    let restored = false;
+    const fleet: FleetSessions = createFleetSessions({
+      open: openSession,
+      events: SILENT_EVENTS,
+      onChange: () => undefined,
+      onLeaving: () => undefined,
+    });
+
+    function openSession(entry: FleetWorker): WorkerSession {
+      const session = createWorkerSession({
+        worker: entry,
+        connect: () => worker.connection,
+        events: SILENT_EVENTS,
+        meters: createMeters(),
+        epoch: term,
+        mayExtendLeases: () => true,
+        inheritedLeaseUntil: performance.now() + 20_000,
+        openSuccessor: (former, born) => fleet.openSuccessor(former, born),
+        onEnd: (_session, run, end) => {
+          if (term === epoch) concludeRun(run.name, end);
+          return Promise.resolve(term === epoch);
+        },
+        onReport: () => undefined,
+        onTicketRefused: () => undefined,
+        responsiveNow: () => performance.now(),
+        onStaleEpoch: () => undefined,
+        onChange: () => undefined,
+      });
+      if (restored) session.startRenewals();
+      return session;
+    }
+
+    fleet.replace(new Map([['w1', createWorkerEntry(worker.born)]]), new Set());
+    for (const { task, worker: recorded, end } of placed) {
+      if (end !== undefined) continue;
+      const session = fleet.sessionOf(recorded);
+      session.attach(
+        createRun({ ...createSingleTask(1000), name: task, session, inherited: true }),
+      );
+    }
+    restored = true;
+    fleet.endFormerIncarnations();
+    for (const session of fleet.all()) session.startRenewals();
+    return fleet;
+  }
+
+  function concludeRun(task: string, end: RunEnd) {
+    const run = placed.find((candidate) => candidate.task === task);
+    if (run !== undefined) run.end = end;
+    if (end !== 'done' && worker.running.has(task)) {
+      violations.push(`${task} ended as ${end} while it is at work`);
+    }
+  }
+
+  function start(fates: readonly [Fate, Fate]) {
+    const [session] = sessions.usable();
+    if (session === undefined) return;
+    const task = `job.0.0.${String(placed.length)}`;
+    let orders = 0;
+    const handleOther = worker.handleStart;
+    worker.handleStart = (order) => {
+      if (order.task !== task) return handleOther(order);
+      orders += 1;
+      return orders === 1 ? fates[0] : fates[1];
+    };
+    const run = createRun({ ...createSingleTask(1000), name: task, session, inherited: false });
+    placed.push({ task, worker: session.incarnation, end: undefined });
+    session.attach(run);
+    void session.start(run, 'text', undefined);
+  }
+
+  /** A process takes its time to start again; nothing reaches it meanwhile. */
+  async function restartWorker(clockStepMs: number) {
+    restarting += 1;
+    updateReach();
+    worker.restart(clockStepMs);
+    await wait(RESTART_MS);
+    restarting -= 1;
+    updateReach();
+  }
+
+  function updateReach() {
+    worker.cut = isCut || restarting > 0;
+  }
+
+  function takeOver() {
+    sessions.close();
+    sessions = lead();
+  }
+
+  async function apply(drawn: Event) {
+    if (drawn.kind === 'start') start(drawn.fates);
+    if (drawn.kind === 'restart') void restartWorker(drawn.clockStepMs);
+    if (drawn.kind === 'list') sessions.update('w1', createWorkerEntry(worker.born));
+    if (drawn.kind === 'unlist') sessions.update('w1', undefined);
+    if (drawn.kind === 'cut') isCut = true;
+    if (drawn.kind === 'reach') isCut = false;
+    updateReach();
+    if (drawn.kind === 'deliver') worker.deliverHeld();
+    if (drawn.kind === 'takeover') takeOver();
+    if (drawn.kind === 'end') {
+      const [task] = worker.running.keys();
+      if (task !== undefined) worker.end(task, 'done');
+    }
+    if (drawn.kind === 'wait') await wait(drawn.forMs);
+  }
+
+  for (const drawn of events) await apply(drawn);
+  await wait(RESTART_MS);
+  worker.deliverHeld();
+  isCut = false;
+  updateReach();
+  sessions.update('w1', createWorkerEntry(worker.born));
+  await wait(SETTLE_MS);
+  for (const { task, end } of placed) {
+    const atWork = worker.running.has(task);
+    if (end !== undefined && atWork) violations.push(`${task} is at work after its end as ${end}`);
+    const forgotten = worker.forgottenEnds.find((entry) => entry.task === task);
+    if (forgotten?.how === 'done' && end !== 'done') {
+      violations.push(`${task} ended as ${String(end)}, although its end as done was acknowledged`);
+    }
+  }
+  sessions.close();
+  return violations;
+}
+
+describe('lives of a worker', () => {
+  it('never lead to a task that is done twice', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(scenario, { minLength: BATCH, maxLength: BATCH }),
+        async (scenarios) => {
+          const played = await Promise.all(scenarios.map((events) => play(events)));
+          const broken = scenarios
+            .map((events, index) => ({ events, violations: played[index] }))
+            .filter(({ violations = [] }) => violations.length > 0);
+          expect(broken.slice(0, 3), JSON.stringify(broken.slice(0, 3))).to.deep.equal([]);
+        },
+      ),
+      { seed: SEED, numRuns: SCENARIOS / BATCH, endOnFailure: true },
+    );
+  }).timeout(120_000);
+});
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
