Acknowledge the ends of an idle worker at once

Class TWICE, found while the lives of workers were stated as a property: a worker whose last run had ended got the acknowledgement only with the next renewal, up to 0.9 s later. One that started again within that pause received the number of an end of its former incarnation and dropped an end of its own under that number, which nobody had read; its task was started again.

Cause: nothing is due at an idle worker but the acknowledgement, and the pause of renewals did not ask for it. While a worker has runs, a renewal is under way nearly all the time, and its failure shows the restart.

Change: a renewal that acknowledges ends follows without the pause of idle workers.

Evidence: "gets no acknowledgement for its former incarnation after an idle pause" failed before ("expected 'never-ran' to equal 'done'") and passes. What remains is the time until the record is durable, in which a worker would have to start again.

--- a/src/controller/renewal-pace.ts
+++ b/src/controller/renewal-pace.ts
@@ -39,13 +39,18 @@
   readonly answered: boolean;
   /** Whether the worker has nothing to do. */
   readonly idle: boolean;
-  /** Whether any reported end is not acknowledged. */
+  /** Whether any reported end is not durable. */
   readonly hasUnacknowledged: boolean;
+  /** Whether the next renewal acknowledges ends that the worker still lists. */
+  readonly acknowledges: boolean;
 }
 
-/** Least time from the start of one renewal to the start of the next. */
-export function choosePauseMs({ answered, idle, hasUnacknowledged }: RenewalState): number {
-  if (!answered) return RETRY_MS;
-  if (hasUnacknowledged) return UNACKNOWLEDGED_PAUSE_MS;
-  return idle ? RENEWAL_WAIT_MS : MIN_PAUSE_MS;
+/**
+ * Least time from the start of one renewal to the start of the next. An acknowledgement does not wait until the next
+ * renewal of an idle worker, which could have started again by then and would drop ends of its own.
+ */
+export function choosePauseMs(state: RenewalState): number {
+  if (!state.answered) return RETRY_MS;
+  if (state.hasUnacknowledged) return UNACKNOWLEDGED_PAUSE_MS;
+  return state.idle && !state.acknowledges ? RENEWAL_WAIT_MS : MIN_PAUSE_MS;
 }
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -348,7 +348,8 @@
         return;
       }
       const { hasUnacknowledged } = reports;
-      const pauseMs = choosePauseMs({ answered, idle: isIdle(), hasUnacknowledged });
+      const acknowledges = reports.acknowledgedThrough > 0;
+      const pauseMs = choosePauseMs({ answered, idle: isIdle(), hasUnacknowledged, acknowledges });
       const sleepMs = pauseMs - (performance.now() - startedAt);
       if (sleepMs > 0) await sleep(sleepMs);
     }
--- a/test/controller/restarted-workers.test.ts
+++ b/test/controller/restarted-workers.test.ts
@@ -8,6 +8,9 @@
 import type { SessionHarness } from './session-harness.js';
 import type { WorkerFake } from './worker-fake.js';
 
+/** Within the pause between two renewals of an idle worker, and long enough for a process to start again. */
+const IDLE_MS = 400;
+
 describe('a worker that starts again under its id', () => {
   let harness: SessionHarness;
   let worker: WorkerFake;
@@ -180,6 +183,22 @@
     expect(worker.running.size).to.equal(0);
   });
 
+  // Guards against an end that the new incarnation drops unread, because an acknowledgement for its former incarnation
+  // waited until the next renewal of an idle worker.
+  it('gets no acknowledgement for its former incarnation after an idle pause', async () => {
+    const first = await harness.startRun(0);
+    await eventually(() => first.status === 'running' || undefined, 'the first run');
+    worker.end(first.name, 'done');
+    await harness.endOf(first);
+    await wait(IDLE_MS);
+    worker.restart();
+    const second = await harness.startRun(1);
+    await eventually(() => worker.running.has(second.name) || undefined, 'the second run');
+    await wait(IDLE_MS);
+    worker.end(second.name, 'done');
+    expect((await harness.endOf(second)).end).to.equal('done');
+  });
+
   // Guards against placing work by the kind and room of the former incarnation.
   it('is given no work under the new incarnation before its entry is known', async () => {
     await harness.usableSession();
@@ -193,3 +212,7 @@
     expect((await harness.usableSession()).incarnation.born).to.equal(2);
   });
 });
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
