--- a/test/platform-path/shown-ends.test.ts
+++ b/test/platform-path/shown-ends.test.ts
@@ -74,6 +74,7 @@
     const jobs = await Promise.all(
       worksMs.map((workMs) => submit(leader, { steps: [{ cpu: 2000 }], spec: String(workMs) })),
     );
+    await eventually(() => jobs.every(({ id }) => startsOf(cell, id).length > 0) || undefined);
     const shownAt = new Map<string, number>();
     const timer = setInterval(() => {
       for (const host of cell.hosts) {
