--- a/test/platform-path/odd-entries-generated.test.ts
+++ b/test/platform-path/odd-entries-generated.test.ts
@@ -164,6 +164,8 @@
       ['servers/', WORKER],
       ['jobs/', JSON.parse(encodeJob(JOB)) as object],
       ['progress/', recordOf(JOB)],
+      ['cancelled/', { job: JOB.id }],
+      ['leadership/', { host: 'host-9', address: '10.0.0.9:9100', epoch: 1 }],
     ];
     for (const [prefix, sound] of prefixes) {
       it(`under ${prefix} hide no worker and no job`, async () => {
