--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -206,12 +206,13 @@
     },
     onLeadershipLost: (_reason, isCutOff) => {
       formerController?.close();
-      formerController = isCutOff ? controller : undefined;
-      if (isCutOff)
-        controller?.observeRuns((end) => {
+      formerController = undefined;
+      if (isCutOff) {
+        formerController = controller;
+        formerController?.observeRuns((end) => {
           link.reportEnd(end);
         });
-      else controller?.close();
+      } else controller?.close();
       controller = undefined;
       meters.leader.set(0);
       meters.fleetAgeSeconds.set(0);
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -4,7 +4,13 @@
  */
 import type { FleetWorker, WorkerConnection } from '../fleet/index.js';
 import type { Job, JobState, WorkerIncarnation } from '../jobs/index.js';
-import { encodeProgress, isFinal, isFinalRecord, JOB_STORE_KEYS } from '../jobs/index.js';
+import {
+  encodeProgress,
+  isFinal,
+  isFinalRecord,
+  JOB_STORE_KEYS,
+  keysUntilEnd,
+} from '../jobs/index.js';
 import type { LeadershipTerm } from '../leadership/index.js';
 import { createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
@@ -24,7 +30,7 @@
 import type { FormerLeader, ReportedEnd } from './former-leader.js';
 import { createHousekeeping } from './housekeeping.js';
 import { createJobIntake } from './job-intake.js';
-import { createJobLifecycle, stopStalledRuns } from './job-lifecycle.js';
+import { createJobLifecycle, stopStalledRuns, stopUnfinishableRuns } from './job-lifecycle.js';
 import { createOrderWindow, latestOrderAt } from './order-window.js';
 import { createPermitClient } from './permit-client.js';
 import { createProgressLog } from './progress-log.js';
@@ -48,10 +54,7 @@
   describeLoad(): CellLoad;
   /** Stops placement and waits until all progress is durable, before a planned stop. */
   quiesce(timeoutMs: number): Promise<void>;
-  /**
-   * Ends the term and reports the ends that workers still list to the successor, which may not reach them; for a leader
-   * that is cut off from the store.
-   */
+  /** Ends the term, but goes on reporting ends of its runs to the successor, which may not reach their workers. */
   observeRuns(report: (end: ReportedEnd) => void): void;
   /** Applies an end that a former leader has read from a worker. */
   applyReportedEnd(end: ReportedEnd): void;
@@ -104,12 +107,6 @@
 const INHERITED_SLACK_MS = 800;
 const MAX_INHERITED_LEASE_MS = EXTEND_WITHOUT_STORE_MS + LEASE_MS + INHERITED_SLACK_MS;
 
-/** Keys of a job that are removed with the write of its final state. */
-function keysUntilEnd(job: string): readonly string[] {
-  const { cancellation, cancelledJob } = JOB_STORE_KEYS;
-  return [JOB_STORE_KEYS.job(job), cancellation(job), cancelledJob(job)];
-}
-
 export function createController(options: ControllerOptions): Controller {
   const { store, reachability, term, configuration, events, meters } = options;
   const { drainMs = DEFAULT_DRAIN_MS, cancelMs = DEFAULT_CANCEL_MS } = options;
@@ -138,9 +135,8 @@
     condition: term.condition,
     keyOf: JOB_STORE_KEYS.progressOf,
     removalsOf: (job) => {
-      const state = cell.jobs.get(job)?.progress.state;
-      // Of an ended job only the progress record is kept.
-      return state !== undefined && isFinal(state) ? keysUntilEnd(job) : [];
+      const entry = cell.jobs.get(job);
+      return entry !== undefined && isFinal(entry.progress.state) ? keysUntilEnd(job) : [];
     },
     encode: (job) => {
       const entry = cell.jobs.get(job);
@@ -170,16 +166,15 @@
     open: openSession,
     events,
     onChange: requestPlan,
-    onLeaving: evacuate,
+    onLeaving: (session) => {
+      stopUnfinishableRuns(session, lifecycle);
+    },
     latestOrderAt: () => latestOrderAt(fleetView),
     contain: faults.contain,
   });
   const fleetView = { confirmedAt: () => feed.fleetConfirmedAt, maxAgeMs: drainMs };
-  const cancellationView = {
-    confirmedAt: () => feed.cancellationsConfirmedAt,
-    maxAgeMs: cancelMs,
-  };
-  const orderWindow = createOrderWindow({ views: [fleetView, cancellationView] });
+  const cancelView = { confirmedAt: () => feed.cancellationsConfirmedAt, maxAgeMs: cancelMs };
+  const orderWindow = createOrderWindow({ views: [fleetView, cancelView] });
   const fleetAgeMs = () => Math.round(now() - feed.fleetConfirmedAt);
   const dispatcher = createDispatcher({
     cell,
@@ -255,17 +250,6 @@
     });
   }
 
-  /** Stops runs that would not finish before the worker leaves, so that they restart elsewhere. */
-  function evacuate(session: WorkerSession) {
-    const leavesInMs = session.worker.leavesInMs ?? 0;
-    for (const run of session.runs.values()) {
-      const estimate = run.step.step.estimateMs;
-      const leftMs = estimate * (1 - run.percent / 100);
-      if (leftMs < leavesInMs && !run.step.step.longRunning) continue;
-      lifecycle.stop(run, `the worker leaves in ${String(leavesInMs)} ms`);
-    }
-  }
-
   const fleetEntries = createFleetEntries({ fleet: options.fleet, sessions, events, meters });
 
   /** Keeps only the ids of ended jobs, so that a takeover spends no time decoding their records. */
--- a/src/controller/former-leader.ts
+++ b/src/controller/former-leader.ts
@@ -1,9 +1,9 @@
 /**
  * What a leader that is cut off from the store still does after another host was elected: it reads the ends of its runs
- * and reports them to the successor, which records them.
+ * from the workers and reports them to the successor, which may be unable to reach these workers.
  *
- * The successor may reach neither the worker nor, until it does, know of the end. Only its record makes an end durable,
- * so callers of the former leader learn of it from the successor's answer and not from what this host has read.
+ * Only the successor's record makes an end durable. Callers of this host are told of the end when the successor announces
+ * that, not when this host has read it.
  */
 import type { WorkerIncarnation } from '../jobs/index.js';
 import type { EventLog } from '../observability/index.js';
@@ -21,7 +21,7 @@
 }
 
 export interface FormerLeader {
-  /** Reports the end of a run, if a worker has listed it. */
+  /** Reports the end of a run, unless the successor can conclude it by itself. */
   noteEnd(session: WorkerSession, run: Run, end: RunEnd, checkpoint: string): void;
   close(): void;
 }
@@ -37,8 +37,8 @@
 
 /** Interval at which ends are reported again: the link to the successor may break, or the successor be replaced. */
 const REPORT_INTERVAL_MS = 300;
-/** The others are concluded by a leader, which the successor does itself. */
-const LISTED_ENDS: ReadonlySet<RunEnd> = new Set(['done', 'failed']);
+/** Ends that a successor cannot conclude by itself. */
+const REPORTED_ENDS: ReadonlySet<RunEnd> = new Set(['done', 'failed']);
 
 export function createFormerLeader(options: FormerLeaderOptions): FormerLeader {
   const { sessions, events } = options;
@@ -59,7 +59,7 @@
 
   return {
     noteEnd: ({ incarnation }, { name, number }, end, checkpoint) => {
-      if (!LISTED_ENDS.has(end)) return;
+      if (!REPORTED_ENDS.has(end)) return;
       const reported = { worker: incarnation, task: name, run: number, end, checkpoint };
       events.info('end-reported-to-leader', reported);
       ends.push(reported);
--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -224,3 +224,17 @@
     for (const stalled of step.step.gang ? step.tasks : [task]) stalled.stalls += 1;
   }
 }
+
+/** Stops runs that would not finish before the worker leaves, so that they restart elsewhere. */
+export function stopUnfinishableRuns(
+  { worker, runs }: WorkerSession,
+  { stop }: Pick<JobLifecycle, 'stop'>,
+): void {
+  const leavesInMs = worker.leavesInMs ?? 0;
+  for (const run of runs.values()) {
+    const { estimateMs, longRunning } = run.step.step;
+    const leftMs = estimateMs * (1 - run.percent / 100);
+    if (leftMs < leavesInMs && !longRunning) continue;
+    stop(run, `the worker leaves in ${String(leavesInMs)} ms`);
+  }
+}
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -27,6 +27,12 @@
   backlog: 'backlog',
 } as const;
 
+/** Keys of a job that are removed with the write of its final state, of which only the progress record is kept. */
+export function keysUntilEnd(id: string): readonly string[] {
+  const { job, cancellation, cancelledJob } = JOB_STORE_KEYS;
+  return [job(id), cancellation(id), cancelledJob(id)];
+}
+
 /** Tells whether a key below `jobs/` holds a job or a cancellation, and of which job. */
 export function parseJobKey(key: string): { id: string; kind: 'job' | 'cancellation' } {
   const name = key.slice(JOB_PREFIX.length);
