--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -2,7 +2,7 @@
  * One job with many tasks is accepted; then every process that leads runs out of memory, one after the other, and no
  * accepted job is finished any more. With TROUBLE=0 the same job has few tasks.
  */
-/* global process */
+/* global process, URL */
 import { fileURLToPath } from 'node:url';
 import { newId, pause, runCase, startCell } from '../cell-2.mjs';
 import { createPool } from '../worker-2.mjs';
--- a/review/cell-2.mjs
+++ b/review/cell-2.mjs
@@ -2,7 +2,7 @@
  * A small cell for the scripts of cases 6 to 10: daemons of the deploy file as processes on loopback addresses, the
  * project's stand-in of the store, workers of `worker-2.mjs`, a caller and a record of what was sent, answered and run.
  */
-/* global process, console, setTimeout, Buffer */
+/* global process, console, setTimeout, clearTimeout, Buffer */
 import { spawn } from 'node:child_process';
 import { randomBytes } from 'node:crypto';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
--- a/review/worker-2.mjs
+++ b/review/worker-2.mjs
@@ -2,7 +2,7 @@
  * Workers for the scripts of cases 6 to 10, which follow PROTOCOL.md: starts, stops and holds with fence numbers, leases
  * on a steady clock, ends that are listed until they are acknowledged, and gangs whose members work only together.
  */
-/* global setTimeout, clearTimeout, setInterval, clearInterval, Buffer */
+/* global setTimeout, clearTimeout, setInterval, clearInterval, performance, Buffer */
 import { createServer } from 'node:http';
 
 const HOLD_MAX_MS = 10_000;
