--- a/review/cell-2.mjs
+++ b/review/cell-2.mjs
@@ -6,7 +6,7 @@
 import { spawn } from 'node:child_process';
 import { randomBytes } from 'node:crypto';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { Agent, request } from 'node:http';
+import { Agent, createServer, request } from 'node:http';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -103,7 +103,7 @@
 `;
 }
 
-export function formatConfiguration({ version = 1, cap = {} } = {}) {
+export function formatConfiguration({ version = 1, cap = {}, keys = [KEY] } = {}) {
   return JSON.stringify({
     version,
     routes: [
@@ -123,7 +123,7 @@
     tenants: [
       {
         name: 'lawns',
-        'api-keys': [KEY],
+        'api-keys': keys,
         weight: 50,
         cap: { cpu: 0, 'mem-mb': 0, gpu: 0, ...cap },
       },
@@ -131,6 +131,57 @@
   });
 }
 
+/**
+ * The way of one machine to the store. While `rejecting` is set, the store turns this machine away with 503, also on calls
+ * that are waiting.
+ */
+async function startGate(storeAddress) {
+  const [host, port] = storeAddress.split(':');
+  const agent = new Agent({ keepAlive: true });
+  const gate = { address: '', rejecting: false, close: () => undefined };
+  const server = createServer({ keepAliveTimeout: 60_000 }, (incoming, outgoing) => {
+    const reject = () => {
+      outgoing.writeHead(503, { 'content-type': 'application/json' });
+      outgoing.end('{}');
+    };
+    const chunks = [];
+    incoming.on('data', (chunk) => chunks.push(chunk));
+    incoming.on('end', () => {
+      if (gate.rejecting) {
+        reject();
+        return;
+      }
+      const { method, url: path, headers } = incoming;
+      const forwarded = request({ host, port, method, path, headers, agent }, (response) => {
+        const parts = [];
+        response.on('data', (part) => parts.push(part));
+        response.on('end', () => {
+          if (outgoing.destroyed) return;
+          if (gate.rejecting && method === 'GET') {
+            reject();
+            return;
+          }
+          outgoing.writeHead(response.statusCode ?? 500, response.headers);
+          outgoing.end(Buffer.concat(parts));
+        });
+      });
+      forwarded.on('error', () => outgoing.destroy());
+      outgoing.on('close', () => {
+        if (!outgoing.writableEnded) forwarded.destroy();
+      });
+      forwarded.end(Buffer.concat(chunks));
+    });
+  });
+  await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
+  gate.address = `127.0.0.1:${String(server.address().port)}`;
+  gate.close = () => {
+    server.close();
+    server.closeAllConnections();
+    agent.destroy();
+  };
+  return gate;
+}
+
 export async function startCell({ record, hosts = 3 }) {
   const folder = mkdtempSync(join(tmpdir(), 'review-2-'));
   const network = `127.${String(10 + Math.floor(Math.random() * 200))}.${String(process.pid % 250)}`;
@@ -204,13 +255,14 @@
     const name = `host-${String(number)}`;
     const ip = `${network}.${String(number)}`;
     const settings = join(folder, `${name}.toml`);
+    const gate = await startGate(store.address);
     writeFileSync(
       settings,
       formatSettings({
         name,
         ip,
         zone: zones[(number - 1) % zones.length],
-        storeAddress: store.address,
+        storeAddress: gate.address,
         seeds: [`${network}.1:8180`],
       }),
     );
@@ -218,6 +270,7 @@
       name,
       ip,
       settings,
+      gate,
       lives: 0,
       running: false,
       stays: false,
@@ -331,7 +384,10 @@
 
   async function close() {
     closing = true;
-    for (const { process: child } of daemons) child?.kill('SIGKILL');
+    for (const { process: child, gate } of daemons) {
+      child?.kill('SIGKILL');
+      gate.close();
+    }
     agent.destroy();
     await store.close();
     rmSync(folder, { recursive: true, force: true });
