--- a/review/cell-2.mjs
+++ b/review/cell-2.mjs
@@ -133,12 +133,13 @@
 
 /**
  * The way of one machine to the store. While `rejecting` is set, the store turns this machine away with 503, also on calls
- * that are waiting.
+ * that are waiting. While `lossShare` is above 0, that share of the transactions gets no answer and is carried out 1 to 6 s
+ * later, if its conditions still hold.
  */
 async function startGate(storeAddress) {
   const [host, port] = storeAddress.split(':');
   const agent = new Agent({ keepAlive: true });
-  const gate = { address: '', rejecting: false, close: () => undefined };
+  const gate = { address: '', rejecting: false, lossShare: 0, lost: 0, close: () => undefined };
   const server = createServer({ keepAliveTimeout: 60_000 }, (incoming, outgoing) => {
     const reject = () => {
       outgoing.writeHead(503, { 'content-type': 'application/json' });
@@ -152,6 +153,20 @@
         return;
       }
       const { method, url: path, headers } = incoming;
+      if (path === '/kv-txn' && Math.random() < gate.lossShare) {
+        gate.lost += 1;
+        setTimeout(
+          () => {
+            const late = request({ host, port, method, path, headers, agent }, (response) => {
+              response.resume();
+            });
+            late.on('error', () => undefined);
+            late.end(Buffer.concat(chunks));
+          },
+          1000 + 5000 * Math.random(),
+        );
+        return;
+      }
       const forwarded = request({ host, port, method, path, headers, agent }, (response) => {
         const parts = [];
         response.on('data', (part) => parts.push(part));
