--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -8,8 +8,7 @@
 import { createPool } from '../worker-2.mjs';
 
 const TROUBLE = process.env.TROUBLE !== '0';
-/** The site's `platform_lost`: share 0.35 of the writes, for 4.5 s, done 1 to 6 s later. */
-const LOSS_SHARE = 0.35;
+/** The site's `platform_lost`: 0.35 of the writes, here every third, for 4.5 s, done 1 to 6 s later. */
 const LOSS_MS = 4500;
 const LATEST_MS = 6000;
 /** `visible_ms` and 2 s, after which an accepted job has to be counted. */
@@ -47,8 +46,8 @@
 
     const startedAt = Date.now();
     if (TROUBLE) {
-      for (const { gate } of cell.daemons) gate.lossShare = LOSS_SHARE;
-      record.note(`the store loses the answers of ${String(LOSS_SHARE)} of the writes`);
+      for (const { gate } of cell.daemons) gate.losing = true;
+      record.note('the store loses the answer of every third write');
     }
     const during = [];
     for (let number = 0; number < JOBS_DURING_LOSS; number += 1) {
@@ -56,7 +55,7 @@
       await pause(LOSS_MS / JOBS_DURING_LOSS);
     }
     await pause(Math.max(0, LOSS_MS - (Date.now() - startedAt)));
-    for (const { gate } of cell.daemons) gate.lossShare = 0;
+    for (const { gate } of cell.daemons) gate.losing = false;
     const lost = cell.daemons.reduce((sum, { gate }) => sum + gate.lost, 0);
     record.note(`the store answers all writes again; ${String(lost)} answers were lost`);
     const after = Array.from({ length: JOBS_AFTER_LOSS }, () => submit(1, 1000));
--- a/review/cell-2.mjs
+++ b/review/cell-2.mjs
@@ -133,13 +133,20 @@
 
 /**
  * The way of one machine to the store. While `rejecting` is set, the store turns this machine away with 503, also on calls
- * that are waiting. While `lossShare` is above 0, that share of the transactions gets no answer and is carried out 1 to 6 s
- * later, if its conditions still hold.
+ * that are waiting. While `losing` is set, every third transaction gets no answer and is carried out 3 to 6 s later, if its
+ * conditions still hold.
  */
 async function startGate(storeAddress) {
   const [host, port] = storeAddress.split(':');
   const agent = new Agent({ keepAlive: true });
-  const gate = { address: '', rejecting: false, lossShare: 0, lost: 0, close: () => undefined };
+  const gate = {
+    address: '',
+    rejecting: false,
+    losing: false,
+    seen: 0,
+    lost: 0,
+    close: () => undefined,
+  };
   const server = createServer({ keepAliveTimeout: 60_000 }, (incoming, outgoing) => {
     const reject = () => {
       outgoing.writeHead(503, { 'content-type': 'application/json' });
@@ -153,7 +160,8 @@
         return;
       }
       const { method, url: path, headers } = incoming;
-      if (path === '/kv-txn' && Math.random() < gate.lossShare) {
+      if (path === '/kv-txn' && gate.losing) gate.seen += 1;
+      if (path === '/kv-txn' && gate.losing && gate.seen % 3 === 0) {
         gate.lost += 1;
         setTimeout(
           () => {
@@ -163,7 +171,7 @@
             late.on('error', () => undefined);
             late.end(Buffer.concat(chunks));
           },
-          1000 + 5000 * Math.random(),
+          6000 - 1500 * (gate.lost % 3),
         );
         return;
       }
@@ -429,6 +437,7 @@
     for (const closer of closers.reverse()) void closer();
     setTimeout(() => process.exit(exit), 300);
   }
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => finish(2));
   try {
     const broken = await play({ record, onClose: (closer) => closers.push(closer) });
     code = broken ? 1 : 0;
