--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -8,8 +8,8 @@
 import { createPool } from '../worker-2.mjs';
 
 const TROUBLE = process.env.TROUBLE !== '0';
-/** Both bodies have the same 180 steps, each after the one before it; they differ in `count` alone. */
-const STEPS = 180;
+/** Both bodies have the same 240 steps, each after the one before it; they differ in `count` alone. */
+const STEPS = 240;
 const COUNT = TROUBLE ? 10_000 : 1;
 const WATCHED_MS = 40_000;
 
