Give each incarnation of a worker its own fencing token

Cause: all calls of a term carried the same token, the epoch, so the new incarnation could not tell that the start was meant for an earlier one. Stops at each new incarnation covered starts for 10 s after their answer was lost; a later one met nothing. A longer bound would only move the fault.

Change: the leader issues a higher token for each incarnation that it meets, and every call to it carries that token. An incarnation that has answered once refuses all orders to earlier ones, whenever they arrive. A handed-over run that the next report does not list has therefore never run, as with inherited runs, so the list of late starts and its stops are gone. The epoch rises by 1,000,000 with each term and is the last token of the term, which is above the epochs of older versions before it and below those after it. A refused token that this term has issued itself, for another incarnation, is replaced instead of ending the term.

Three tests waited for the stops that are no longer sent. They now wait for the first answer to a call of the new incarnation's session, which comes earlier, and check the same: the late start is refused and nothing runs. The property counts an incarnation as reached after one report less than before.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -23,6 +23,7 @@
 import { createCellFeed } from './cell-feed.js';
 import { createDispatcher } from './dispatcher.js';
 import type { PlanningEffort } from './dispatcher.js';
+import { createFencingTokens } from './fencing-tokens.js';
 import { createFleetEntries } from './fleet-entries.js';
 import type { FleetSource } from './fleet-entries.js';
 import { createFleetSessions } from './fleet-sessions.js';
@@ -123,6 +124,15 @@
   const faults = createFaultContainment({ events, meters });
   const health = createWorkerHealth({ now });
   const responsiveClock = createResponsiveClock();
+  const tokens = createFencingTokens({
+    epoch: term.epoch,
+    onExhausted: () => {
+      // Not at once: a session that is being opened has to be known before the term ends.
+      setImmediate(() => {
+        options.onLeadershipLost('its fencing tokens are used up');
+      });
+    },
+  });
   const cell = createCell({
     now,
     onStepSettled: (key) => {
@@ -211,6 +221,7 @@
       events,
       meters,
       epoch: term.epoch,
+      tokens,
       mayExtendLeases,
       openSuccessor: (former, born) => sessions.openSuccessor(former, born),
       inheritedLeaseUntil: startedAt + MAX_INHERITED_LEASE_MS,
@@ -226,7 +237,7 @@
       responsiveNow: () => responsiveClock.now(),
       startWindowMs: (asked) => (sessions.acceptsWork(asked) ? orderWindow.remainingMs() : 0),
       onStaleEpoch: (id) => {
-        options.onLeadershipLost(`worker ${id} has seen a higher epoch`);
+        options.onLeadershipLost(`worker ${id} has seen a later epoch`);
       },
       onChange: requestPlan,
     });
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -30,8 +30,13 @@
   status: RunStatus;
   /** Whether a report of the session's incarnation has listed the run. */
   listed: boolean;
-  /** Monotonic time until which a start whose answer was lost may still be carried out. */
+  /** Monotonic time until which a start whose answer was lost may still be carried out; minus infinity if none was. */
   lateStartUntil: number;
+  /**
+   * Monotonic time from which calls to the worker carry later fencing tokens than the run's starts; infinite while the
+   * session that has sent them is open.
+   */
+  fencedAt: number;
   /** Monotonic time of the last change of `status`. */
   since: number;
   /** Monotonic time at which the worker accepted the stop; undefined before. */
@@ -54,7 +59,10 @@
   stopReason: string;
 }
 
-/** An order without an answer may be carried out seconds later, after newer ones. */
+/**
+ * Bounds the lease of a worker that cannot be reached: an order without an answer may be carried out seconds later. A
+ * worker that has answered does nothing for orders with earlier fencing tokens.
+ */
 export const LATE_ORDER_MS = 10_000;
 
 export interface RunOptions {
@@ -88,6 +96,7 @@
     status: inherited ? 'in-doubt' : 'logging',
     listed: false,
     lateStartUntil: inherited ? now + LATE_ORDER_MS : -Infinity,
+    fencedAt: inherited ? -Infinity : Infinity,
     since: inherited ? -Infinity : now,
     stopAnsweredAt: undefined,
     percent: 0,
@@ -107,15 +116,7 @@
  */
 export function mayReachLaterIncarnation({ status, listed, lateStartUntil }: Run): boolean {
   if (status === 'logging') return false;
-  return !listed || performance.now() < lateStartUntil;
-}
-
-/** A start without an answer, which may still be carried out after its run has ended. */
-export interface LateStart {
-  readonly task: string;
-  readonly run: number;
-  /** Monotonic time after which it is no longer under way. */
-  readonly until: number;
+  return !listed || lateStartUntil > -Infinity;
 }
 
 /** How a run ended. `never-ran`: the worker certainly did not start it. `lost`: its worker ended or lost it. */
--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -9,7 +9,7 @@
 import { pause } from '../records/index.js';
 import type { LeaseClock } from './lease-clock.js';
 import { LATE_ORDER_MS } from './run.js';
-import type { LateStart, Run, RunEnd, RunStatus } from './run.js';
+import type { Run, RunEnd, RunStatus } from './run.js';
 
 /** A start must reach the worker within this time; a later one is refused there. */
 const START_WINDOW_MS = 2000;
@@ -22,12 +22,6 @@
   readonly stop: (run: Run, reason: string) => void;
   /** Continues with a run that was ordered from an earlier incarnation. */
   readonly resume: (run: Run) => void;
-  /** Remembers an ended run as long as a start of it may still be carried out. */
-  readonly noteEnd: (run: Run) => void;
-  /** Starts that may still be carried out although their runs have ended; this incarnation refuses them. */
-  readonly lateStarts: () => readonly LateStart[];
-  /** Stops runs that ended at an earlier incarnation, so that this one refuses their starts, too. */
-  readonly refuseStarts: (starts: readonly LateStart[]) => void;
   /** Whether the worker has left a start unanswered for so long that it should get no new work. */
   hasOverdueStart(): boolean;
 }
@@ -48,8 +42,10 @@
   readonly endRun: (run: Run, end: RunEnd, checkpoint: string) => Promise<boolean>;
   /** Called when another incarnation answers at the worker's address. */
   readonly onOtherIncarnation: () => void;
-  /** Called when the worker has seen a higher epoch. */
-  readonly onStaleEpoch: () => void;
+  /** The token that calls to the worker carry at present. */
+  readonly fencingToken: () => number;
+  /** Called when the worker has seen a later token than the one that an order carried. */
+  readonly onFenced: (token: number) => void;
   /** Called when the worker has refused the ticket of a start. */
   readonly onTicketRefused: (run: Run) => void;
   /** Time in milliseconds during which this process was able to receive answers; see `responsive-clock.ts`. */
@@ -68,35 +64,6 @@
   /** Starts that are not answered yet, with the time on the responsive clock at which they were sent. */
   const pendingStarts = new Map<Run, number>();
 
-  let endedStarts: LateStart[] = [];
-
-  function lateStarts(): readonly LateStart[] {
-    const now = performance.now();
-    endedStarts = endedStarts.filter(({ until }) => until > now);
-    return endedStarts;
-  }
-
-  function noteEnd({ name, number, inherited, lateStartUntil }: Run) {
-    // Orders of a previous leader are fenced.
-    if (inherited || lateStartUntil <= performance.now()) return;
-    endedStarts = [...lateStarts(), { task: name, run: number, until: lateStartUntil }];
-  }
-
-  function refuseStarts(starts: readonly LateStart[]) {
-    endedStarts = [...lateStarts(), ...starts];
-    for (const late of starts) {
-      faults.keepRunning('refuse late starts', () => refuseStart(late));
-    }
-  }
-
-  async function refuseStart({ task, run, until }: LateStart) {
-    while (options.isOpen() && performance.now() < until) {
-      const outcome = await options.connection().stop({ task, run, epoch });
-      if (countOutcome('stop', outcome) === 'accepted') return;
-      await pause(STOP_RETRY_MS);
-    }
-  }
-
   function hasOverdueStart(): boolean {
     const [oldest] = pendingStarts.values();
     return oldest !== undefined && options.responsiveNow() - oldest > OVERDUE_START_MS;
@@ -117,7 +84,7 @@
       run: run.number,
       spec,
       startBeforeMs,
-      epoch,
+      fencingToken: options.fencingToken(),
       checkpoint: run.task.checkpoint,
       ticket,
     };
@@ -144,7 +111,7 @@
     if (outcome.kind === 'unknown') return;
     clock.note(outcome.clockMs);
     // A refused start has extended the lease, too.
-    if (outcome.reason === 'stale-epoch') options.onStaleEpoch();
+    if (outcome.reason === 'fenced') options.onFenced(order.fencingToken);
     if (outcome.reason === 'no-permit') options.onTicketRefused(run);
     await options.endRun(run, 'never-ran', '');
   }
@@ -169,7 +136,7 @@
     const outcome = await sendStart(run, order, { repeated: true });
     if (outcome.kind !== 'refused') return outcome;
     clock.note(outcome.clockMs);
-    if (outcome.reason === 'stale-epoch') options.onStaleEpoch();
+    if (outcome.reason === 'fenced') options.onFenced(order.fencingToken);
     return { kind: 'unknown', detail: `then refused: ${outcome.reason}` };
   }
 
@@ -203,7 +170,10 @@
   async function sendStop(run: Run) {
     let logged: OutcomeName | undefined;
     while (options.isOpen() && runs.get(run.name) === run && run.stopAnsweredAt === undefined) {
-      const outcome = await options.connection().stop({ task: run.name, run: run.number, epoch });
+      const fencingToken = options.fencingToken();
+      const outcome = await options
+        .connection()
+        .stop({ task: run.name, run: run.number, fencingToken });
       // A stop is repeated up to five times a second, for as long as the lease of a silent worker lasts.
       const result = countOutcome('stop', outcome);
       if (result !== logged) logOrder('stop', run, result, { reason: run.stopReason });
@@ -217,10 +187,7 @@
         options.onOtherIncarnation();
         return;
       }
-      if (outcome.kind === 'refused' && outcome.reason === 'stale-epoch') {
-        options.onStaleEpoch();
-        return;
-      }
+      if (outcome.kind === 'refused' && outcome.reason === 'fenced') options.onFenced(fencingToken);
       await pause(STOP_RETRY_MS);
     }
   }
@@ -261,5 +228,5 @@
     else events.warn(`${order}-not-accepted`, line);
   }
 
-  return { start, stop, resume, noteEnd, lateStarts, refuseStarts, hasOverdueStart };
+  return { start, stop, resume, hasOverdueStart };
 }
--- a/src/controller/worker-reports.ts
+++ b/src/controller/worker-reports.ts
@@ -164,6 +164,11 @@
       void endRun(run, 'lost', run.task.checkpoint, 'the worker no longer lists it');
       return;
     }
+    if (!run.listed && requestedAt >= run.fencedAt) {
+      // The worker refuses all starts of the run, because it has seen a later token.
+      void endRun(run, 'never-ran', '');
+      return;
+    }
     if (run.status === 'stopping') {
       if (run.stopAnsweredAt !== undefined && run.stopAnsweredAt < requestedAt) {
         void endRun(run, 'never-ran', '');
@@ -171,11 +176,6 @@
       return;
     }
     if (run.status !== 'in-doubt' || run.since + UNANSWERED_START_MS > requestedAt) return;
-    if (run.inherited) {
-      // The worker has answered this leader, so it refuses the orders of previous leaders.
-      void endRun(run, 'never-ran', '');
-      return;
-    }
     options.stop(run, 'the start was not answered');
   }
 
--- a/src/controller/worker-session-types.ts
+++ b/src/controller/worker-session-types.ts
@@ -5,8 +5,9 @@
 import type { WorkerIncarnation } from '../jobs/index.js';
 import type { Resources } from '../model/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
+import type { FencingTokens } from './fencing-tokens.js';
 import type { ReportedEnd } from './former-leader.js';
-import type { LateStart, Run, RunEnd } from './run.js';
+import type { Run, RunEnd } from './run.js';
 
 export interface WorkerSessionOptions {
   readonly worker: FleetWorker;
@@ -14,6 +15,7 @@
   readonly events: EventLog;
   readonly meters: Meters;
   readonly epoch: number;
+  readonly tokens: FencingTokens;
   /** Whether leases may be extended, which requires a recent renewal of the leader's own lease. */
   readonly mayExtendLeases: () => boolean;
   /** The session with the incarnation that was found in place of this one, opened if there is none. */
@@ -35,7 +37,7 @@
   readonly responsiveNow: () => number;
   /** Milliseconds within which an order that is sent now has to reach the worker, 0 if none may be; no limit by default. */
   readonly startWindowMs?: (session: WorkerSession) => number;
-  /** Called when a worker has seen a higher epoch. */
+  /** Called when a worker has seen a token of a later epoch. */
   readonly onStaleEpoch: (worker: string) => void;
   readonly onChange: () => void;
 }
@@ -73,8 +75,8 @@
   withdraw(run: Run): void;
   /** Takes over a run whose start may have reached this incarnation instead of an earlier one of the worker. */
   adopt(run: Run): void;
-  /** Makes this incarnation refuse starts whose runs have ended at an earlier one. */
-  refuseStarts(starts: readonly LateStart[]): void;
+  /** Lets calls to this incarnation carry a later token than the given one, with which an earlier one was called. */
+  outrank(fencingToken: number): void;
   /** Ends the incarnation. Runs that may have reached its successor are handed over, all others are lost. */
   end(reason: string, successor: WorkerSession): void;
   /** Applies an end that a former leader has read from this incarnation. */
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -30,6 +30,7 @@
 export function createWorkerSession(options: WorkerSessionOptions): WorkerSession {
   const { events, meters, epoch } = options;
   const incarnation = options.worker.incarnation;
+  let fencingToken = options.tokens.issue(incarnation.id);
   const faults = createFaultContainment({ events, meters });
   const runs = new Map<string, Run>();
   let worker = options.worker;
@@ -63,7 +64,8 @@
     onOtherIncarnation: () => {
       endIncarnation('another incarnation answers at its address');
     },
-    onStaleEpoch: handleStaleEpoch,
+    fencingToken: () => fencingToken,
+    onFenced: handleFenced,
     onTicketRefused: options.onTicketRefused,
     responsiveNow: options.responsiveNow,
     startWindowMs: () => options.startWindowMs?.(session) ?? Infinity,
@@ -77,7 +79,7 @@
     endRun,
     stop: orders.stop,
     stopForeign: (task, run) => {
-      if (!observing) void connection.stop({ task, run, epoch });
+      if (!observing) void connection.stop({ task, run, fencingToken });
     },
     onReport: (clockMs) => {
       options.onReport(session, clockMs);
@@ -126,7 +128,9 @@
     },
     attach,
     adopt,
-    refuseStarts: orders.refuseStarts,
+    outrank: (token) => {
+      if (fencingToken <= token) fencingToken = options.tokens.issue(incarnation.id);
+    },
     start: orders.start,
     stop: orders.stop,
     withdraw: (run) => {
@@ -148,7 +152,13 @@
     connection.close();
   }
 
-  function handleStaleEpoch() {
+  /** A later token is that of a later epoch or, if this term has issued it, of another incarnation of the worker. */
+  function handleFenced(refused: number) {
+    if (refused < fencingToken) return;
+    if (refused < options.tokens.latestOf(incarnation.id)) {
+      fencingToken = options.tokens.issue(incarnation.id);
+      return;
+    }
     // The successor reaches the worker and reads its reports.
     if (observing) close();
     else options.onStaleEpoch(incarnation.id);
@@ -170,8 +180,8 @@
   }
 
   /**
-   * The first report of this incarnation shows whether it has the run. If not, the run is stopped here, after which the
-   * worker refuses a start that arrives later, or is known to be refused because a previous leader ordered it.
+   * The next report of this incarnation shows whether it has the run. If not, it never will: calls carry a later token
+   * now, and the worker refuses a start of the run that arrives after one of them.
    */
   function adopt(run: Run) {
     if (successor !== undefined) {
@@ -185,6 +195,7 @@
     run.percent = 0;
     run.progressedClockMs = undefined;
     run.since = -Infinity;
+    run.fencedAt = performance.now();
     if (ended) {
       void endRun(run, 'lost', run.task.checkpoint, 'the later incarnation has ended, too');
       return;
@@ -198,7 +209,6 @@
   function endRun(run: Run, end: RunEnd, checkpoint: string, reason?: string): Promise<boolean> {
     if (runs.get(run.name) !== run) return Promise.resolve(true);
     detach(run);
-    orders.noteEnd(run);
     meters.taskEnds.inc({ how: end });
     events.info('run-ended', {
       job: run.progress.job.id,
@@ -233,11 +243,11 @@
       runs: runs.size,
       handedOver: handedOver.length,
     });
+    next?.outrank(fencingToken);
     for (const run of handedOver) {
       detach(run);
       next?.adopt(run);
     }
-    next?.refuseStarts(orders.lateStarts());
     endAllRuns('lost', reason);
     connection.close();
     options.onChange();
@@ -263,8 +273,9 @@
     const first = !confirmed;
     // Another incarnation may get this renewal, which acknowledges nothing there and whose answer is wanted at once.
     const silent = silentRenewals > 0;
+    const token = fencingToken;
     const outcome = await connection.renew({
-      epoch,
+      fencingToken: token,
       acknowledgedThrough: silent ? 0 : reports.acknowledgedThrough,
       leaseUntilMs: extend ? until : undefined,
       waitMs: first || silent || isIdle() ? 0 : chooseWaitMs(runs.values(), reports.foreignRuns),
@@ -291,6 +302,7 @@
           worker: incarnation.id,
           born: incarnation.born,
           epoch,
+          fencingToken: token,
           running: outcome.report.running.length,
           ends: outcome.report.ended.length,
         });
@@ -310,8 +322,8 @@
       endIncarnation('another incarnation answers at its address');
       return true;
     }
-    if (outcome.kind === 'refused' && outcome.reason === 'stale-epoch') {
-      handleStaleEpoch();
+    if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
+      handleFenced(token);
       return false;
     }
     silentRenewals += 1;
--- a/src/fleet/worker.ts
+++ b/src/fleet/worker.ts
@@ -58,7 +58,7 @@
 
 /** Why a worker refused an order; a refused order has no effect. */
 export type OrderRefusal =
-  | 'stale-epoch'
+  | 'fenced'
   | 'stale-run'
   | 'too-late'
   | 'no-room'
@@ -91,7 +91,7 @@
   readonly spec: string;
   /** The worker refuses the start after this time on its clock. */
   readonly startBeforeMs: number;
-  readonly epoch: number;
+  readonly fencingToken: number;
   readonly checkpoint: string;
   readonly ticket: string | undefined;
 }
@@ -99,11 +99,11 @@
 export interface StopOrder {
   readonly task: string;
   readonly run: number;
-  readonly epoch: number;
+  readonly fencingToken: number;
 }
 
 export interface LeaseRenewal {
-  readonly epoch: number;
+  readonly fencingToken: number;
   /** Ends up to this sequence number are durable, so the worker may discard them. */
   readonly acknowledgedThrough: number;
   /** New end of the lease on the worker's clock; undefined leaves the lease unchanged. */
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -1,7 +1,7 @@
 /**
  * Election of the one host that decides placement. The leader holds a key of the store under a lease. The
- * epoch, a counter that outlives the lease, rises with each new leader and serves as the fencing token of orders
- * to workers. Every durable write of a leader is conditional on its key, so that a former leader cannot write.
+ * epoch, a counter that outlives the lease, rises with each new leader by the number of fencing tokens that its orders
+ * to workers may use. Every durable write of a leader is conditional on its key, so that a former leader cannot write.
  *
  * A leader that cannot reach the store continues to lead: no other host can win an election without the
  * store, and if others do reach it, workers refuse the old leader because the successor's epoch is higher.
@@ -10,7 +10,12 @@
 import type { EventLog, Meters } from '../observability/index.js';
 import type { Condition, StoreEntry, KeyValueStore } from '../records/index.js';
 import { pause } from '../records/index.js';
-import { decodeEpoch, decodeLeader, decodeProcessors } from './leadership-records.js';
+import {
+  decodeEpoch,
+  decodeLeader,
+  decodeProcessors,
+  TOKENS_PER_TERM,
+} from './leadership-records.js';
 import type { Leader } from './leadership-records.js';
 import { deferToStronger, isWeak } from './strength.js';
 
@@ -51,8 +56,9 @@
 /** Time before a host that yielded the leadership stands for election again. */
 const YIELD_PAUSE_MS = 5000;
 
-/** Epoch for orders to workers and condition for durable writes of the current term. */
+/** Epoch and condition for durable writes of the current term. */
 export interface LeadershipTerm {
+  /** The last of the term's fencing tokens for calls to workers. */
   readonly epoch: number;
   /** Holds until another host is elected. */
   readonly condition: Condition;
@@ -205,7 +211,7 @@
     // A host that restarted under the same name must not continue the epoch of its former process.
     const continues = held?.term.epoch === lastEpoch;
     if (held !== undefined && !continues) stepDown('another epoch has started');
-    const epoch = continues ? lastEpoch : lastEpoch + 1;
+    const epoch = continues ? lastEpoch : lastEpoch + TOKENS_PER_TERM;
     const grant = await store.grantLease(Math.max(LEADER_LEASE_MS, options.minLeaseMs));
     if (grant.isErr()) return;
     const sentAt = performance.now();
--- a/src/leadership/leadership-records.ts
+++ b/src/leadership/leadership-records.ts
@@ -13,6 +13,12 @@
 
 export type Leader = z.infer<typeof leaderSchema>;
 
+/**
+ * Number of fencing tokens of a term: its epoch is the last of them, and the token after it is the first of the next
+ * term. A leader of an older version uses its epoch as its only token, which is above those of all terms before.
+ */
+export const TOKENS_PER_TERM = 1_000_000;
+
 /** Decodes the record of the leader; undefined if it names none. */
 export function decodeLeader(text: string): Leader | undefined {
   try {
@@ -25,12 +31,12 @@
 
 /**
  * Decodes the epoch of the last election; 0 if there was none. If the record cannot be read, no election can have
- * counted as far as the milliseconds of the clock, and workers refuse an epoch below one that they have seen.
+ * counted as far as the milliseconds of the clock, and workers refuse a token below one that they have seen.
  */
 export function decodeEpoch(text: string | undefined, nowMs: number): number {
   if (text === undefined) return 0;
   const epoch = Number(text);
-  return /^\d+$/.test(text) && Number.isSafeInteger(epoch + 1) ? epoch : nowMs;
+  return /^\d+$/.test(text) && Number.isSafeInteger(epoch + TOKENS_PER_TERM) ? epoch : nowMs;
 }
 
 /** No host has more processors; a greater number would make every host give way to one that does not exist. */
--- a/test/controller/failing-loops.test.ts
+++ b/test/controller/failing-loops.test.ts
@@ -2,11 +2,14 @@
 import { expect } from 'chai';
 import { createDispatcher } from '../../src/controller/dispatcher.js';
 import type { DispatcherOptions } from '../../src/controller/dispatcher.js';
+import { createFencingTokens } from '../../src/controller/fencing-tokens.js';
 import { createWorkerSession } from '../../src/controller/worker-session.js';
 import type { WorkerConnection } from '../../src/fleet/index.js';
+import { TOKENS_PER_TERM } from '../../src/leadership/index.js';
 import { createMeters, SILENT_EVENTS } from '../../src/observability/index.js';
 import { eventually } from '../platform-path/support.js';
 import { createWorkerEntry } from './support.js';
+import { createWorkerFake } from './worker-fake.js';
 
 function openSession(connection: WorkerConnection) {
   return createWorkerSession({
@@ -14,7 +17,8 @@
     connect: () => connection,
     events: SILENT_EVENTS,
     meters: createMeters(),
-    epoch: 3,
+    epoch: TOKENS_PER_TERM,
+    tokens: createFencingTokens({ epoch: TOKENS_PER_TERM }),
     mayExtendLeases: () => true,
     openSuccessor: (session) => session,
     inheritedLeaseUntil: 0,
@@ -30,20 +34,33 @@
 describe('a loop of the leader that fails', () => {
   // A late start that is not refused runs beside the run that has replaced it (TWICE).
   it('refuses a late start again', async () => {
-    let stops = 0;
+    const worker = createWorkerFake();
+    let renewals = 0;
     const session = openSession({
-      start: () => Promise.resolve({ kind: 'accepted', clockMs: 1 }),
-      stop: () => {
-        stops += 1;
-        if (stops === 1) return Promise.reject(new Error('unreadable'));
-        return Promise.resolve({ kind: 'accepted', clockMs: 1 });
+      ...worker.connection,
+      renew: (renewal) => {
+        renewals += 1;
+        if (renewals === 1) return Promise.reject(new Error('unreadable'));
+        return worker.connection.renew(renewal);
       },
-      renew: () => Promise.resolve({ kind: 'refused', reason: 'unreachable', clockMs: undefined }),
-      close: () => undefined,
     });
-    session.refuseStarts([{ task: 'job.0.0.0', run: 1, until: performance.now() + 10_000 }]);
-    await eventually(() => (stops === 2 ? true : undefined));
+    // That of an incarnation before, whose run has ended and whose start arrives late.
+    const formerToken = 1;
+    session.outrank(formerToken);
+    session.startRenewals();
+    await eventually(() => (session.reachable ? true : undefined));
     session.close();
+    const outcome = await worker.connection.start({
+      task: 'job.0.0.0',
+      run: 1,
+      spec: 'text',
+      startBeforeMs: 10_000,
+      fencingToken: formerToken,
+      checkpoint: '',
+      ticket: undefined,
+    });
+    expect(outcome).to.include({ kind: 'refused', reason: 'fenced' });
+    expect(worker.running.size).to.equal(0);
   });
 
   // Without renewals a worker ends its runs, while the leader goes on giving it new ones.
--- a/test/controller/former-leader.test.ts
+++ b/test/controller/former-leader.test.ts
@@ -4,6 +4,7 @@
  */
 import { expect } from 'chai';
 import type { RunEnd } from '../../src/controller/run.js';
+import { TOKENS_PER_TERM } from '../../src/leadership/index.js';
 import { createSessionHarness } from './session-harness.js';
 import type { SessionHarness } from './session-harness.js';
 import { eventually, expectDefined } from './support.js';
@@ -12,7 +13,7 @@
 /** Some renewals. */
 const HOLD_MS = 400;
 /** Above the epoch of the harness. */
-const NEXT_EPOCH = 4;
+const NEXT_EPOCH = 4 * TOKENS_PER_TERM;
 
 describe('ends at a change of the leader', () => {
   let harness: SessionHarness;
@@ -57,7 +58,7 @@
     it('leaves a worker that has seen the successor', async () => {
       await observeRun();
       const renewal = { acknowledgedThrough: 0, leaseUntilMs: undefined, waitMs: 0 };
-      await worker.connection.renew({ ...renewal, epoch: NEXT_EPOCH });
+      await worker.connection.renew({ ...renewal, fencingToken: NEXT_EPOCH });
       await eventually(() => !worker.waiting || undefined, 'the end of the renewal that waits');
       await wait(HOLD_MS);
       const before = worker.renewals;
@@ -126,7 +127,7 @@
 
   async function startAtWorker(task: string, run: number) {
     const order = { spec: 'text', startBeforeMs: 10_000, checkpoint: '', ticket: undefined };
-    await worker.connection.start({ ...order, task, run, epoch: 0 });
+    await worker.connection.start({ ...order, task, run, fencingToken: 0 });
   }
 });
 
--- a/test/controller/later-incarnations.test.ts
+++ b/test/controller/later-incarnations.test.ts
@@ -3,6 +3,7 @@
  * one.
  */
 import { expect } from 'chai';
+import { createFencingTokens } from '../../src/controller/fencing-tokens.js';
 import { createFleetSessions } from '../../src/controller/fleet-sessions.js';
 import type { FleetSessions } from '../../src/controller/fleet-sessions.js';
 import { createRun, LATE_ORDER_MS } from '../../src/controller/run.js';
@@ -10,12 +11,15 @@
 import { createWorkerSession } from '../../src/controller/worker-session.js';
 import type { WorkerSession } from '../../src/controller/worker-session-types.js';
 import type { FleetWorker, WorkerConnection } from '../../src/fleet/index.js';
+import { TOKENS_PER_TERM } from '../../src/leadership/index.js';
 import { createMeters, SILENT_EVENTS } from '../../src/observability/index.js';
 import { createSingleTask, createWorkerEntry, eventually } from './support.js';
 import { createWorkerFake } from './worker-fake.js';
 import type { WorkerFake } from './worker-fake.js';
 
-const EPOCH = 3;
+const EPOCH = 3 * TOKENS_PER_TERM;
+/** Of the leader before. */
+const FORMER_EPOCH = 2 * TOKENS_PER_TERM;
 
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => {
@@ -24,6 +28,7 @@
 }
 
 describe('the end of a run at a later incarnation of its worker', () => {
+  const tokens = createFencingTokens({ epoch: EPOCH });
   let worker: WorkerFake;
   let sessions: FleetSessions;
   let ends: { readonly run: Run; readonly end: RunEnd }[];
@@ -50,6 +55,7 @@
       events: SILENT_EVENTS,
       meters: createMeters(),
       epoch: EPOCH,
+      tokens,
       mayExtendLeases: () => true,
       inheritedLeaseUntil: performance.now() + 1000,
       openSuccessor: (former, born) => sessions.openSuccessor(former, born),
@@ -111,7 +117,7 @@
       run: 1,
       spec: 'text',
       startBeforeMs: 10_000,
-      epoch: EPOCH - 1,
+      fencingToken: FORMER_EPOCH,
       checkpoint: '',
       ticket: undefined,
     });
@@ -165,7 +171,7 @@
       run: 1,
       spec: 'text',
       startBeforeMs: 10_000,
-      epoch: EPOCH - 1,
+      fencingToken: FORMER_EPOCH,
       checkpoint: '',
       ticket: undefined,
     });
@@ -193,6 +199,7 @@
       events: SILENT_EVENTS,
       meters,
       epoch: EPOCH,
+      tokens: createFencingTokens({ epoch: EPOCH }),
       mayExtendLeases: () => true,
       inheritedLeaseUntil: performance.now(),
       openSuccessor: (former) => former,
--- a/test/controller/repeated-starts.test.ts
+++ b/test/controller/repeated-starts.test.ts
@@ -3,15 +3,17 @@
  * ran because the repeated order was refused.
  */
 import { expect } from 'chai';
+import { createFencingTokens } from '../../src/controller/fencing-tokens.js';
 import { createRun } from '../../src/controller/run.js';
 import { createWorkerSession } from '../../src/controller/worker-session.js';
 import type { OrderOutcome, StartOrder } from '../../src/fleet/index.js';
+import { TOKENS_PER_TERM } from '../../src/leadership/index.js';
 import { createMeters, SILENT_EVENTS } from '../../src/observability/index.js';
 import { createSingleTask, createWorkerEntry } from './support.js';
 
 const UNKNOWN = { kind: 'unknown', detail: 'the connection was reset' } as const;
 const ACCEPTED: OrderOutcome = { kind: 'accepted', clockMs: 50 };
-const refused = (reason: 'stale-run' | 'no-room' | 'stale-epoch'): OrderOutcome => {
+const refused = (reason: 'stale-run' | 'no-room' | 'fenced'): OrderOutcome => {
   return { kind: 'refused', reason, clockMs: 50 };
 };
 
@@ -41,7 +43,8 @@
     }),
     events: SILENT_EVENTS,
     meters: createMeters(),
-    epoch: 3,
+    epoch: TOKENS_PER_TERM,
+    tokens: createFencingTokens({ epoch: TOKENS_PER_TERM }),
     mayExtendLeases: () => true,
     openSuccessor: (former) => former,
     inheritedLeaseUntil: 0,
@@ -80,13 +83,13 @@
     expect(ends).to.deep.equal(['never-ran']);
   });
 
-  for (const reason of ['stale-run', 'no-room', 'stale-epoch'] as const) {
+  for (const reason of ['stale-run', 'no-room', 'fenced'] as const) {
     it(`leave the run in doubt when the repeated order is refused as ${reason}`, async () => {
       // The first order may have started the run, which may even have ended by now, or may still arrive.
       const { run, ends, stale } = await startWith(UNKNOWN, refused(reason));
       expect(run.status).to.equal('in-doubt');
       expect(ends).to.deep.equal([]);
-      expect(stale).to.deep.equal(reason === 'stale-epoch' ? ['w1'] : []);
+      expect(stale).to.deep.equal(reason === 'fenced' ? ['w1'] : []);
     });
   }
 
--- a/test/controller/restarted-workers.test.ts
+++ b/test/controller/restarted-workers.test.ts
@@ -157,12 +157,27 @@
     worker.handleStart = () => 'held';
     const run = await harness.startRun();
     expect((await harness.endOf(run)).end).to.equal('never-ran');
-    const stopsBefore = worker.stops.length;
     restart('by its entry');
-    await eventually(
-      () => worker.stops.length > stopsBefore || undefined,
-      'a stop at the new incarnation',
-    );
+    await harness.reachedIncarnation(2);
+    worker.deliverHeld();
+    expect([...worker.running.keys()]).to.deep.equal([]);
+  });
+
+  // Guards against a task that is done twice: late starts were refused for 10 s only, and this one came after 11.5 s.
+  it('refuses late starts of runs that were done, however long ago they were sent', async () => {
+    let orders = 0;
+    worker.handleStart = () => {
+      orders += 1;
+      return orders === 1 ? 'held' : 'answered';
+    };
+    const run = await harness.startRun();
+    await harness.listedBy(run, 1);
+    run.lateStartUntil = performance.now() - 1;
+    worker.end(run.name, 'done');
+    expect((await harness.endOf(run)).end).to.equal('done');
+    await eventually(() => worker.acknowledgedThrough === 1 || undefined, 'the acknowledgement');
+    restart('by its entry');
+    await harness.reachedIncarnation(2);
     worker.deliverHeld();
     expect([...worker.running.keys()]).to.deep.equal([]);
   });
@@ -176,13 +191,32 @@
     restart('by its entry');
     restart('by its entry');
     worker.cut = false;
-    await harness.endOf(run);
-    expect(expectDefined(worker.stops.at(-1)).task).to.equal(run.name);
+    expect((await harness.endOf(run)).end).to.equal('never-ran');
     expect(run.session.incarnation.born).to.equal(3);
     worker.deliverHeld();
     expect(worker.running.size).to.equal(0);
   });
 
+  // Guards against a leader that steps down because it takes its own later token for that of a successor.
+  it('does not end the term when sessions with both incarnations call it in turn', async () => {
+    const { session: former } = await harness.createRun();
+    worker.restart();
+    harness.list();
+    await harness.reachedIncarnation(2);
+    // The later incarnation has seen a token above that of its session, as after a call of another session.
+    const later = expectDefined(harness.sessions.find({ id: 'w1', born: 2 }));
+    const token = harness.tokens.issue('w1');
+    await worker.connection.stop({ task: 'other.0.0.0', run: 1, fencingToken: token });
+    const { renewals } = worker;
+    await eventually(
+      () => worker.renewals > renewals + 1 || undefined,
+      'reports under a new token',
+    );
+    expect(later.ended).to.equal(false);
+    expect(former.ended).to.equal(true);
+    expect(harness.staleEpochs).to.equal(0);
+  });
+
   // Guards against an end that the new incarnation drops unread, because an acknowledgement for its former incarnation
   // waited until the next renewal of an idle worker.
   it('gets no acknowledgement for its former incarnation after an idle pause', async () => {
--- a/test/controller/session-harness.ts
+++ b/test/controller/session-harness.ts
@@ -1,4 +1,6 @@
 /** Sessions of a leader with one worker in memory, and what becomes of the runs that are ordered there. */
+import { createFencingTokens } from '../../src/controller/fencing-tokens.js';
+import type { FencingTokens } from '../../src/controller/fencing-tokens.js';
 import { createFleetSessions } from '../../src/controller/fleet-sessions.js';
 import type { FleetSessions } from '../../src/controller/fleet-sessions.js';
 import { createRun } from '../../src/controller/run.js';
@@ -6,13 +8,14 @@
 import { createWorkerSession } from '../../src/controller/worker-session.js';
 import type { WorkerSession } from '../../src/controller/worker-session-types.js';
 import type { FleetWorker } from '../../src/fleet/index.js';
+import { TOKENS_PER_TERM } from '../../src/leadership/index.js';
 import { createMeters, SILENT_EVENTS } from '../../src/observability/index.js';
 import type { EventFields } from '../../src/observability/index.js';
 import { createSingleTask, createWorkerEntry, eventually } from './support.js';
 import { createWorkerFake } from './worker-fake.js';
 import type { WorkerFake } from './worker-fake.js';
 
-const EPOCH = 3;
+const EPOCH = 3 * TOKENS_PER_TERM;
 
 export interface ObservedEnd {
   readonly run: Run;
@@ -36,6 +39,11 @@
   createRun(options?: { readonly index?: number; readonly inherited?: boolean }): Promise<Run>;
   startRun(index?: number): Promise<Run>;
   endOf(run: Run): Promise<ObservedEnd>;
+  readonly tokens: FencingTokens;
+  /** Number of times that a worker has shown that another host leads. */
+  readonly staleEpochs: number;
+  /** Waits until the incarnation has answered a call of its own session. */
+  reachedIncarnation(born: number): Promise<true>;
   /** Waits until a report of the incarnation lists the run, and fails if the run is ended while it is at work. */
   listedBy(run: Run, born: number): Promise<true>;
   close(): void;
@@ -51,6 +59,8 @@
       warnings.push({ event, fields });
     },
   };
+  const tokens = createFencingTokens({ epoch: EPOCH });
+  let staleEpochs = 0;
   const sessions = createFleetSessions({
     open: openSession,
     events,
@@ -65,6 +75,7 @@
       events,
       meters: createMeters(),
       epoch: EPOCH,
+      tokens,
       mayExtendLeases: () => true,
       inheritedLeaseUntil: performance.now(),
       openSuccessor: (former, born) => sessions.openSuccessor(former, born),
@@ -75,7 +86,9 @@
       onReport: () => undefined,
       onTicketRefused: () => undefined,
       responsiveNow: () => performance.now(),
-      onStaleEpoch: () => undefined,
+      onStaleEpoch: () => {
+        staleEpochs += 1;
+      },
       onChange: () => undefined,
     });
     session.startRenewals();
@@ -88,6 +101,10 @@
     ends,
     warnings,
     storesEnds: true,
+    tokens,
+    get staleEpochs() {
+      return staleEpochs;
+    },
     list: () => {
       sessions.update('w1', createWorkerEntry(worker.born));
     },
@@ -108,6 +125,11 @@
     },
     endOf: (run) =>
       eventually(() => ends.find((entry) => entry.run === run), `the end of ${run.name}`),
+    reachedIncarnation: (born) =>
+      eventually(
+        () => sessions.find({ id: 'w1', born })?.confirmed === true || undefined,
+        `an answer of incarnation ${String(born)}`,
+      ),
     listedBy: (run, born) =>
       eventually(
         () => {
--- a/test/controller/worker-fake.ts
+++ b/test/controller/worker-fake.ts
@@ -25,7 +25,7 @@
   ended: EndedTask[];
   readonly forgotten: EndedTask[];
   ends: number;
-  epoch: number;
+  fencingToken: number;
   acknowledgedThrough: number;
 }
 
@@ -70,16 +70,16 @@
 
   const isCut = () => fake.cut;
   const clockMs = () => Math.round(performance.now() - incarnation.bornAt);
-  const isStale = (epoch: number) => {
-    if (epoch < incarnation.epoch) return true;
-    incarnation.epoch = epoch;
+  const isFenced = (token: number) => {
+    if (token < incarnation.fencingToken) return true;
+    incarnation.fencingToken = token;
     return false;
   };
-  const refuse = (reason: 'stale-epoch' | 'stale-run') =>
+  const refuse = (reason: 'fenced' | 'stale-run') =>
     ({ kind: 'refused', reason, clockMs: clockMs() }) as const;
 
-  function execute({ task, run, epoch }: StartOrder): OrderOutcome {
-    if (isStale(epoch)) return refuse('stale-epoch');
+  function execute({ task, run, fencingToken }: StartOrder): OrderOutcome {
+    if (isFenced(fencingToken)) return refuse('fenced');
     if (incarnation.running.get(task) !== run) {
       if (run <= (incarnation.closed.get(task) ?? 0)) return refuse('stale-run');
       incarnation.running.set(task, run);
@@ -110,7 +110,7 @@
     await pause(2);
     if (isCut()) return UNKNOWN;
     stops.push(order);
-    if (isStale(order.epoch)) return refuse('stale-epoch');
+    if (isFenced(order.fencingToken)) return refuse('fenced');
     const run = incarnation.running.get(order.task);
     if (run !== undefined && run <= order.run) setTimeout(end, 10, order.task, 'stopped');
     else incarnation.closed.set(order.task, order.run);
@@ -121,7 +121,7 @@
     await pause(2);
     if (isCut()) return UNKNOWN;
     const answering = incarnation;
-    if (isStale(renewal.epoch)) return refuse('stale-epoch');
+    if (isFenced(renewal.fencingToken)) return refuse('fenced');
     const through = Math.max(incarnation.acknowledgedThrough, renewal.acknowledgedThrough);
     incarnation.acknowledgedThrough = through;
     incarnation.forgotten.push(...incarnation.ended.filter(({ sequence }) => sequence <= through));
@@ -198,7 +198,7 @@
 function createIncarnation(born: number): Incarnation {
   const bornAt = performance.now();
   const incarnation = { running: new Map<string, number>(), closed: new Map<string, number>() };
-  const counts = { ends: 0, epoch: 0, acknowledgedThrough: 0 };
+  const counts = { ends: 0, fencingToken: 0, acknowledgedThrough: 0 };
   return { ...incarnation, ...counts, born, bornAt, ended: [], forgotten: [] };
 }
 
--- a/test/controller/worker-lives.test.ts
+++ b/test/controller/worker-lives.test.ts
@@ -7,6 +7,7 @@
  * done while it is at work, or an end that is acknowledged and not applied.
  */
 import fc from 'fast-check';
+import { createFencingTokens } from '../../src/controller/fencing-tokens.js';
 import { createFleetSessions } from '../../src/controller/fleet-sessions.js';
 import type { FleetSessions } from '../../src/controller/fleet-sessions.js';
 import { createRun } from '../../src/controller/run.js';
@@ -15,6 +16,7 @@
 import type { WorkerSession } from '../../src/controller/worker-session-types.js';
 import type { FleetWorker } from '../../src/fleet/index.js';
 import type { WorkerIncarnation } from '../../src/jobs/index.js';
+import { TOKENS_PER_TERM } from '../../src/leadership/index.js';
 import { createMeters, SILENT_EVENTS } from '../../src/observability/index.js';
 import { expectAllToHold } from '../drawn-scenarios.js';
 import { createSingleTask, createWorkerEntry } from './support.js';
@@ -27,8 +29,8 @@
 const RESTART_MS = 150;
 /** Leaves time for a restart between an order and its repetition. */
 const START_TIMEOUT_MS = 250;
-/** The first report shows the incarnation; with those after it, the leader's stops have reached it. */
-const REPORTS_UNTIL_REACHED = 2;
+/** The first report shows the incarnation; the second answers a call of its own session. */
+const REPORTS_UNTIL_REACHED = 1;
 /** Time of the first incarnation, so that clocks can jump back. */
 const FIRST_CLOCK_STEP_MS = 1000;
 
@@ -115,8 +117,9 @@
   let sessions = lead();
 
   function lead(): FleetSessions {
-    epoch += 1;
+    epoch += TOKENS_PER_TERM;
     const term = epoch;
+    const tokens = createFencingTokens({ epoch });
     let restored = false;
     const fleet: FleetSessions = createFleetSessions({
       open: openSession,
@@ -132,6 +135,7 @@
         events: SILENT_EVENTS,
         meters: createMeters(),
         epoch: term,
+        tokens,
         mayExtendLeases: () => true,
         inheritedLeaseUntil: performance.now() + 20_000,
         openSuccessor: (former, born) => fleet.openSuccessor(former, born),
--- a/test/leadership/election.test.ts
+++ b/test/leadership/election.test.ts
@@ -5,7 +5,7 @@
  */
 import { expect } from 'chai';
 import { err, ok } from 'neverthrow';
-import { createElection } from '../../src/leadership/index.js';
+import { createElection, TOKENS_PER_TERM } from '../../src/leadership/index.js';
 import type { Election } from '../../src/leadership/index.js';
 import { SILENT_EVENTS } from '../../src/observability/index.js';
 import type { StoreEntry, KeyValueStore } from '../../src/records/index.js';
@@ -138,14 +138,14 @@
 
   // Guards against a leader that is cut off from the store and never learns that it has been replaced.
   it('ends the term if it was elected later', () => {
-    election.observeReported(leaderOf('other', 2));
+    election.observeReported(leaderOf('other', TOKENS_PER_TERM + 1));
     expect(lost).to.deep.equal([{ isCutOff: true }]);
     expect(election.leader?.host).to.equal('other');
   });
 
   // Hosts learn of elections at different times.
   it('does not end the term if it was elected before', () => {
-    election.observeReported(leaderOf('other', 1));
+    election.observeReported(leaderOf('other', TOKENS_PER_TERM));
     expect(lost).to.deep.equal([]);
     expect(election.leader?.host).to.equal('own');
   });
