Tell a new leader which workers were silent and what is left of their leases

Cause: a leader that cannot reach a worker waited for the longest lease that any leader could have granted, counted from its own term, because what its predecessor knew of the silence was lost with it.

Change: the leader records the workers that have been silent for 1.5 s, with what is left of their leases. An entry is a promise: the worker's lease is not extended, and it gets no start, before the entry is known to be removed. Only the present leader can write, naming the revision that it replaces, and the successor reads the record after its election, so the promise holds then. It counts what is left from when its host has first seen that revision, keeps the promise itself and passes on what is left. A record that a leader of an older version may have broken is recognised by the epoch.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -4,8 +4,8 @@
  */
 import type { WorkerConnection } from '../fleet/index.js';
 import type { Job, WorkerIncarnation } from '../jobs/index.js';
-import type { Controller, FleetSource } from '../controller/index.js';
-import { createController } from '../controller/index.js';
+import type { Controller, FleetSource, SeenRecord } from '../controller/index.js';
+import { createController, SILENT_WORKERS_KEY } from '../controller/index.js';
 import type { CallerService } from '../intake/index.js';
 import {
   answerRelayedCall,
@@ -153,6 +153,12 @@
   /** Controller of a term that ended while this host was cut off from the store. */
   let formerController: Controller | undefined;
   let stopping = false;
+  let silentWorkersSeen: SeenRecord | undefined;
+
+  function noteSilentWorkers(revision: number | undefined) {
+    if (revision === undefined || revision === silentWorkersSeen?.revision) return;
+    silentWorkersSeen = { revision, at: performance.now() };
+  }
 
   hub.onCallerConnected(() => {
     controller?.handleCallersChanged();
@@ -192,6 +198,7 @@
         ...(options.drainMs === undefined ? {} : { drainMs: options.drainMs }),
         ...(options.cancelMs === undefined ? {} : { cancelMs: options.cancelMs }),
         ...(options.openBytesLimit === undefined ? {} : { openBytesLimit: options.openBytesLimit }),
+        silentWorkersSeen,
         connect: options.connect,
         callers: () => [localAdvice, ...hub.callers()],
         renewedAt: () => election.renewedAt,
@@ -247,8 +254,10 @@
       election.observe(entries);
       const openWork = entries.find(({ key }) => key === OPEN_WORK_KEY);
       admission.update(decodeOpenWork(openWork?.value));
+      noteSilentWorkers(entries.find(({ key }) => key === SILENT_WORKERS_KEY)?.revision);
     },
     onChange: ({ key, value, revision }) => {
+      if (key === SILENT_WORKERS_KEY) noteSilentWorkers(revision);
       if (key === OPEN_WORK_KEY) admission.update(decodeOpenWork(value));
       if (value === undefined) election.observeRemoval(key);
       else election.observe([{ key, value, revision }]);
--- a/src/controller/cell-feed.ts
+++ b/src/controller/cell-feed.ts
@@ -8,6 +8,7 @@
 import type { EventLog, Meters } from '../observability/index.js';
 import type { StoreChange, StoreEntry, Reachability, KeyValueStore } from '../records/index.js';
 import { followPrefix, pause } from '../records/index.js';
+import { SILENT_WORKERS_KEY } from './silent-workers.js';
 import { followTiming, listingIntervalMs } from './order-window.js';
 
 const RESTORE_RETRY_MS = 50;
@@ -38,6 +39,8 @@
   /** Age of the cancellations that orders must not exceed. */
   readonly cancellationsMaxAgeMs: number;
   readonly onProgress: (entries: readonly StoreEntry[]) => void;
+  /** Called with the record of silent workers, before workers are called; undefined if there is none. */
+  readonly onSilentWorkers: (entry: StoreEntry | undefined) => void;
   readonly onFleet: (entries: readonly StoreEntry[]) => void;
   readonly onFleetChange: (change: StoreChange) => void;
   readonly onJobs: (entries: readonly StoreEntry[]) => void;
@@ -57,13 +60,15 @@
   let stopped = false;
   let restored = false;
   let progressRead = false;
+  let silentWorkersRead = false;
   let fleetListed = false;
   /** Jobs and their changes that arrived before progress and workers were applied. */
   let jobs: readonly StoreEntry[] | undefined;
   let changes: StoreChange[] = [];
 
   function finishRestore() {
-    if (restored || stopped || !progressRead || !fleetListed || jobs === undefined) return;
+    if (restored || stopped || jobs === undefined) return;
+    if (!progressRead || !silentWorkersRead || !fleetListed) return;
     options.onJobs(jobs);
     restored = true;
     options.onRestored();
@@ -89,6 +94,19 @@
     }
   }
 
+  async function readSilentWorkers() {
+    while (!stopped) {
+      const found = await store.get(SILENT_WORKERS_KEY);
+      if (found.isOk()) {
+        options.onSilentWorkers(found.value);
+        silentWorkersRead = true;
+        finishRestore();
+        return;
+      }
+      await pause(RESTORE_RETRY_MS);
+    }
+  }
+
   const fleetFollower = followPrefix({
     store,
     prefix: options.fleetPrefix,
@@ -145,6 +163,7 @@
     },
   });
   faults.keepRunning('read progress', readProgress);
+  faults.keepRunning('read silent workers', readSilentWorkers);
 
   return {
     get restored() {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -37,6 +37,8 @@
 import { createProgressLog } from './progress-log.js';
 import { createResponsiveClock } from './responsive-clock.js';
 import { stepNameOf } from './run.js';
+import type { SeenRecord, SilentWorker } from './silent-workers.js';
+import { createSilentWorkers } from './silent-workers.js';
 import { createShareMeter } from './share-meter.js';
 import { awaitStoppingRuns } from './stopping-runs.js';
 import { createWorkerSession, LEASE_MS } from './worker-session.js';
@@ -89,6 +91,8 @@
   readonly openBytesLimit?: number;
   readonly connect: (address: string, incarnation: WorkerIncarnation) => WorkerConnection;
   readonly callers: () => readonly AdviceCaller[];
+  /** What this host has seen of the record of silent workers. */
+  readonly silentWorkersSeen?: SeenRecord | undefined;
   /** Monotonic milliseconds of the last confirmed renewal of the leader's lease. */
   readonly renewedAt: () => number | undefined;
   readonly onLeadershipLost: (reason: string) => void;
@@ -104,6 +108,8 @@
  * declares its runs lost only after this time and the duration of a lease have passed.
  */
 const EXTEND_WITHOUT_STORE_MS = 10_000;
+/** A worker that answers again is given no work before the record is written. */
+const SILENT_WORKERS_INTERVAL_MS = 200;
 /** Drain time of the platform where its settings do not give another. */
 const DEFAULT_DRAIN_MS = 2000;
 /** Likewise for cancellations. */
@@ -179,6 +185,12 @@
     meters,
     onPermits: requestPlan,
   });
+  const silentWorkers = createSilentWorkers({
+    store,
+    epoch: term.epoch,
+    condition: () => condition,
+    seen: options.silentWorkersSeen,
+  });
   const sessions = createFleetSessions({
     open: openSession,
     events,
@@ -223,9 +235,10 @@
     return configuration.current?.configuration.queues.find((queue) => queue.name === name);
   }
 
-  function mayExtendLeases(): boolean {
+  function mayExtendLease({ incarnation }: FleetWorker): boolean {
     const renewedAt = options.renewedAt();
-    return !closed && renewedAt !== undefined && now() - renewedAt < EXTEND_WITHOUT_STORE_MS;
+    if (closed || !silentWorkers.mayExtend(incarnation)) return false;
+    return renewedAt !== undefined && now() - renewedAt < EXTEND_WITHOUT_STORE_MS;
   }
 
   function openSession(worker: FleetWorker): WorkerSession {
@@ -236,9 +249,11 @@
       meters,
       epoch: term.epoch,
       tokens,
-      mayExtendLeases,
+      mayExtendLease: () => mayExtendLease(worker),
+      isRecordedSilent: () => !silentWorkers.mayExtend(worker.incarnation),
       openSuccessor: (former, born) => sessions.openSuccessor(former, born),
-      inheritedLeaseUntil: startedAt + MAX_INHERITED_LEASE_MS,
+      inheritedLeaseUntil: () =>
+        silentWorkers.leaseEndOf(worker.incarnation) ?? startedAt + MAX_INHERITED_LEASE_MS,
       onEnd: (session, run, end, checkpoint) => {
         if (!closed) return lifecycle.applyEnd(run, end, checkpoint);
         formerLeader?.noteEnd(session, run, end, checkpoint);
@@ -275,6 +290,17 @@
     });
   }
 
+  function listSilentWorkers(): SilentWorker[] {
+    return [...sessions.all()].flatMap(({ incarnation, silentLeaseLeftMs }) =>
+      silentLeaseLeftMs === undefined ? [] : [{ incarnation, leaseLeftMs: silentLeaseLeftMs }],
+    );
+  }
+
+  const silentWorkersTimer = setInterval(() => {
+    if (feed.restored && !closed) void silentWorkers.publish(listSilentWorkers());
+  }, SILENT_WORKERS_INTERVAL_MS);
+  silentWorkersTimer.unref();
+
   const fleetEntries = createFleetEntries({ fleet: options.fleet, sessions, events, meters });
 
   /** Keeps only the ids of ended jobs, so that a takeover spends no time decoding their records. */
@@ -335,6 +361,7 @@
     fleetMaxAgeMs: drainMs,
     cancellationsMaxAgeMs: cancelMs,
     onProgress: applyProgress,
+    onSilentWorkers: silentWorkers.restore,
     onFleet: (entries) => {
       fleetEntries.applyListing(entries);
     },
@@ -418,6 +445,7 @@
     closed = true;
     responsiveClock.stop();
     dispatcher.stop();
+    clearInterval(silentWorkersTimer);
     housekeeping.close();
     feed.stop();
     log.close();
--- a/src/controller/index.ts
+++ b/src/controller/index.ts
@@ -3,4 +3,6 @@
  */
 export * from './controller.js';
 export type { FleetSource } from './fleet-entries.js';
+export { SILENT_WORKERS_KEY } from './silent-workers.js';
+export type { SeenRecord } from './silent-workers.js';
 export type { ReportedEnd } from './former-leader.js';
--- a/src/controller/leader-record.ts
+++ b/src/controller/leader-record.ts
@@ -6,10 +6,10 @@
 
 export interface LeaderRecord {
   /**
-   * Writes the value, unless it is known to be the present one. If that fails or its outcome is unknown, the record is
-   * only correct after a later call.
+   * Writes the value, unless it is known to be the present one. Resolves to whether it is; if not, an earlier value may
+   * be, and the record is only correct after a later call.
    */
-  write(value: string): Promise<void>;
+  write(value: string): Promise<boolean>;
 }
 
 export interface LeaderRecordOptions {
@@ -26,10 +26,10 @@
   let present: string | undefined;
   let isWriting = false;
 
-  async function replace(value: string) {
+  async function replace(value: string): Promise<boolean> {
     if (revision === undefined) {
       const found = await store.get(key);
-      if (found.isErr()) return;
+      if (found.isErr()) return false;
       revision = found.value?.revision ?? 0;
     }
     present = undefined;
@@ -38,22 +38,25 @@
       writes: [{ key, value }],
     });
     // An unknown write either takes effect, which the next one finds as a conflict, or is void after that one.
-    if (outcome.isErr()) return;
+    if (outcome.isErr()) return false;
     if (outcome.value.kind === 'committed') {
       revision = outcome.value.revision;
       present = value;
+      return true;
     }
     if (outcome.value.kind === 'conflict') {
       revision = outcome.value.entries.find((entry) => entry.key === key)?.revision ?? 0;
     }
+    return false;
   }
 
   return {
     write: async (value) => {
-      if (isWriting || value === present) return;
+      if (isWriting) return false;
+      if (value === present) return true;
       isWriting = true;
       try {
-        await replace(value);
+        return await replace(value);
       } finally {
         isWriting = false;
       }
--- a/src/controller/lease-clock.ts
+++ b/src/controller/lease-clock.ts
@@ -22,13 +22,14 @@
    * monotonic time. Its deadline was meant for the earlier clock, so only the worker's own limit bounds the lease.
    */
   noteForeignExtension(underWayUntil: number): void;
-  /** Whether the lease has certainly expired and all runs have ended. */
+  /** Monotonic time from which the lease has certainly expired and all runs have ended, unless it is extended. */
+  expiresAt(): number;
   hasExpired(): boolean;
 }
 
 export interface LeaseClockOptions {
   /** Latest end of a lease that a previous leader may have granted, on this host's monotonic clock. */
-  readonly inheritedLeaseUntil: number;
+  readonly inheritedLeaseUntil: () => number;
   /** Whether the worker has answered this leader; its own clock then replaces the inherited bound. */
   readonly isConfirmed: () => boolean;
   /** This host's monotonic clock in milliseconds. */
@@ -41,6 +42,15 @@
   let foreignLeaseUntil = -Infinity;
   let reading: { workerMs: number; at: number } | undefined;
   let leaseUntilMs = 0;
+
+  function expiresAt(): number {
+    if (!isConfirmed() || reading === undefined) {
+      return Math.max(foreignLeaseUntil, inheritedLeaseUntil());
+    }
+    const leftMs = leaseUntilMs + EXPIRY_MARGIN_MS - reading.workerMs;
+    return Math.max(foreignLeaseUntil, reading.at + leftMs / (1 - CLOCK_DRIFT));
+  }
+
   return {
     now: () => (reading === undefined ? 0 : reading.workerMs + (monotonicNow() - reading.at)),
     note: (workerMs) => {
@@ -56,12 +66,7 @@
       const leaseUntil = latest + MAX_LEASE_MS / (1 - CLOCK_DRIFT) + EXPIRY_MARGIN_MS;
       foreignLeaseUntil = Math.max(foreignLeaseUntil, leaseUntil);
     },
-    hasExpired: () => {
-      const now = monotonicNow();
-      if (now <= foreignLeaseUntil) return false;
-      if (!isConfirmed() || reading === undefined) return now > inheritedLeaseUntil;
-      const workerMs = reading.workerMs + (now - reading.at) * (1 - CLOCK_DRIFT);
-      return workerMs > leaseUntilMs + EXPIRY_MARGIN_MS;
-    },
+    expiresAt,
+    hasExpired: () => monotonicNow() > expiresAt(),
   };
 }
--- /dev/null
+++ b/src/controller/silent-workers.ts
@@ -0,0 +1,141 @@
+/**
+ * Records which workers have been silent and how long their leases may still last, so that a successor need not wait for
+ * the longest lease that any leader could have granted. Each entry is a promise: the lease of the worker is extended by
+ * no one before the entry has been removed, and only the present leader can remove it.
+ *
+ * The record holds times that are left, never a time of one host's clock, and it is read after the election, when the
+ * former leader can no longer change it. What was left then is left at most from the moment at which this host has
+ * first seen the record as it stands.
+ */
+import { z } from 'zod';
+import type { WorkerIncarnation } from '../jobs/index.js';
+import { TOKENS_PER_TERM } from '../leadership/index.js';
+import type { Condition, KeyValueStore, StoreEntry } from '../records/index.js';
+import { createLeaderRecord } from './leader-record.js';
+
+/** Under the prefix that all hosts follow. */
+export const SILENT_WORKERS_KEY = 'leadership/silent-workers';
+
+/** A worker whose lease is not extended. */
+export interface SilentWorker {
+  readonly incarnation: WorkerIncarnation;
+  /** Milliseconds after which its lease has certainly expired. */
+  readonly leaseLeftMs: number;
+}
+
+/** A state of the record that this host has seen. */
+export interface SeenRecord {
+  readonly revision: number;
+  /** Monotonic milliseconds at which this host has first seen this revision. */
+  readonly at: number;
+}
+
+export interface SilentWorkers {
+  /** Applies the record as the former leader left it; undefined if there is none. */
+  readonly restore: (entry: StoreEntry | undefined) => void;
+  /** Monotonic time after which the lease has certainly expired, if the former leader recorded the worker. */
+  leaseEndOf(incarnation: WorkerIncarnation): number | undefined;
+  /** Whether the lease may be extended: a successor would take the worker for one that has none if it were. */
+  mayExtend(incarnation: WorkerIncarnation): boolean;
+  /** Writes the record if the silent workers have changed, or if less is left of their leases than it says. */
+  publish(silent: readonly SilentWorker[]): Promise<void>;
+}
+
+export interface SilentWorkersOptions {
+  readonly store: KeyValueStore;
+  /** Epoch of the present term. */
+  readonly epoch: number;
+  /** A transaction condition that holds as long as this host leads. */
+  readonly condition: () => Condition;
+  /** What this host has seen of the record before its election. */
+  readonly seen?: SeenRecord | undefined;
+  /** Monotonic milliseconds. */
+  readonly now?: () => number;
+}
+
+/** Time after which the record is written again with what is left by then. */
+const REFRESH_MS = 2000;
+
+const recordSchema = z.object({
+  /** Epoch of the leader that has written the record. */
+  epoch: z.int().nonnegative(),
+  /** Id and start time of each worker, and what is left of its lease in milliseconds. */
+  workers: z.array(z.tuple([z.string(), z.number(), z.number().nonnegative()])),
+});
+
+type SilentWorkersRecord = z.infer<typeof recordSchema>;
+
+const keyOf = ({ id, born }: WorkerIncarnation) => `${id}@${String(born)}`;
+
+export function createSilentWorkers(options: SilentWorkersOptions): SilentWorkers {
+  const { epoch, now = () => performance.now() } = options;
+  const record = createLeaderRecord({ ...options, key: SILENT_WORKERS_KEY });
+  const leaseEnds = new Map<string, number>();
+  let isRestored = false;
+  /** Workers that the record may name, also after a write whose outcome is unknown. */
+  let recorded: ReadonlySet<string> = new Set();
+  let writtenAt = -Infinity;
+  let isPublishing = false;
+
+  function restore(entry: StoreEntry | undefined) {
+    const seenAt = entry?.revision === options.seen?.revision ? options.seen?.at : undefined;
+    const readAt = seenAt ?? now();
+    const found = entry === undefined ? undefined : decodeRecord(entry.value);
+    const isKept = found !== undefined && isKeptUntil(epoch, found);
+    for (const [id, born, leaseLeftMs] of isKept ? found.workers : []) {
+      leaseEnds.set(keyOf({ id, born }), readAt + leaseLeftMs);
+    }
+    recorded = new Set(leaseEnds.keys());
+    isRestored = true;
+  }
+
+  function isOutdated(keys: ReadonlySet<string>): boolean {
+    if (keys.size !== recorded.size || [...keys].some((key) => !recorded.has(key))) return true;
+    return keys.size > 0 && now() - writtenAt >= REFRESH_MS;
+  }
+
+  async function publish(silent: readonly SilentWorker[]) {
+    const keys = new Set(silent.map(({ incarnation }) => keyOf(incarnation)));
+    if (!isRestored || isPublishing || !isOutdated(keys)) return;
+    isPublishing = true;
+    recorded = new Set([...recorded, ...keys]);
+    const startedAt = now();
+    const workers = silent.map(({ incarnation, leaseLeftMs }): [string, number, number] => [
+      incarnation.id,
+      incarnation.born,
+      Math.ceil(leaseLeftMs),
+    ]);
+    const next: SilentWorkersRecord = { epoch, workers };
+    try {
+      if (!(await record.write(JSON.stringify(next)))) return;
+      recorded = keys;
+      writtenAt = startedAt;
+    } finally {
+      isPublishing = false;
+    }
+  }
+
+  return {
+    restore,
+    leaseEndOf: (incarnation) => leaseEnds.get(keyOf(incarnation)),
+    mayExtend: (incarnation) => isRestored && !recorded.has(keyOf(incarnation)),
+    publish,
+  };
+}
+
+/**
+ * Whether all leaders since the record was written keep it. Those of an older version extend leases whatever it says; they
+ * raise the epoch by one.
+ */
+function isKeptUntil(epoch: number, record: SilentWorkersRecord): boolean {
+  return record.epoch <= epoch && (epoch - record.epoch) % TOKENS_PER_TERM === 0;
+}
+
+/** Decodes the record; one that cannot be read names no worker, whose leases then count as the longest. */
+function decodeRecord(text: string): SilentWorkersRecord | undefined {
+  try {
+    return recordSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/controller/worker-session-types.ts
+++ b/src/controller/worker-session-types.ts
@@ -16,12 +16,14 @@
   readonly meters: Meters;
   readonly epoch: number;
   readonly tokens: FencingTokens;
-  /** Whether leases may be extended, which requires a recent renewal of the leader's own lease. */
-  readonly mayExtendLeases: () => boolean;
+  /** Whether the worker's lease may be extended, which requires a recent renewal of the leader's own lease. */
+  readonly mayExtendLease: () => boolean;
+  /** Whether a successor would take the worker's lease for expired because it was silent; it gets no work then. */
+  readonly isRecordedSilent?: () => boolean;
   /** The session with the incarnation that was found in place of this one, opened if there is none. */
   readonly openSuccessor: (session: WorkerSession, born: number) => WorkerSession;
   /** Latest end of a lease that a previous leader may have granted, on this host's monotonic clock. */
-  readonly inheritedLeaseUntil: number;
+  readonly inheritedLeaseUntil: () => number;
   /** Applies the end of a run; resolves to true once it is durable, to false if it never will be. */
   readonly onEnd: (
     session: WorkerSession,
@@ -58,6 +60,11 @@
   readonly used: Resources;
   /** Whether the worker has answered this leader, after which it refuses orders of previous leaders. */
   readonly confirmed: boolean;
+  /**
+   * Milliseconds until the lease has certainly expired, if the worker has been silent for some time; undefined if it
+   * answers or has no runs.
+   */
+  readonly silentLeaseLeftMs: number | undefined;
   /** Whether the worker answers renewals and can be given work. */
   readonly reachable: boolean;
   readonly ended: boolean;
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -24,6 +24,8 @@
  * leader. The runs of a dead worker restart elsewhere only after the lease has expired.
  */
 export const LEASE_MS = 8000;
+/** Time without an answer after which a successor is told of a silent worker; lost answers alone seldom last so long. */
+const SILENCE_MS = 1500;
 /** Consecutive unanswered renewals after which a worker is given no new work. */
 const MAX_SILENT_RENEWALS = 1;
 
@@ -45,6 +47,7 @@
   let successor: WorkerSession | undefined;
   let isPresent: (requestedAt: number) => boolean = () => true;
   let answeredAt = -Infinity;
+  const openedAt = performance.now();
   const clock = createLeaseClock({
     inheritedLeaseUntil: options.inheritedLeaseUntil,
     isConfirmed: () => confirmed,
@@ -113,8 +116,17 @@
     get confirmed() {
       return confirmed;
     },
+    get silentLeaseLeftMs() {
+      if (ended || observing || runs.size === 0) return undefined;
+      if (confirmed && silentRenewals === 0) return undefined;
+      const now = performance.now();
+      if (now - Math.max(answeredAt, openedAt) < SILENCE_MS) return undefined;
+      return Math.max(0, clock.expiresAt() - now);
+    },
     get reachable() {
       if (!confirmed || ended || reports.foreignRuns > 0) return false;
+      // A start extends the lease, too.
+      if (options.isRecordedSilent?.() === true) return false;
       return silentRenewals < MAX_SILENT_RENEWALS && !orders.hasOverdueStart();
     },
     get ended() {
@@ -268,7 +280,7 @@
     const until = clock.now() + LEASE_MS;
     // An unanswered extension may have reached the worker, so extending a silent worker's lease would postpone forever
     // the time at which it has certainly expired.
-    const extend = confirmed && silentRenewals === 0 && options.mayExtendLeases();
+    const extend = confirmed && silentRenewals === 0 && options.mayExtendLease();
     if (extend) clock.extend(until);
     const first = !confirmed;
     // Another incarnation may get this renewal, which acknowledges nothing there and whose answer is wanted at once.
--- a/test/controller/later-incarnations.test.ts
+++ b/test/controller/later-incarnations.test.ts
@@ -49,6 +49,7 @@
   });
 
   function openSession(entry: FleetWorker): WorkerSession {
+    const startedAt = performance.now();
     const session = createWorkerSession({
       worker: entry,
       connect: () => worker.connection,
@@ -56,8 +57,8 @@
       meters: createMeters(),
       epoch: EPOCH,
       tokens,
-      mayExtendLeases: () => true,
-      inheritedLeaseUntil: performance.now() + 1000,
+      mayExtendLease: () => true,
+      inheritedLeaseUntil: () => startedAt + 1000,
       openSuccessor: (former, born) => sessions.openSuccessor(former, born),
       onEnd: (_session, run, end) => {
         ends.push({ run, end });
@@ -200,8 +201,8 @@
       meters,
       epoch: EPOCH,
       tokens: createFencingTokens({ epoch: EPOCH }),
-      mayExtendLeases: () => true,
-      inheritedLeaseUntil: performance.now(),
+      mayExtendLease: () => true,
+      inheritedLeaseUntil: () => 0,
       openSuccessor: (former) => former,
       onEnd: () => {
         applied += 1;
--- a/test/controller/lease-clock.test.ts
+++ b/test/controller/lease-clock.test.ts
@@ -9,7 +9,7 @@
   let confirmed = true;
   const create = () =>
     createLeaseClock({
-      inheritedLeaseUntil: 18_000,
+      inheritedLeaseUntil: () => 18_000,
       isConfirmed: () => confirmed,
       monotonicNow: () => now,
     });
--- a/test/controller/repeated-starts.test.ts
+++ b/test/controller/repeated-starts.test.ts
@@ -45,9 +45,9 @@
     meters: createMeters(),
     epoch: TOKENS_PER_TERM,
     tokens: createFencingTokens({ epoch: TOKENS_PER_TERM }),
-    mayExtendLeases: () => true,
+    mayExtendLease: () => true,
     openSuccessor: (former) => former,
-    inheritedLeaseUntil: 0,
+    inheritedLeaseUntil: () => 0,
     onEnd: (_session, _run, end) => {
       ends.push(end);
       return Promise.resolve(true);
--- a/test/controller/session-harness.ts
+++ b/test/controller/session-harness.ts
@@ -69,6 +69,7 @@
   });
 
   function openSession(entry: FleetWorker): WorkerSession {
+    const startedAt = performance.now();
     const session = createWorkerSession({
       worker: entry,
       connect: () => worker.connection,
@@ -76,8 +77,8 @@
       meters: createMeters(),
       epoch: EPOCH,
       tokens,
-      mayExtendLeases: () => true,
-      inheritedLeaseUntil: performance.now(),
+      mayExtendLease: () => true,
+      inheritedLeaseUntil: () => startedAt,
       openSuccessor: (former, born) => sessions.openSuccessor(former, born),
       onEnd: (_session, run, end) => {
         ends.push({ run, end, atWork: worker.running.has(run.name) });
--- a/test/controller/worker-lives.test.ts
+++ b/test/controller/worker-lives.test.ts
@@ -121,6 +121,7 @@
     const term = epoch;
     const tokens = createFencingTokens({ epoch });
     let restored = false;
+    const startedAt = performance.now();
     const fleet: FleetSessions = createFleetSessions({
       open: openSession,
       events: SILENT_EVENTS,
@@ -136,8 +137,8 @@
         meters: createMeters(),
         epoch: term,
         tokens,
-        mayExtendLeases: () => true,
-        inheritedLeaseUntil: performance.now() + 20_000,
+        mayExtendLease: () => true,
+        inheritedLeaseUntil: () => startedAt + 20_000,
         openSuccessor: (former, born) => fleet.openSuccessor(former, born),
         onEnd: (_session, run, end) => {
           if (term === epoch) concludeRun(run.name, end);
