Name the revision that each repeated write of the leader replaces

Cause: its only condition was the leader's key, which still held. The leader compared with what it had written last and did not write again.

Change: the backlog is written like the other records of which only the latest value counts, each write under the revision that it replaces; one without an answer is then found by the next or is void. Of the same class were the record of the strongest host, which is now also repeated until it is written, and the removal of ended jobs, which could have removed a job that came under the same id.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -30,6 +30,7 @@
 import { createFormerLeader } from './former-leader.js';
 import type { FormerLeader, ReportedEnd } from './former-leader.js';
 import { createHousekeeping } from './housekeeping.js';
+import type { FinishedJob } from './housekeeping.js';
 import { createJobIntake } from './job-intake.js';
 import { createJobLifecycle, stopStalledRuns, stopUnfinishableRuns } from './job-lifecycle.js';
 import { createOrderWindow, latestOrderAt } from './order-window.js';
@@ -128,8 +129,7 @@
   let formerLeader: FormerLeader | undefined;
   let condition = term.condition;
   const savedProgress = new Map<string, StoreEntry>();
-  /** Ended jobs, with the time at which they ended or this leader read their records. */
-  const finishedJobs = new Map<string, number>();
+  const finishedJobs = new Map<string, FinishedJob>();
 
   const faults = createFaultContainment({ events, meters });
   const health = createWorkerHealth({ now });
@@ -226,9 +226,9 @@
 
   /** Keeps only the id of a job whose end is durable. */
   function releaseEndedJob(id: string) {
-    finishedJobs.set(id, cell.jobs.get(id)?.finishedAtMs ?? Date.now());
+    const finishedAtMs = cell.jobs.get(id)?.finishedAtMs ?? Date.now();
+    finishedJobs.set(id, { finishedAtMs, revision: log.forget(id) });
     cell.remove(id);
-    log.forget(id);
   }
 
   function findQueue(name: string) {
@@ -307,8 +307,9 @@
   function applyProgress(entries: readonly StoreEntry[]) {
     for (const entry of entries) {
       const id = entry.key.slice(JOB_STORE_KEYS.progress.length);
-      if (isFinalRecord(entry.value)) finishedJobs.set(id, Date.now());
-      else savedProgress.set(id, entry);
+      if (isFinalRecord(entry.value)) {
+        finishedJobs.set(id, { finishedAtMs: Date.now(), revision: entry.revision });
+      } else savedProgress.set(id, entry);
     }
   }
 
--- a/src/controller/housekeeping.ts
+++ b/src/controller/housekeeping.ts
@@ -15,8 +15,8 @@
 import { encodeOpenWork, OPEN_WORK_KEY } from '../leadership/index.js';
 import type { EventLog, FaultContainment } from '../observability/index.js';
 import type { Condition, KeyValueStore } from '../records/index.js';
+import { createLatestValueRecord, MAX_TRANSACTION_ENTRIES } from '../records/index.js';
 import type { Cell, JobEntry } from './cell.js';
-import { createLeaderRecord } from './leader-record.js';
 
 const BACKLOG_INTERVAL_MS = 400;
 const DUE_INTERVAL_MS = 50;
@@ -30,8 +30,16 @@
 const MAX_OPEN_TASKS = 100_000;
 /** Part of the heap for open jobs; planning and what runs need the rest. */
 const OPEN_WORK_SHARE = 0.4;
-/** Three keys for each job and the leader's condition have to fit into one transaction. */
-const REMOVALS_PER_SWEEP = 10;
+/** Each job takes a condition and a removal, beside the leader's condition. */
+const REMOVALS_PER_SWEEP = Math.floor((MAX_TRANSACTION_ENTRIES - 1) / 2);
+
+/** A job that has ended, whose record is kept for callers. */
+export interface FinishedJob {
+  /** Unix milliseconds at which it ended or this leader read its record. */
+  readonly finishedAtMs: number;
+  /** Revision of its record of progress. */
+  readonly revision: number;
+}
 
 export interface Housekeeping {
   /** Starts all occurrences of the job that are due. */
@@ -46,8 +54,7 @@
   readonly condition: () => Condition;
   /** Whether all jobs have been restored and the term has not ended. */
   readonly active: () => boolean;
-  /** Ended jobs, with the time at which they ended or this leader read their records. */
-  readonly finishedJobs: Map<string, number>;
+  readonly finishedJobs: Map<string, FinishedJob>;
   /** The most bytes of memory that open jobs may take up. */
   readonly openBytesLimit?: number;
   readonly onChange: () => void;
@@ -81,19 +88,16 @@
     }
   }
 
-  let publishedBacklog = '';
+  const backlog = createLatestValueRecord({
+    store,
+    key: JOB_STORE_KEYS.backlog,
+    condition: options.condition,
+  });
   async function publishBacklog() {
-    if (!options.active()) return;
-    const backlog = JSON.stringify(cell.countPending());
-    if (backlog === publishedBacklog) return;
-    const outcome = await store.transact({
-      conditions: [options.condition()],
-      writes: [{ key: JOB_STORE_KEYS.backlog, value: backlog }],
-    });
-    if (outcome.isOk() && outcome.value.kind === 'committed') publishedBacklog = backlog;
+    if (options.active()) await backlog.write(JSON.stringify(cell.countPending()));
   }
 
-  const openWork = createLeaderRecord({
+  const openWork = createLatestValueRecord({
     store,
     key: OPEN_WORK_KEY,
     condition: options.condition,
@@ -107,23 +111,26 @@
   async function removeOldJobs() {
     const before = Date.now() - KEEP_FINISHED_MS;
     const old = [...finishedJobs]
-      .filter(([, finishedAtMs]) => finishedAtMs < before)
+      .filter(([, { finishedAtMs }]) => finishedAtMs < before)
       .slice(0, REMOVALS_PER_SWEEP)
-      .map(([id]) => id);
+      .map(([id, { revision }]) => ({ id, key: JOB_STORE_KEYS.progressOf(id), revision }));
     if (old.length === 0) return;
-    const removals = old.flatMap((id) => [
-      JOB_STORE_KEYS.job(id),
-      JOB_STORE_KEYS.cancellation(id),
-      JOB_STORE_KEYS.progressOf(id),
-    ]);
+    // Without the revisions, a removal that is carried out late could remove a job that came under the same id.
     const outcome = await store.transact({
-      conditions: [options.condition()],
+      conditions: [options.condition(), ...old.map(({ key, revision }) => ({ key, revision }))],
       writes: [],
-      removals,
+      removals: old.map(({ key }) => key),
     });
-    if (outcome.isErr() || outcome.value.kind !== 'committed') return;
-    for (const id of old) finishedJobs.delete(id);
-    events.info('finished-jobs-removed', { jobs: old.length });
+    if (outcome.isErr() || outcome.value.kind === 'lease-ended') return;
+    const { value } = outcome;
+    // After a conflict, the records are tried again that are still there as they were.
+    const removed = old.filter(
+      ({ key, revision }) =>
+        value.kind === 'committed' ||
+        !value.entries.some((entry) => entry.key === key && entry.revision === revision),
+    );
+    for (const { id } of removed) finishedJobs.delete(id);
+    if (removed.length > 0) events.info('finished-jobs-removed', { jobs: removed.length });
   }
 
   const timers = [
--- a/src/controller/job-intake.ts
+++ b/src/controller/job-intake.ts
@@ -19,6 +19,7 @@
 import { createJobEntry } from './cell.js';
 import type { Cell, JobEntry } from './cell.js';
 import type { FleetSessions } from './fleet-sessions.js';
+import type { FinishedJob } from './housekeeping.js';
 import { inheritRuns } from './inherit-runs.js';
 import type { JobLifecycle } from './job-lifecycle.js';
 import type { ProgressLog } from './progress-log.js';
@@ -43,8 +44,8 @@
   readonly share: ShareMeter;
   /** Progress records of unfinished jobs, read at the beginning of the term, by job. */
   readonly savedProgress: ReadonlyMap<string, StoreEntry>;
-  /** Ended jobs, with the time at which they ended or this leader read their records. */
-  readonly finishedJobs: ReadonlyMap<string, number>;
+  /** Jobs that have ended, by id. */
+  readonly finishedJobs: ReadonlyMap<string, FinishedJob>;
   readonly configuration: () => CellConfiguration | undefined;
   readonly beginDueOccurrences: (entry: JobEntry) => void;
   readonly onChange: () => void;
--- a/src/controller/progress-log.ts
+++ b/src/controller/progress-log.ts
@@ -20,8 +20,8 @@
   write(job: string, urgency: WriteUrgency): Promise<boolean>;
   /** Sets the revision of a record that was read from the store. */
   setRevision(job: string, revision: number): void;
-  /** Drops what is known of a job that is written no more. */
-  forget(job: string): void;
+  /** Drops what is known of a job that is written no more, and returns the revision of its record. */
+  forget(job: string): number;
   /** Replaces the leader's condition after the lease was reacquired. */
   updateCondition(condition: Condition): void;
   /** Number of records that wait to be written. */
@@ -267,6 +267,7 @@
     forget: (job) => {
       const record = records.get(job);
       if (record?.dirty === false && !record.inFlight) records.delete(job);
+      return record?.revision ?? 0;
     },
     updateCondition: (next) => {
       condition = next;
--- a/src/controller/silent-workers.ts
+++ b/src/controller/silent-workers.ts
@@ -11,7 +11,7 @@
 import type { WorkerIncarnation } from '../jobs/index.js';
 import { TOKENS_PER_TERM } from '../leadership/index.js';
 import type { Condition, KeyValueStore, StoreEntry } from '../records/index.js';
-import { createLeaderRecord } from './leader-record.js';
+import { createLatestValueRecord } from '../records/index.js';
 
 /** Under the prefix that all hosts follow. */
 export const SILENT_WORKERS_KEY = 'leadership/silent-workers';
@@ -69,7 +69,7 @@
 
 export function createSilentWorkers(options: SilentWorkersOptions): SilentWorkers {
   const { epoch, now = () => performance.now() } = options;
-  const record = createLeaderRecord({ ...options, key: SILENT_WORKERS_KEY });
+  const record = createLatestValueRecord({ ...options, key: SILENT_WORKERS_KEY });
   const leaseEnds = new Map<string, number>();
   let isRestored = false;
   /** Workers that the record may name, also after a write whose outcome is unknown. */
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -9,7 +9,8 @@
 import { createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { Condition, StoreEntry, KeyValueStore } from '../records/index.js';
-import { pause } from '../records/index.js';
+import type { LatestValueRecord } from '../records/index.js';
+import { createLatestValueRecord, pause } from '../records/index.js';
 import {
   decodeEpoch,
   decodeLeader,
@@ -117,6 +118,9 @@
 
 interface HeldLeadership {
   term: LeadershipTerm;
+  readonly strongestRecord: LatestValueRecord;
+  /** Processors of the strongest host according to the record. */
+  savedProcessors: number;
   lease: number;
   renewedAt: number;
   /** Number of renewals in a row that the store rejected. */
@@ -242,7 +246,19 @@
       return;
     }
     const term = { epoch, condition: { key: LEADER_KEY, revision: outcome.value.revision } };
-    held = { term, lease: grant.value, renewedAt: sentAt, rejectedRenewals: 0 };
+    const strongestRecord = createLatestValueRecord({
+      store,
+      key: STRONGEST_KEY,
+      condition: () => term.condition,
+    });
+    held = {
+      term,
+      strongestRecord,
+      savedProcessors: strongest,
+      lease: grant.value,
+      renewedAt: sentAt,
+      rejectedRenewals: 0,
+    };
     // The loop may be in a pause that is longer than the lease.
     wake();
     updateLeader({ host, address, epoch }, outcome.value.revision);
@@ -272,6 +288,7 @@
     if (renewal.isOk()) {
       current.renewedAt = sentAt;
       current.rejectedRenewals = 0;
+      void saveStrongestHost(current);
       return;
     }
     if (renewal.error.kind !== 'absent') {
@@ -294,16 +311,16 @@
   function recordStrongestHost(processors: number) {
     if (processors <= strongest || held === undefined) return;
     strongest = processors;
-    void store
-      .transact({
-        conditions: [held.term.condition],
-        writes: [{ key: STRONGEST_KEY, value: String(processors) }],
-      })
-      .then((outcome) => {
-        if (outcome.isErr()) {
-          events.warn('strongest-host-not-recorded', { failure: outcome.error.detail });
-        }
-      });
+    void saveStrongestHost(held);
+  }
+
+  /** Called again with each renewal until the record is written. */
+  async function saveStrongestHost(current: HeldLeadership): Promise<void> {
+    const processors = strongest;
+    if (processors <= current.savedProcessors) return;
+    const isSaved = await current.strongestRecord.write(String(processors));
+    if (isSaved) current.savedProcessors = processors;
+    else events.debug('strongest-host-not-recorded', { processors });
   }
 
   async function releaseLeadership(event: string, reason: string): Promise<void> {
--- a/src/controller/leader-record.ts
+++ b/src/records/latest-value-record.ts
@@ -1,10 +1,10 @@
 /**
- * A record that the leader writes again and again, of which only the latest value counts. Each write names the revision
+ * A record that one host at a time writes again and again, of which only the latest value counts. Each write names the revision
  * that it replaces: one whose answer was lost may be carried out seconds later and must not replace a newer value.
  */
-import type { Condition, KeyValueStore } from '../records/index.js';
+import type { Condition, KeyValueStore } from './key-value-store.js';
 
-export interface LeaderRecord {
+export interface LatestValueRecord {
   /**
    * Writes the value, unless it is known to be the present one. Resolves to whether it is; if not, an earlier value may
    * be, and the record is only correct after a later call.
@@ -12,17 +12,21 @@
   write(value: string): Promise<boolean>;
 }
 
-export interface LeaderRecordOptions {
+export interface LatestValueRecordOptions {
   readonly store: KeyValueStore;
   readonly key: string;
-  /** A transaction condition that holds as long as this host leads. */
+  /** Holds as long as this host is the one that writes the record. */
   readonly condition: () => Condition;
 }
 
-export function createLeaderRecord({ store, key, condition }: LeaderRecordOptions): LeaderRecord {
+export function createLatestValueRecord({
+  store,
+  key,
+  condition,
+}: LatestValueRecordOptions): LatestValueRecord {
   /** Revision of the present value; undefined before it is known. */
   let revision: number | undefined;
-  /** The present value, if this leader has written it and no later write may have replaced it. */
+  /** The present value, if this host has written it and no later write may have replaced it. */
   let present: string | undefined;
   let isWriting = false;
 
