Split modules that the last changes have lengthened

The types of the controller, the bounds of a planning round, the token of a session and the record of the strongest host get modules of their own. No behaviour changes; 110 tests of leadership, sessions and leases pass.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -2,8 +2,7 @@
  * Runs the scheduler for one leadership term: restores jobs and runs from the store, follows new jobs and the fleet,
  * and places tasks until the term ends.
  */
-import type { FleetWorker, WorkerConnection } from '../fleet/index.js';
-import type { Job, JobState, WorkerIncarnation } from '../jobs/index.js';
+import type { FleetWorker } from '../fleet/index.js';
 import {
   encodeProgress,
   isFinal,
@@ -11,24 +10,19 @@
   JOB_STORE_KEYS,
   keysUntilEnd,
 } from '../jobs/index.js';
-import type { LeadershipTerm } from '../leadership/index.js';
 import { createFaultContainment } from '../observability/index.js';
-import type { EventLog, Meters } from '../observability/index.js';
-import type { AdviceCaller } from '../peers/index.js';
 import { createWorkerHealth } from '../planner/index.js';
-import type { ConfigurationHolder } from '../queues/index.js';
-import type { StoreEntry, Reachability, KeyValueStore } from '../records/index.js';
+import type { StoreEntry } from '../records/index.js';
 import { pause } from '../records/index.js';
 import { createCell, termsOf } from './cell.js';
 import { createCellFeed } from './cell-feed.js';
+import type { Controller, ControllerOptions } from './controller-types.js';
 import { createDispatcher } from './dispatcher.js';
-import type { PlanningEffort } from './dispatcher.js';
 import { createFencingTokens } from './fencing-tokens.js';
 import { createFleetEntries } from './fleet-entries.js';
-import type { FleetSource } from './fleet-entries.js';
 import { createFleetSessions } from './fleet-sessions.js';
 import { createFormerLeader } from './former-leader.js';
-import type { FormerLeader, ReportedEnd } from './former-leader.js';
+import type { FormerLeader } from './former-leader.js';
 import { createHousekeeping } from './housekeeping.js';
 import type { FinishedJob } from './housekeeping.js';
 import { createJobIntake } from './job-intake.js';
@@ -38,74 +32,13 @@
 import { createProgressLog } from './progress-log.js';
 import { createResponsiveClock } from './responsive-clock.js';
 import { stepNameOf } from './run.js';
-import type { SeenRecord, SilentWorker } from './silent-workers.js';
+import type { SilentWorker } from './silent-workers.js';
 import { createSilentWorkers } from './silent-workers.js';
 import { createShareMeter } from './share-meter.js';
 import { awaitStoppingRuns } from './stopping-runs.js';
 import { createWorkerSession, LEASE_MS } from './worker-session.js';
 import type { WorkerSession } from './worker-session-types.js';
 
-export interface Controller {
-  /** Continues the term with a lease that was reacquired without another leader in between. */
-  updateTerm(term: LeadershipTerm): void;
-  /** Called when the hosts that can call the advice service have changed. */
-  handleCallersChanged(): void;
-  /** Adds a job that a host has accepted and whose record is durable. */
-  addAcceptedJob(job: Job): void;
-  /** Age in milliseconds of what this leader knows of the workers; infinite before it has read them. */
-  readonly fleetAgeMs: number;
-  /** Amount of work in the cell, and what planning has cost in this term. */
-  describeLoad(): CellLoad;
-  /** Stops placement and waits until all progress is durable, before a planned stop. */
-  quiesce(timeoutMs: number): Promise<void>;
-  /** Ends the term, but goes on reporting ends of its runs to the successor, which may not reach their workers. */
-  observeRuns(report: (end: ReportedEnd) => void): void;
-  /** Applies an end that a former leader has read from a worker. */
-  applyReportedEnd(end: ReportedEnd): void;
-  close(): void;
-}
-
-export interface CellLoad extends PlanningEffort {
-  readonly waitingSteps: number;
-  readonly runs: number;
-  readonly workers: number;
-  readonly pendingWrites: number;
-  /** Estimated bytes of memory of the jobs that have not ended. */
-  readonly openBytes: number;
-  /** Age of what this leader knows of the workers. */
-  readonly fleetAgeMs: number;
-  /** Age of what this leader knows of cancellations. */
-  readonly cancellationsAgeMs: number;
-}
-
-export interface ControllerOptions {
-  readonly store: KeyValueStore;
-  readonly reachability: Reachability;
-  readonly term: LeadershipTerm;
-  readonly configuration: ConfigurationHolder;
-  readonly fleet: FleetSource;
-  /** Time after a worker's report that it leaves from which no task may be started on it. */
-  readonly drainMs?: number;
-  /** Time after an acknowledged cancellation from which no task of the job may be started. */
-  readonly cancelMs?: number;
-  /** The longest lease that a worker keeps, in milliseconds. */
-  readonly maxLeaseMs?: number;
-  /** The most bytes of memory that open jobs may take up; by default a part of the heap. */
-  readonly openBytesLimit?: number;
-  readonly connect: (address: string, incarnation: WorkerIncarnation) => WorkerConnection;
-  readonly callers: () => readonly AdviceCaller[];
-  /** What this host has seen of the record of silent workers. */
-  readonly silentWorkersSeen?: SeenRecord | undefined;
-  /** Monotonic milliseconds of the last confirmed renewal of the leader's lease. */
-  readonly renewedAt: () => number | undefined;
-  readonly onLeadershipLost: (reason: string) => void;
-  readonly onLeaderKeyMissing: () => void;
-  /** Announces the final state, whose record is durable, to the host that accepted the job. */
-  readonly announceEnd: (job: Job, state: JobState) => void;
-  readonly events: EventLog;
-  readonly meters: Meters;
-}
-
 /**
  * A leader that cannot reach the store goes on extending leases for this long. A successor that cannot reach a worker
  * declares its runs lost only after this time and the duration of a lease have passed.
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -8,14 +8,7 @@
 import type { CandidateWorker, PlacementBarrier } from '../planner/index.js';
 import { orderSteps, planRound } from '../planner/index.js';
 import type { CellConfiguration, Queue } from '../queues/index.js';
-import {
-  countOpenTasks,
-  listWaitingTasks,
-  MAX_OPEN_TASKS,
-  openTask,
-  setPhase,
-} from '../jobs/index.js';
-import type { JobProgress } from '../jobs/index.js';
+import { openTask, setPhase } from '../jobs/index.js';
 import { subtractResources } from '../model/index.js';
 import { termsOf } from './cell.js';
 import type { Cell, ReadyStep } from './cell.js';
@@ -25,6 +18,8 @@
 import { describePermitRequests } from './permit-requests.js';
 import { isLeadershipFresh } from './leadership-freshness.js';
 import type { OrderWindow } from './order-window.js';
+import { createPlacementRoom } from './placement-room.js';
+import type { PlacementRoom } from './placement-room.js';
 import { pauseAfterRound } from './round-pace.js';
 import { createRun, stepNameOf } from './run.js';
 import type { Run } from './run.js';
@@ -32,8 +27,6 @@
 
 /** Interval of planning rounds without any change, because slack and the validity of tickets depend on time. */
 const IDLE_INTERVAL_MS = 100;
-/** Runs at the same time, which protects the leader's memory from tasks that need no resources. */
-const MAX_RUNS = 30_000;
 
 export interface Dispatcher {
   /** Requests a planning round after the pause that the last round asks for. */
@@ -68,10 +61,8 @@
 
 interface Round {
   readonly nowMs: number;
-  /** Runs that the leader has room for beside those that there are. */
-  runsLeft: number;
-  /** Tasks of each job that may still be placed for the first time. */
-  readonly firstRunsLeft: Map<JobProgress, number>;
+  /** What the leader has room for beside the runs that there are. */
+  readonly room: PlacementRoom;
   readonly queues: ReadonlyMap<string, Queue>;
   readonly sessionsById: ReadonlyMap<string, WorkerSession>;
 }
@@ -116,8 +107,7 @@
     const usable = sessions.usable();
     const round: Round = {
       nowMs: Date.now(),
-      runsLeft: MAX_RUNS - countRuns(),
-      firstRunsLeft: new Map(),
+      room: createPlacementRoom([...sessions.all()]),
       queues: new Map(configuration.queues.map((queue) => [queue.name, queue])),
       sessionsById: new Map(usable.map((session) => [session.incarnation.id, session])),
     };
@@ -185,7 +175,7 @@
       waiting: step.waitingCount,
       // Listed only if the planner gets to place them.
       get tasks() {
-        waitingTasks ??= listPlaceable(ready, round);
+        waitingTasks ??= round.room.listPlaceable(ready);
         return waitingTasks;
       },
       gang: step.step.gang,
@@ -210,43 +200,6 @@
     };
   }
 
-  function countRuns(): number {
-    let count = 0;
-    for (const { runs } of sessions.all()) count += runs.size;
-    return count;
-  }
-
-  function firstRunsLeft(progress: JobProgress, round: Round): number {
-    const known = round.firstRunsLeft.get(progress);
-    if (known !== undefined) return known;
-    const left = MAX_OPEN_TASKS - countOpenTasks(progress);
-    round.firstRunsLeft.set(progress, left);
-    return left;
-  }
-
-  /** Waiting tasks of the step as far as the leader and the record of the job have room for their runs. */
-  function listPlaceable({ entry, step }: ReadyStep, round: Round): number[] {
-    const waiting = listWaitingTasks(step, round.runsLeft);
-    if (step.step.gang) return waiting;
-    let left = firstRunsLeft(entry.progress, round);
-    return waiting.filter((index) => {
-      if (step.tasks.has(index)) return true;
-      left -= 1;
-      return left >= 0;
-    });
-  }
-
-  /** Counts a placement against the bounds of the round, which its steps share; a gang is placed as a whole. */
-  function takeRoom({ entry, step }: ReadyStep, index: number, round: Round): boolean {
-    const { progress } = entry;
-    const isFirst = !step.tasks.has(index);
-    const left = firstRunsLeft(progress, round);
-    if (!step.step.gang && (round.runsLeft <= 0 || (isFirst && left <= 0))) return false;
-    round.runsLeft -= 1;
-    if (isFirst) round.firstRunsLeft.set(progress, left - 1);
-    return true;
-  }
-
   function describeBudgets(configuration: CellConfiguration): Map<string, TeamBudget> {
     return new Map(
       configuration.teams.map(({ name, limit }) => [name, { limit, used: cell.usedBy(name) }]),
@@ -301,7 +254,7 @@
     const session = round.sessionsById.get(placement.worker);
     if (ready === undefined || session === undefined) return undefined;
     const { step, entry } = ready;
-    if (!takeRoom(ready, placement.task, round)) return undefined;
+    if (!round.room.take(ready, placement.task)) return undefined;
     const task = openTask(step, placement.task);
     if (task === undefined) return undefined;
     const now = performance.now();
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -14,6 +14,7 @@
 import { choosePauseMs, chooseWaitMs } from './renewal-pace.js';
 import { LATE_ORDER_MS, mayReachLaterIncarnation } from './run.js';
 import type { Run, RunEnd } from './run.js';
+import { createSessionToken } from './session-token.js';
 import { UNREACHABLE_CONNECTION } from './unreachable-connection.js';
 import { createWorkerOrders } from './worker-orders.js';
 import { createWorkerReports } from './worker-reports.js';
@@ -32,9 +33,7 @@
 export function createWorkerSession(options: WorkerSessionOptions): WorkerSession {
   const { events, meters, epoch, leaseMs = LEASE_MS, maxLeaseMs } = options;
   const incarnation = options.worker.incarnation;
-  let fencingToken = options.tokens.issue(incarnation.id);
-  /** Highest token under which the worker has answered a renewal. */
-  let reachedToken = 0;
+  const token = createSessionToken(options.tokens, incarnation.id);
   /** Monotonic time until which a call without an answer may still be carried out. */
   let callsUnderWayUntil = -Infinity;
   let isRenewing = false;
@@ -76,7 +75,7 @@
     onOtherIncarnation: () => {
       endIncarnation('another incarnation answers at its address');
     },
-    fencingToken: () => fencingToken,
+    fencingToken: () => token.current,
     onFenced: handleFenced,
     onTicketRefused: options.onTicketRefused,
     responsiveNow: options.responsiveNow,
@@ -91,7 +90,7 @@
     endRun,
     stop: orders.stop,
     stopForeign: (task, run) => {
-      if (!observing) void connection.stop({ task, run, fencingToken });
+      if (!observing) void connection.stop({ task, run, fencingToken: token.current });
     },
     onReport: (clockMs) => {
       options.onReport(session, clockMs);
@@ -171,13 +170,8 @@
     connection.close();
   }
 
-  /** A later token is that of a later epoch or, if this term has issued it, of another incarnation of the worker. */
   function handleFenced(refused: number) {
-    if (refused < fencingToken) return;
-    if (refused < options.tokens.latestOf(incarnation.id)) {
-      fencingToken = options.tokens.issue(incarnation.id);
-      return;
-    }
+    if (token.applyRefusal(refused) === 'replaced') return;
     // The successor reaches the worker and reads its reports.
     if (observing) close();
     else options.onStaleEpoch(incarnation.id);
@@ -198,14 +192,14 @@
     used = runs.size === 0 ? NO_RESOURCES : subtractResources(used, run.size);
   }
 
-  function outrank(token: number, underWayUntil: number) {
-    if (fencingToken <= token) fencingToken = options.tokens.issue(incarnation.id);
+  function outrank(formerToken: number, underWayUntil: number) {
+    token.outrank(formerToken);
     noteForeignCalls(underWayUntil);
   }
 
   /** Calls to an earlier incarnation may extend the lease of this one until it has answered a call with a later token. */
   function noteForeignCalls(underWayUntil: number) {
-    if (reachedToken < fencingToken) clock.noteForeignExtension(underWayUntil);
+    if (!token.isReached) clock.noteForeignExtension(underWayUntil);
   }
 
   /** Monotonic time until which calls of this session may be carried out. */
@@ -278,7 +272,7 @@
       runs: runs.size,
       handedOver: handedOver.length,
     });
-    next?.outrank(fencingToken, callsMayArriveUntil());
+    next?.outrank(token.current, callsMayArriveUntil());
     for (const run of handedOver) {
       detach(run);
       next?.adopt(run);
@@ -308,10 +302,10 @@
     const first = !confirmed;
     // Another incarnation may get this renewal, which acknowledges nothing there and whose answer is wanted at once.
     const silent = silentRenewals > 0;
-    const token = fencingToken;
+    const fencingToken = token.current;
     isRenewing = true;
     const outcome = await connection.renew({
-      fencingToken: token,
+      fencingToken,
       acknowledgedThrough: silent ? 0 : reports.acknowledgedThrough,
       leaseUntilMs: extend ? until : undefined,
       waitMs: first || silent || isIdle() ? 0 : chooseWaitMs(runs.values(), reports.foreignRuns),
@@ -340,7 +334,7 @@
           worker: incarnation.id,
           born: incarnation.born,
           epoch,
-          fencingToken: token,
+          fencingToken,
           running: outcome.report.running.length,
           ends: outcome.report.ended.length,
         });
@@ -348,10 +342,7 @@
       if (silentRenewals >= MAX_SILENT_RENEWALS) {
         events.info('worker-regained', { worker: incarnation.id, silentRenewals });
       }
-      if (token > reachedToken) {
-        reachedToken = token;
-        clock.reach(outcome.report.clockMs);
-      }
+      if (token.reach(fencingToken)) clock.reach(outcome.report.clockMs);
       const changed = first || silentRenewals > 0;
       confirmed = true;
       silentRenewals = 0;
@@ -365,7 +356,7 @@
       return true;
     }
     if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
-      handleFenced(token);
+      handleFenced(fencingToken);
       return false;
     }
     silentRenewals += 1;
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -9,8 +9,7 @@
 import { createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { Condition, StoreEntry, KeyValueStore } from '../records/index.js';
-import type { LatestValueRecord } from '../records/index.js';
-import { createLatestValueRecord, pause } from '../records/index.js';
+import { pause } from '../records/index.js';
 import {
   decodeEpoch,
   decodeLeader,
@@ -18,12 +17,11 @@
   TOKENS_PER_TERM,
 } from './leadership-records.js';
 import type { Leader } from './leadership-records.js';
-import { deferToStronger, isWeak } from './strength.js';
+import { createStrongestHostRecord, deferToStronger, isWeak, STRONGEST_KEY } from './strength.js';
+import type { StrongestHostRecord } from './strength.js';
 
 const LEADER_KEY = 'leadership/leader';
 const EPOCH_KEY = 'leadership/epoch';
-/** Processors of the strongest host that any leader has seen; outlives the leader's term. */
-const STRONGEST_KEY = 'leadership/strongest';
 export const LEADERSHIP_PREFIX = 'leadership/';
 
 /**
@@ -118,9 +116,7 @@
 
 interface HeldLeadership {
   term: LeadershipTerm;
-  readonly strongestRecord: LatestValueRecord;
-  /** Processors of the strongest host according to the record. */
-  savedProcessors: number;
+  readonly strongestHost: StrongestHostRecord;
   lease: number;
   renewedAt: number;
   /** Number of renewals in a row that the store rejected. */
@@ -246,15 +242,15 @@
       return;
     }
     const term = { epoch, condition: { key: LEADER_KEY, revision: outcome.value.revision } };
-    const strongestRecord = createLatestValueRecord({
+    const strongestHost = createStrongestHostRecord({
       store,
-      key: STRONGEST_KEY,
       condition: () => term.condition,
+      saved: strongest,
+      events,
     });
     held = {
       term,
-      strongestRecord,
-      savedProcessors: strongest,
+      strongestHost,
       lease: grant.value,
       renewedAt: sentAt,
       rejectedRenewals: 0,
@@ -288,7 +284,7 @@
     if (renewal.isOk()) {
       current.renewedAt = sentAt;
       current.rejectedRenewals = 0;
-      void saveStrongestHost(current);
+      void current.strongestHost.save(strongest);
       return;
     }
     if (renewal.error.kind !== 'absent') {
@@ -311,16 +307,7 @@
   function recordStrongestHost(processors: number) {
     if (processors <= strongest || held === undefined) return;
     strongest = processors;
-    void saveStrongestHost(held);
-  }
-
-  /** Called again with each renewal until the record is written. */
-  async function saveStrongestHost(current: HeldLeadership): Promise<void> {
-    const processors = strongest;
-    if (processors <= current.savedProcessors) return;
-    const isSaved = await current.strongestRecord.write(String(processors));
-    if (isSaved) current.savedProcessors = processors;
-    else events.debug('strongest-host-not-recorded', { processors });
+    void held.strongestHost.save(strongest);
   }
 
   async function releaseLeadership(event: string, reason: string): Promise<void> {
--- a/src/leadership/strength.ts
+++ b/src/leadership/strength.ts
@@ -2,7 +2,12 @@
  * Precedence of stronger hosts in elections. The leader of a large pool needs more processor time than a small host
  * has, so hosts with few processors lead only if no stronger host does.
  */
-import { pause } from '../records/index.js';
+import type { EventLog } from '../observability/index.js';
+import type { Condition, KeyValueStore } from '../records/index.js';
+import { createLatestValueRecord, pause } from '../records/index.js';
+
+/** Processors of the strongest host that any leader has seen; outlives the leader's term. */
+export const STRONGEST_KEY = 'leadership/strongest';
 
 /** A host with at least this share of the strongest host's processors is as fit to lead as that host. */
 const SIMILAR_SHARE = 0.8;
@@ -26,6 +31,30 @@
   if (isWeak(processors, strongest)) await pause(DEFERENCE_MS);
 }
 
+export interface StrongestHostRecord {
+  /** Writes the processors, unless they are recorded; called again until they are. */
+  save(processors: number): Promise<void>;
+}
+
+export function createStrongestHostRecord(options: {
+  readonly store: KeyValueStore;
+  /** Holds as long as this host leads. */
+  readonly condition: () => Condition;
+  /** Processors according to the record at the beginning of the term. */
+  readonly saved: number;
+  readonly events: EventLog;
+}): StrongestHostRecord {
+  const record = createLatestValueRecord({ ...options, key: STRONGEST_KEY });
+  let { saved } = options;
+  return {
+    save: async (processors) => {
+      if (processors <= saved) return;
+      if (await record.write(String(processors))) saved = processors;
+      else options.events.debug('strongest-host-not-recorded', { processors });
+    },
+  };
+}
+
 export interface StrengthMonitor {
   /** Called when this host starts to lead. */
   startTerm(nowMs: number): void;
