Give the planner the speed of workers, the work of tasks and expected releases

The planner treats all workers as equal and trusts estimates. The new fields are its interface to the forecast; they hold neutral values (speed 1, the estimate, no releases) until it exists. No placement changes.

--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -144,6 +144,8 @@
       room: worker.room,
       free: subtractResources(worker.room, used),
       healthStatus: options.health.statusOf(worker.incarnation.id),
+      speed: 1,
+      releases: () => [],
       runs: runs.size,
     };
   }
@@ -172,6 +174,7 @@
       uselessAtMs: entry.uselessAtMs,
       remainingMs: entry.criticalPathMs[step.number] ?? 0,
       size: step.step.size,
+      workMs: step.step.estimateMs,
       waiting: step.waitingCount,
       // Listed only if the planner gets to place them.
       get tasks() {
--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -10,6 +10,13 @@
  */
 export type WorkerHealthStatus = 'trusted' | 'trial' | 'avoided';
 
+/** The expected end of a run on a worker. */
+export interface Release {
+  /** On the planner's clock, in milliseconds. */
+  readonly atMs: number;
+  readonly size: Resources;
+}
+
 /** A worker that tasks can be placed on. The planner reduces `free` as it places tasks. */
 export interface CandidateWorker {
   readonly id: string;
@@ -20,6 +27,10 @@
   readonly room: Resources;
   free: Resources;
   readonly healthStatus: WorkerHealthStatus;
+  /** Speed relative to the median worker of the service; 1 if nothing is known of it. */
+  readonly speed: number;
+  /** When resources on the worker are expected to become free, the earliest first; computed at each call. */
+  readonly releases: () => readonly Release[];
   /** Number of runs whose resources are charged to the worker. */
   runs: number;
 }
@@ -51,6 +62,8 @@
   /** Estimated remaining work of the job, in milliseconds. */
   readonly remainingMs: number;
   readonly size: Resources;
+  /** Expected duration of one task on a worker of speed 1, in milliseconds. */
+  readonly workMs: number;
   /** Number of waiting tasks. */
   readonly waiting: number;
   /** Indexes of the waiting tasks; for a gang, all of its tasks. */
--- a/test/planner/support.ts
+++ b/test/planner/support.ts
@@ -17,6 +17,8 @@
     room,
     free: room,
     healthStatus: 'trusted',
+    speed: 1,
+    releases: () => [],
     runs: 0,
     ...options,
   };
@@ -33,6 +35,7 @@
     uselessAtMs: 60_000,
     remainingMs: 1000,
     size: amount(1),
+    workMs: 1000,
     tasks: [0],
     waiting: options.tasks?.length ?? 1,
     gang: false,
