Show the end of a job to the query that comes right after it

Cause: callers ask for the state of their job as soon as its last task has ended, within about 10 ms of the leader's learning of it, and the record of the end becomes durable after that.

--- a/src/intake/index.ts
+++ b/src/intake/index.ts
@@ -2,6 +2,7 @@
  * The service that every host offers to callers: submit jobs, cancel them and query their state.
  */
 export * from './admission.js';
+export * from './await-end.js';
 export * from './cancellations.js';
 export * from './job-reader.js';
 export * from './submissions.js';
