Start no work in a data centre that operators evacuate

The leader follows the keys as a third view that bounds the age of orders, confirmed by listings alone, and a session of an evacuated data centre accepts no work. So placement, withdrawal before sending, repeated starts and former leaders all follow it. `evacuate-ms` under [bounds] is the bound; without it, nothing is followed or called.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -2,6 +2,7 @@
  * Host of a cell on the platform: serves callers, takes part in elections and leads when elected. The clients of
  * the store, the workers and the advice service are passed in, so that nothing here depends on their protocols.
  */
+import type { EvacuationSource } from '../evacuations/index.js';
 import type { WorkerConnection } from '../fleet/index.js';
 import type { Job, WorkerIncarnation } from '../jobs/index.js';
 import type { Controller, FleetSource, SeenRecord } from '../controller/index.js';
@@ -63,6 +64,8 @@
   readonly drainMs?: number;
   /** Time after an acknowledged cancellation from which no task of the job may be started. */
   readonly cancelMs?: number;
+  /** By default, no data centres are evacuated. */
+  readonly evacuations?: EvacuationSource;
   /** The longest lease that a worker keeps, in milliseconds. */
   readonly maxLeaseMs?: number;
   /** The most bytes of memory that open jobs may take up at a leader; by default a part of its heap. */
@@ -199,6 +202,7 @@
         fleet: options.fleet,
         ...(options.drainMs === undefined ? {} : { drainMs: options.drainMs }),
         ...(options.cancelMs === undefined ? {} : { cancelMs: options.cancelMs }),
+        ...(options.evacuations === undefined ? {} : { evacuations: options.evacuations }),
         ...(options.maxLeaseMs === undefined ? {} : { maxLeaseMs: options.maxLeaseMs }),
         ...(options.openBytesLimit === undefined ? {} : { openBytesLimit: options.openBytesLimit }),
         silentWorkersSeen,
--- a/src/controller/cell-feed.ts
+++ b/src/controller/cell-feed.ts
@@ -3,6 +3,7 @@
  * workers and jobs are read concurrently, which is consistent because only the leader writes progress and removes
  * jobs. Jobs are applied last, because they refer to progress and workers.
  */
+import type { EvacuationSource } from '../evacuations/index.js';
 import { JOB_STORE_KEYS } from '../jobs/index.js';
 import { createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
@@ -19,6 +20,8 @@
 const FLEET_BATCH_DELAY_MS = 150;
 /** Batch delay for new jobs. Hosts also announce the jobs that they accept directly, without this delay. */
 const JOBS_BATCH_DELAY_MS = 100;
+/** Batch delay for evacuations, which are rare; the delay only keeps a script that writes many from many calls. */
+const EVACUATIONS_BATCH_DELAY_MS = 100;
 
 export interface CellFeed {
   /** Whether progress, workers and jobs have been read and applied. */
@@ -27,6 +30,8 @@
   readonly fleetConfirmedAt: number;
   /** When the cancellations were current for certain, in monotonic milliseconds. */
   readonly cancellationsConfirmedAt: number;
+  /** When the evacuations were current for certain, in monotonic milliseconds; minus infinity without a source. */
+  readonly evacuationsConfirmedAt: number;
   stop(): void;
 }
 
@@ -38,6 +43,8 @@
   readonly fleetMaxAgeMs: number;
   /** Age of the cancellations that orders must not exceed. */
   readonly cancellationsMaxAgeMs: number;
+  /** Undefined if the deployment evacuates no data centres, which are not followed then. */
+  readonly evacuations?: EvacuationSource | undefined;
   readonly onProgress: (entries: readonly StoreEntry[]) => void;
   /** Called with the record of silent workers, before workers are called; undefined if there is none. */
   readonly onSilentWorkers: (entry: StoreEntry | undefined) => void;
@@ -48,6 +55,8 @@
   /** Called with the ids of all cancelled jobs that have not ended. */
   readonly onCancelledJobs: (ids: readonly string[]) => void;
   readonly onCancelledJob: (id: string) => void;
+  readonly onEvacuations: (entries: readonly StoreEntry[]) => void;
+  readonly onEvacuationChange: (change: StoreChange) => void;
   /** Called once, after progress, workers and jobs were applied. */
   readonly onRestored: () => void;
   readonly events: EventLog;
@@ -162,6 +171,21 @@
       if (value !== undefined) options.onCancelledJob(idOfCancelled(key));
     },
   });
+  const evacuationFollower =
+    options.evacuations === undefined
+      ? undefined
+      : followPrefix({
+          store,
+          prefix: options.evacuations.prefix,
+          ...followTiming(options.evacuations.withinMs),
+          refreshMs: listingIntervalMs(options.evacuations.withinMs),
+          batchDelayMs: EVACUATIONS_BATCH_DELAY_MS,
+          events,
+          meters,
+          reachability,
+          onListing: options.onEvacuations,
+          onChange: options.onEvacuationChange,
+        });
   faults.keepRunning('read progress', readProgress);
   faults.keepRunning('read silent workers', readSilentWorkers);
 
@@ -175,11 +199,15 @@
     get cancellationsConfirmedAt() {
       return cancellationFollower.confirmedAt;
     },
+    get evacuationsConfirmedAt() {
+      return evacuationFollower?.confirmedAt ?? -Infinity;
+    },
     stop: () => {
       stopped = true;
       fleetFollower.stop();
       jobFollower.stop();
       cancellationFollower.stop();
+      evacuationFollower?.stop();
     },
   };
 }
--- a/src/controller/controller-types.ts
+++ b/src/controller/controller-types.ts
@@ -1,6 +1,7 @@
 /**
  * Interface of the scheduler for one leadership term, and what it needs from its host.
  */
+import type { EvacuationSource } from '../evacuations/index.js';
 import type { WorkerConnection } from '../fleet/index.js';
 import type { Job, JobState, WorkerIncarnation } from '../jobs/index.js';
 import type { LeadershipTerm } from '../leadership/index.js';
@@ -56,6 +57,8 @@
   readonly drainMs?: number;
   /** Time after an acknowledged cancellation from which no task of the job may be started. */
   readonly cancelMs?: number;
+  /** By default, no data centres are evacuated. */
+  readonly evacuations?: EvacuationSource;
   /** The longest lease that a worker keeps, in milliseconds. */
   readonly maxLeaseMs?: number;
   /** The most bytes of memory that open jobs may take up; by default a part of the heap. */
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -2,6 +2,7 @@
  * Runs the scheduler for one leadership term: restores jobs and runs from the store, follows new jobs and the fleet,
  * and places tasks until the term ends.
  */
+import { createEvacuations } from '../evacuations/index.js';
 import type { FleetWorker } from '../fleet/index.js';
 import {
   encodeProgress,
@@ -28,6 +29,7 @@
 import { createJobIntake } from './job-intake.js';
 import { createJobLifecycle, stopStalledRuns, stopUnfinishableRuns } from './job-lifecycle.js';
 import { createOrderWindow, latestOrderAt } from './order-window.js';
+import type { ConfirmedView } from './order-window.js';
 import { createPermitClient } from './permit-client.js';
 import { createProgressLog } from './progress-log.js';
 import { createResponsiveClock } from './responsive-clock.js';
@@ -126,6 +128,10 @@
     condition: () => condition,
     seen: options.silentWorkersSeen,
   });
+  const evacuations = createEvacuations({
+    prefix: options.evacuations?.prefix ?? '',
+    onEnded: requestPlan,
+  });
   const sessions = createFleetSessions({
     open: openSession,
     events,
@@ -134,11 +140,17 @@
       stopUnfinishableRuns(session, lifecycle);
     },
     latestOrderAt: () => latestOrderAt(fleetView),
+    isEvacuated: evacuations.isEvacuated,
     contain: faults.contain,
   });
   const fleetView = { confirmedAt: () => feed.fleetConfirmedAt, maxAgeMs: drainMs };
   const cancelView = { confirmedAt: () => feed.cancellationsConfirmedAt, maxAgeMs: cancelMs };
-  const orderWindow = createOrderWindow({ views: [fleetView, cancelView] });
+  const views: ConfirmedView[] = [fleetView, cancelView];
+  if (options.evacuations !== undefined) {
+    const { withinMs } = options.evacuations;
+    views.push({ confirmedAt: () => feed.evacuationsConfirmedAt, maxAgeMs: withinMs });
+  }
+  const orderWindow = createOrderWindow({ views });
   const fleetAgeMs = () => Math.round(now() - feed.fleetConfirmedAt);
   const dispatcher = createDispatcher({
     cell,
@@ -297,6 +309,7 @@
     fleetPrefix: options.fleet.prefix,
     fleetMaxAgeMs: drainMs,
     cancellationsMaxAgeMs: cancelMs,
+    evacuations: options.evacuations,
     onProgress: applyProgress,
     onSilentWorkers: silentWorkers.restore,
     onFleet: (entries) => {
@@ -317,6 +330,8 @@
     onCancelledJob: (id) => {
       intake.applyCancelledJob(id);
     },
+    onEvacuations: evacuations.applyListing,
+    onEvacuationChange: evacuations.applyChange,
     onRestored: handleRestored,
     events,
     meters,
--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -14,7 +14,7 @@
 export interface FleetSessions {
   /** Sessions with workers that can be given work now. */
   usable(): WorkerSession[];
-  /** Whether the worker's entry allows to start tasks on it. */
+  /** Whether the worker's entry allows to start tasks on it and its data centre is not evacuated. */
   acceptsWork(session: WorkerSession): boolean;
   all(): Iterable<WorkerSession>;
   /** Applies a complete listing of the fleet, with the ids of entries that cannot be decoded. */
@@ -44,6 +44,8 @@
    * it leaves, and lost its entry, since its entry was last read. By default, as long as an entry may be away.
    */
   readonly latestOrderAt?: () => number;
+  /** Whether the workers of a data centre get no new work. By default, all get work. */
+  readonly isEvacuated?: (dataCentre: string) => boolean;
   /** Keeps an error that one worker of a listing causes away from the others. */
   readonly contain?: FaultContainment['contain'];
 }
@@ -58,6 +60,7 @@
 
 export function createFleetSessions(options: FleetSessionsOptions): FleetSessions {
   const { events, contain = callDirectly, latestOrderAt = () => Infinity } = options;
+  const { isEvacuated = () => false } = options;
   const sessions = new Map<string, WorkerSession>();
   /** Keys of the sessions with incarnations of a worker, by its id; one, except after a restart. */
   const keysById = new Map<string, Set<string>>();
@@ -206,7 +209,7 @@
   sweeper.unref();
 
   function acceptsWork({ worker, incarnation }: WorkerSession): boolean {
-    if (worker.state !== 'ready') return false;
+    if (worker.state !== 'ready' || isEvacuated(worker.dataCentre)) return false;
     const absence = unlisted.get(keyOf(incarnation));
     return absence === undefined || performance.now() < absence.usableUntil;
   }
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -155,6 +155,16 @@
       ]);
     });
 
+    // Without the bound, the deployment evacuates nothing and its hosts make no calls for it.
+    it('have no evacuations unless a bound for them is set, in whole milliseconds', () => {
+      const withBound = (bound: string) =>
+        parseSettings(SETTINGS.replace('[bounds]', `[bounds]\nevacuate-ms = ${bound}`));
+      expect(parseSettings(SETTINGS)._unsafeUnwrap().evacuateMs).to.equal(undefined);
+      expect(withBound('5000')._unsafeUnwrap().evacuateMs).to.equal(5000);
+      const [finding] = withBound('0.5')._unsafeUnwrapErr();
+      expect(finding?.place).to.equal('bounds.evacuate-ms');
+    });
+
     it('name line and column of invalid TOML', () => {
       const [finding] = parseSettings('a = ')._unsafeUnwrapErr();
       expect(finding?.place).to.match(/^line 1, column \d+$/);
--- a/test/platform-path/support.ts
+++ b/test/platform-path/support.ts
@@ -23,6 +23,7 @@
 import type { WorkerStandIn, WorkerStandInOptions } from '../../stand-ins/platform/worker.js';
 
 export const API_KEY = 'key-of-lawns';
+export const EVACUATION_PREFIX = 'op/evacuate/';
 export const CALLER = { host: 'lawns.example', path: '/lookups/', key: API_KEY };
 
 export interface ConfigurationOptions {
@@ -86,6 +87,8 @@
   readonly workers?: number;
   /** Bytes of memory that open jobs may take up at a leader. */
   readonly openBytesLimit?: number;
+  /** Time in which evacuations must be in force; by default, the hosts do not follow them. */
+  readonly evacuateMs?: number;
   /** Log of all hosts. */
   readonly events?: EventLog;
 }
@@ -124,6 +127,9 @@
           () => (onlyHosts.get(incarnation.id) ?? name) !== name,
         ),
       ...(options.openBytesLimit === undefined ? {} : { openBytesLimit: options.openBytesLimit }),
+      ...(options.evacuateMs === undefined
+        ? {}
+        : { evacuations: { prefix: EVACUATION_PREFIX, withinMs: options.evacuateMs } }),
       advise: () => Promise.resolve(undefined),
       configurationKey: 'op/config',
       decodeConfiguration,
