Remove the import cycle between the controller and the links of hosts

src/controller and src/peers imported each other for types alone: ReportedEnd, of the controller, is the content of a message between hosts, and AdviceCaller, of the links, is what the controller calls.

ReportedEnd and RunEnd are now in src/jobs, AdviceAnswer, AdviceCaller and Permit in the new folder src/advice. No emitted code changes but the lists of exports.

--- /dev/null
+++ b/src/advice/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Interface of calls to the advice service.
+ */
+export * from './advice.js';
--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -26,7 +26,7 @@
   OPEN_WORK_KEY,
 } from '../leadership/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
-import type { AdviceAnswer, AdviceCaller } from '../peers/index.js';
+import type { AdviceAnswer, AdviceCaller } from '../advice/index.js';
 import { createLeaderLink, createPeerHub } from '../peers/index.js';
 import type { CellConfiguration, ConfigurationHolder } from '../queues/index.js';
 import { createConfigurationHolder } from '../queues/index.js';
--- a/src/controller/controller-types.ts
+++ b/src/controller/controller-types.ts
@@ -1,16 +1,15 @@
 /**
  * Interface of the scheduler for one leadership term, and what it needs from its host.
  */
+import type { AdviceCaller } from '../advice/index.js';
 import type { WorkerConnection } from '../fleet/index.js';
-import type { Job, JobState, WorkerIncarnation } from '../jobs/index.js';
+import type { Job, JobState, ReportedEnd, WorkerIncarnation } from '../jobs/index.js';
 import type { LeadershipTerm } from '../leadership/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
-import type { AdviceCaller } from '../peers/index.js';
 import type { ConfigurationHolder } from '../queues/index.js';
 import type { KeyValueStore, Reachability } from '../records/index.js';
 import type { PlanningEffort } from './dispatcher.js';
 import type { FleetSource } from './fleet-entries.js';
-import type { ReportedEnd } from './former-leader.js';
 import type { SeenRecord } from './silent-workers.js';
 
 export interface Controller {
--- a/src/controller/former-leader.ts
+++ b/src/controller/former-leader.ts
@@ -5,21 +5,12 @@
  * Only the successor's record makes an end durable. Callers of this host are told of the end when the successor announces
  * that, not when this host has read it.
  */
-import type { WorkerIncarnation } from '../jobs/index.js';
+import type { ReportedEnd, RunEnd } from '../jobs/index.js';
 import type { EventLog } from '../observability/index.js';
 import type { FleetSessions } from './fleet-sessions.js';
-import type { Run, RunEnd } from './run.js';
+import type { Run } from './run.js';
 import type { WorkerSession } from './worker-session-types.js';
 
-/** The end of a run as its worker has listed it to a former leader. */
-export interface ReportedEnd {
-  readonly worker: WorkerIncarnation;
-  readonly task: string;
-  readonly run: number;
-  readonly end: RunEnd;
-  readonly checkpoint: string;
-}
-
 export interface FormerLeader {
   /** Reports the end of a run, unless the successor can conclude it by itself. */
   noteEnd(session: WorkerSession, run: Run, end: RunEnd, checkpoint: string): void;
--- a/src/controller/index.ts
+++ b/src/controller/index.ts
@@ -6,4 +6,3 @@
 export type { FleetSource } from './fleet-entries.js';
 export { SILENT_WORKERS_KEY } from './silent-workers.js';
 export type { SeenRecord } from './silent-workers.js';
-export type { ReportedEnd } from './former-leader.js';
--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -1,7 +1,7 @@
 /**
  * Applies the ends of runs and cancellations to tasks, gangs and jobs.
  */
-import type { Job, JobProgress, JobState, TaskProgress } from '../jobs/index.js';
+import type { Job, JobProgress, JobState, RunEnd, TaskProgress } from '../jobs/index.js';
 import {
   completeOccurrences,
   isFinal,
@@ -15,7 +15,7 @@
 import type { Cell, JobEntry } from './cell.js';
 import type { WriteUrgency } from './progress-log.js';
 import { hasStalled, stallTimeoutMs } from './run.js';
-import type { Run, RunEnd } from './run.js';
+import type { Run } from './run.js';
 import type { WorkerSession } from './worker-session-types.js';
 
 export interface JobLifecycle {
--- a/src/controller/permit-client.ts
+++ b/src/controller/permit-client.ts
@@ -14,7 +14,7 @@
  * soon, because preparing a query for each step would cost it more than the placements themselves.
  */
 import type { EventLog, Meters } from '../observability/index.js';
-import type { AdviceAnswer, AdviceCaller } from '../peers/index.js';
+import type { AdviceAnswer, AdviceCaller } from '../advice/index.js';
 import type { AdviceTiming } from '../queues/index.js';
 
 /** A ticket is not used when it has less than this left; the order takes a store write and a call. */
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -119,10 +119,6 @@
   return !listed || lateStartUntil > -Infinity;
 }
 
-/** How a run ended. `never-ran`: the worker certainly did not start it. `lost`: its worker ended or lost it. */
-export type RunEnd =
-  'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'never-ran' | 'lost';
-
 /** Fraction of the estimate. A healthy worker reports 15 % progress in it, a worker that is 7 times slower 2 %. */
 const STALL_FRACTION = 0.15;
 const MIN_STALL_MS = 600;
--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -3,13 +3,13 @@
  * answer was lost, a stop until it is answered.
  */
 import type { OrderOutcome, OrderRefusal, StartOrder, WorkerConnection } from '../fleet/index.js';
-import type { WorkerIncarnation } from '../jobs/index.js';
+import type { RunEnd, WorkerIncarnation } from '../jobs/index.js';
 import { createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import { pause } from '../records/index.js';
 import type { LeaseClock } from './lease-clock.js';
 import { LATE_ORDER_MS } from './run.js';
-import type { Run, RunEnd, RunStatus } from './run.js';
+import type { Run, RunStatus } from './run.js';
 
 /** A start must reach the worker within this time; a later one is refused there. */
 const START_WINDOW_MS = 2000;
--- a/src/controller/worker-reports.ts
+++ b/src/controller/worker-reports.ts
@@ -3,11 +3,10 @@
  * acknowledged.
  */
 import type { EndedTask, RunningTask, WorkerReport } from '../fleet/index.js';
-import type { WorkerIncarnation } from '../jobs/index.js';
+import type { ReportedEnd, RunEnd, WorkerIncarnation } from '../jobs/index.js';
 import type { EventLog } from '../observability/index.js';
 import { pause } from '../records/index.js';
-import type { ReportedEnd } from './former-leader.js';
-import type { Run, RunEnd } from './run.js';
+import type { Run } from './run.js';
 
 /** Time for a run with an unanswered start to appear in a report before it is stopped. */
 const UNANSWERED_START_MS = 150;
--- a/src/controller/worker-session-types.ts
+++ b/src/controller/worker-session-types.ts
@@ -2,12 +2,11 @@
  * Interface of the leader's sessions with workers, and what a session needs from the controller.
  */
 import type { FleetWorker, WorkerConnection } from '../fleet/index.js';
-import type { WorkerIncarnation } from '../jobs/index.js';
+import type { ReportedEnd, RunEnd, WorkerIncarnation } from '../jobs/index.js';
 import type { Resources } from '../model/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { FencingTokens } from './fencing-tokens.js';
-import type { ReportedEnd } from './former-leader.js';
-import type { Run, RunEnd } from './run.js';
+import type { Run } from './run.js';
 
 export interface WorkerSessionOptions {
   readonly worker: FleetWorker;
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -6,6 +6,7 @@
  * then its runs stay charged and are not started elsewhere.
  */
 import type { WorkerConnection } from '../fleet/index.js';
+import type { RunEnd } from '../jobs/index.js';
 import { addResources, NO_RESOURCES, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
 import { createFaultContainment } from '../observability/index.js';
@@ -13,7 +14,7 @@
 import { createLeaseClock } from './lease-clock.js';
 import { choosePauseMs, chooseWaitMs } from './renewal-pace.js';
 import { LATE_ORDER_MS, mayReachLaterIncarnation } from './run.js';
-import type { Run, RunEnd } from './run.js';
+import type { Run } from './run.js';
 import { createSessionToken } from './session-token.js';
 import { UNREACHABLE_CONNECTION } from './unreachable-connection.js';
 import { createWorkerOrders } from './worker-orders.js';
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -6,4 +6,5 @@
 export * from './job-size.js';
 export * from './progress.js';
 export * from './records.js';
+export * from './run-end.js';
 export * from './task-name.js';
--- a/src/peers/hub.ts
+++ b/src/peers/hub.ts
@@ -5,24 +5,12 @@
 import type { AddressInfo } from 'node:net';
 import { Packr } from 'msgpackr';
 import { WebSocket, WebSocketServer } from 'ws';
-import type { ReportedEnd } from '../controller/index.js';
+import type { AdviceAnswer, AdviceCaller } from '../advice/index.js';
 import type { RelayedAnswer, RelayedCall } from '../intake/index.js';
-import type { Job, JobState } from '../jobs/index.js';
+import type { Job, JobState, ReportedEnd } from '../jobs/index.js';
 import type { Leader } from '../leadership/index.js';
 import type { EventLog } from '../observability/index.js';
-import type { AdviceResponse, CallRequest, PeerMessage, Permit } from './messages.js';
-
-export interface AdviceAnswer {
-  readonly permits: readonly Permit[];
-  readonly validMs: number;
-}
-
-/** A connected host, which calls the advice service on behalf of the leader. */
-export interface AdviceCaller {
-  readonly name: string;
-  /** Resolves to undefined if the call failed. */
-  advise(step: string, workers: readonly string[]): Promise<AdviceAnswer | undefined>;
-}
+import type { AdviceResponse, CallRequest, PeerMessage } from './messages.js';
 
 export interface PeerHub {
   readonly port: number;
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -6,12 +6,11 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { WebSocket } from 'ws';
-import type { ReportedEnd } from '../controller/index.js';
+import type { AdviceAnswer } from '../advice/index.js';
 import type { RelayedAnswer, RelayedCall, RelayFailure, RelaySender } from '../intake/index.js';
-import type { Job, JobState } from '../jobs/index.js';
+import type { Job, JobState, ReportedEnd } from '../jobs/index.js';
 import type { Leader } from '../leadership/index.js';
 import type { EventLog } from '../observability/index.js';
-import type { AdviceAnswer } from './hub.js';
 import { MAX_MESSAGE_BYTES } from './hub.js';
 import type { AdviceRequest, PeerMessage } from './messages.js';
 
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -6,16 +6,11 @@
  * learns of its successor from the hosts that leave it, and reports to the successor what workers tell it.
  */
 
-import type { ReportedEnd } from '../controller/index.js';
+import type { Permit } from '../advice/index.js';
 import type { RelayedAnswer, RelayedCall } from '../intake/index.js';
-import type { Job, JobState } from '../jobs/index.js';
+import type { Job, JobState, ReportedEnd } from '../jobs/index.js';
 import type { Leader } from '../leadership/index.js';
 
-export interface Permit {
-  readonly worker: string;
-  readonly ticket: string;
-}
-
 /** First message that a host sends on a new link. */
 export interface Hello {
   readonly kind: 'hello';
--- a/test/controller/former-leader.test.ts
+++ b/test/controller/former-leader.test.ts
@@ -3,7 +3,7 @@
  * could do wrong while it still calls workers.
  */
 import { expect } from 'chai';
-import type { RunEnd } from '../../src/controller/run.js';
+import type { RunEnd } from '../../src/jobs/index.js';
 import { TOKENS_PER_TERM } from '../../src/leadership/index.js';
 import { createSessionHarness } from './session-harness.js';
 import type { SessionHarness } from './session-harness.js';
--- a/test/controller/permit-client.test.ts
+++ b/test/controller/permit-client.test.ts
@@ -6,7 +6,7 @@
 import { createPermitClient } from '../../src/controller/permit-client.js';
 import type { PermitRequest } from '../../src/controller/permit-client.js';
 import { createEventLog, createMeters } from '../../src/observability/index.js';
-import type { AdviceAnswer, AdviceCaller } from '../../src/peers/index.js';
+import type { AdviceAnswer, AdviceCaller } from '../../src/advice/index.js';
 
 const WORKERS = new Map([['w1', 1]]);
 const SHORT = { decideMs: 10, perWorkerMs: 0, validMs: 2000 };
--- a/test/controller/simulated-cell.ts
+++ b/test/controller/simulated-cell.ts
@@ -6,7 +6,7 @@
 import { describePermitRequests } from '../../src/controller/permit-requests.js';
 import { subtractResources } from '../../src/model/index.js';
 import { createEventLog, createMeters } from '../../src/observability/index.js';
-import type { AdviceAnswer, AdviceCaller } from '../../src/peers/index.js';
+import type { AdviceAnswer, AdviceCaller } from '../../src/advice/index.js';
 import type { PlacementBarrier, WaitingStep } from '../../src/planner/index.js';
 import { createWorkerHealth, orderSteps, planRound } from '../../src/planner/index.js';
 import type { Queue } from '../../src/queues/index.js';
