Plan with the learned speeds of workers, work of tasks and ends of runs

The fields speed, workMs and releases of the planner's input held neutral values.

Runs are measured by their worker's clock, from the accepted start to the report that lists the end; runs that resumed from a checkpoint, away from their data, of steps that are sensitive to racks, or with a repeated start are left out. The dispatcher fills the three fields from the forecast. Critical paths follow the corrected estimates, and so does the objective, by the terms of the job and for the speed that estimates assume. Runs of a leaving worker are kept if they are expected to end in time at its speed. With nothing learned all values equal the former ones.

--- a/src/controller/cell.ts
+++ b/src/controller/cell.ts
@@ -11,6 +11,7 @@
 } from '../jobs/index.js';
 import {
   estimateCriticalPathMs,
+  estimateCriticalPaths,
   estimateJobBytes,
   estimateOccurrenceBytes,
   formatStepName,
@@ -32,6 +33,8 @@
   readonly uselessAtMs: number;
   /** Estimated duration of the longest chain of steps from the start of each step to the end of the job. */
   readonly criticalPathMs: readonly number[];
+  /** Part of the terms: the objective grows by this with the critical path. */
+  readonly stretch: number;
   /** Estimated bytes of the leader's memory for the job, and for each of its open occurrences. */
   readonly jobBytes: number;
   readonly occurrenceBytes: number;
@@ -152,7 +155,7 @@
 }
 
 /** A late result is still useful to callers up to this multiple of the objective. */
-const USEFUL_LATENESS_FACTOR = 3;
+export const USEFUL_LATENESS_FACTOR = 3;
 
 /** Terms of jobs whose queue is not configured and whose records hold none. */
 const DEFAULT_TERMS: QueueTerms = {
@@ -184,21 +187,11 @@
     beyondShare,
     objectiveAtMs: job.acceptedAtMs + objectiveMs,
     uselessAtMs: job.acceptedAtMs + USEFUL_LATENESS_FACTOR * objectiveMs,
-    criticalPathMs: estimateCriticalPaths(progress),
+    criticalPathMs: estimateCriticalPaths(job.steps),
+    stretch,
     jobBytes: estimateJobBytes(job),
     occurrenceBytes: estimateOccurrenceBytes(job),
     openBytes: 0,
     finishedAtMs: undefined,
   };
 }
-
-function estimateCriticalPaths({ job }: JobProgress): number[] {
-  const criticalPathMs = job.steps.map(({ estimateMs }) => estimateMs);
-  for (let index = job.steps.length - 1; index >= 0; index -= 1) {
-    for (const earlier of job.steps[index]?.after ?? []) {
-      const through = (job.steps[earlier]?.estimateMs ?? 0) + (criticalPathMs[index] ?? 0);
-      criticalPathMs[earlier] = Math.max(criticalPathMs[earlier] ?? 0, through);
-    }
-  }
-  return criticalPathMs;
-}
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -32,6 +32,8 @@
 import { createProgressLog } from './progress-log.js';
 import { createResponsiveClock } from './responsive-clock.js';
 import { stepNameOf } from './run.js';
+import { createForecastReport } from './forecast-report.js';
+import { createRunForecast } from './run-forecast.js';
 import type { SilentWorker } from './silent-workers.js';
 import { createSilentWorkers } from './silent-workers.js';
 import { createShareMeter } from './share-meter.js';
@@ -78,6 +80,7 @@
       });
     },
   });
+  const forecast = createRunForecast({ now });
   const cell = createCell({
     now,
     onStepSettled: (key) => {
@@ -131,7 +134,12 @@
     events,
     onChange: requestPlan,
     onLeaving: (session) => {
-      stopUnfinishableRuns(session, lifecycle);
+      stopUnfinishableRuns(session, {
+        stop: (run, reason) => {
+          lifecycle.stop(run, reason);
+        },
+        expectRestMs: (run) => forecast.expectRestMs(run),
+      });
     },
     latestOrderAt: () => latestOrderAt(fleetView),
     contain: faults.contain,
@@ -153,6 +161,7 @@
     renewedAt: options.renewedAt,
     orderWindow,
     fleetAgeMs,
+    forecast,
   });
 
   function requestPlan() {
@@ -195,6 +204,7 @@
         formerLeader?.noteEnd(session, run, end, checkpoint);
         return Promise.resolve(false);
       },
+      learnEnd: (run) => forecast.learnEnd(run),
       onReport: checkStalls,
       onTicketRefused: (run) => {
         permits.invalidate(stepNameOf(run), run.session.incarnation.id);
@@ -212,6 +222,7 @@
 
   function checkStalls(session: WorkerSession, clockMs: number) {
     if (closed) return;
+    forecast.learnProgress(session);
     stopStalledRuns(session, {
       clockMs,
       health,
@@ -237,6 +248,13 @@
   }, SILENT_WORKERS_INTERVAL_MS);
   silentWorkersTimer.unref();
 
+  const forecastReport = createForecastReport({
+    forecast: forecast.forecast,
+    workers: () => [...sessions.all()].map(({ incarnation }) => incarnation),
+    events,
+    meters,
+  });
+
   const fleetEntries = createFleetEntries({ fleet: options.fleet, sessions, events, meters });
 
   /** Keeps only the ids of ended jobs, so that a takeover spends no time decoding their records. */
@@ -383,6 +401,7 @@
     responsiveClock.stop();
     dispatcher.stop();
     clearInterval(silentWorkersTimer);
+    forecastReport.close();
     housekeeping.close();
     feed.stop();
     log.close();
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -23,6 +23,8 @@
 import { pauseAfterRound } from './round-pace.js';
 import { createRun, stepNameOf } from './run.js';
 import type { Run } from './run.js';
+import { createRunForecast } from './run-forecast.js';
+import type { RunForecast } from './run-forecast.js';
 import type { WorkerSession } from './worker-session-types.js';
 
 /** Interval of planning rounds without any change, because slack and the validity of tickets depend on time. */
@@ -57,6 +59,8 @@
   readonly orderWindow: OrderWindow;
   /** Age in milliseconds of what this leader knows of the workers. */
   readonly fleetAgeMs: () => number;
+  /** By default, one that has learned nothing. */
+  readonly forecast?: RunForecast;
 }
 
 interface Round {
@@ -69,6 +73,7 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { cell, sessions, lifecycle, permits, events, meters } = options;
+  const { forecast = createRunForecast() } = options;
   const faults = createFaultContainment({ events, meters });
   let timer: NodeJS.Timeout | undefined;
   /** A round was requested and its timer is running. */
@@ -118,7 +123,7 @@
     const barriers = new Map<string, PlacementBarrier>();
     const placements = planRound({
       nowMs: round.nowMs,
-      workers: usable.map((session) => describeWorker(session)),
+      workers: usable.map((session) => describeWorker(session, round.nowMs)),
       steps,
       budgets: describeBudgets(configuration),
       round: effort.rounds,
@@ -133,7 +138,7 @@
     pauseMs = pauseAfterRound(tookMs);
   }
 
-  function describeWorker(session: WorkerSession): CandidateWorker {
+  function describeWorker(session: WorkerSession, nowMs: number): CandidateWorker {
     const { worker, used, runs } = session;
     return {
       id: worker.incarnation.id,
@@ -144,8 +149,8 @@
       room: worker.room,
       free: subtractResources(worker.room, used),
       healthStatus: options.health.statusOf(worker.incarnation.id),
-      speed: 1,
-      releases: () => [],
+      speed: forecast.speedOf(session),
+      releases: () => forecast.releasesOf(session, nowMs),
       runs: runs.size,
     };
   }
@@ -163,6 +168,7 @@
         placed.set(worker.id, (placed.get(worker.id) ?? 0) + 1);
       }
     }
+    const outlook = forecast.outlookOf(ready);
     let waitingTasks: readonly number[] | undefined;
     return {
       key,
@@ -170,11 +176,11 @@
       team: job.team,
       priority: terms.priority,
       beyondShare: entry.beyondShare,
-      objectiveAtMs: entry.objectiveAtMs,
-      uselessAtMs: entry.uselessAtMs,
-      remainingMs: entry.criticalPathMs[step.number] ?? 0,
+      objectiveAtMs: outlook.objectiveAtMs,
+      uselessAtMs: outlook.uselessAtMs,
+      remainingMs: outlook.criticalPathMs[step.number] ?? 0,
       size: step.step.size,
-      workMs: step.step.estimateMs,
+      workMs: outlook.workMs[step.number] ?? step.step.estimateMs,
       waiting: step.waitingCount,
       // Listed only if the planner gets to place them.
       get tasks() {
@@ -283,6 +289,7 @@
       run: run.number,
       worker: session.incarnation.id,
       waitedMs: Math.round(waitedMs),
+      speed: Math.round(forecast.speedOf(session) * 100) / 100,
       slackMs: Math.round(placement.step.objectiveAtMs - round.nowMs - placement.step.remainingMs),
       beyondShare: entry.beyondShare,
       fleetAgeMs: options.fleetAgeMs(),
--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -16,6 +16,7 @@
 import type { WriteUrgency } from './progress-log.js';
 import { hasStalled, stallTimeoutMs } from './run.js';
 import type { Run } from './run.js';
+import type { RunForecast } from './run-forecast.js';
 import type { WorkerSession } from './worker-session-types.js';
 
 export interface JobLifecycle {
@@ -236,13 +237,11 @@
 /** Stops runs that would not finish before the worker leaves, so that they restart elsewhere. */
 export function stopUnfinishableRuns(
   { worker, runs }: WorkerSession,
-  { stop }: Pick<JobLifecycle, 'stop'>,
+  { stop, expectRestMs }: Pick<JobLifecycle, 'stop'> & Pick<RunForecast, 'expectRestMs'>,
 ): void {
   const leavesInMs = worker.leavesInMs ?? 0;
   for (const run of runs.values()) {
-    const { estimateMs, longRunning } = run.step.step;
-    const leftMs = estimateMs * (1 - run.percent / 100);
-    if (leftMs < leavesInMs && !longRunning) continue;
+    if (!run.step.step.longRunning && expectRestMs(run) < leavesInMs) continue;
     stop(run, `the worker leaves in ${String(leavesInMs)} ms`);
   }
 }
--- /dev/null
+++ b/src/controller/run-forecast.ts
@@ -0,0 +1,167 @@
+/**
+ * Feeds the forecast from the runs of a leader's term, and answers from it what the planner asks: the speed of workers,
+ * the work and the critical paths of jobs, and when runs are expected to end.
+ */
+import { createForecast, expectEnd } from '../forecast/index.js';
+import type { Forecast, StepWork } from '../forecast/index.js';
+import { estimateCriticalPaths, formatStepName, isStepDone } from '../jobs/index.js';
+import type { Job, OccurrenceProgress, StepProgress } from '../jobs/index.js';
+import type { Release } from '../planner/index.js';
+import { USEFUL_LATENESS_FACTOR } from './cell.js';
+import type { JobEntry, ReadyStep } from './cell.js';
+import { stepNameOf } from './run.js';
+import type { Run } from './run.js';
+import type { WorkerSession } from './worker-session-types.js';
+
+/** What is expected of a job, by what was learned so far. Each list has an element for each step. */
+export interface JobOutlook {
+  /** Expected duration of one task of each step at speed 1. */
+  readonly workMs: readonly number[];
+  /** Duration of the longest chain of steps from the start of each step to the end of the job, at speed 1. */
+  readonly criticalPathMs: readonly number[];
+  /** The objective by the terms of the job, for its expected critical path instead of the estimated one. */
+  readonly objectiveAtMs: number;
+  readonly uselessAtMs: number;
+}
+
+export interface RunForecast {
+  /** Learns from a run that is done; returns its work in milliseconds at speed 1, undefined if it shows nothing. */
+  learnEnd(run: Run): number | undefined;
+  /** Learns from the progress of a worker's runs. */
+  learnProgress(session: WorkerSession): void;
+  speedOf(session: WorkerSession): number;
+  outlookOf(ready: ReadyStep): JobOutlook;
+  /** Milliseconds until the run is expected to end. */
+  expectRestMs(run: Run): number;
+  /** Expected ends of the worker's runs, on the clock of `nowMs`; the earliest first. */
+  releasesOf(session: WorkerSession, nowMs: number): Release[];
+  readonly forecast: Forecast;
+}
+
+export interface RunForecastOptions {
+  readonly forecast?: Forecast;
+  /** Monotonic milliseconds. */
+  readonly now?: () => number;
+}
+
+/** A worker takes up to 0.9 s to stop a run. */
+const STOP_MS = 900;
+
+export function createRunForecast(options: RunForecastOptions = {}): RunForecast {
+  const { now = () => performance.now(), forecast = createForecast({ now }) } = options;
+  /** Outlooks with the revision of the forecast from which they were computed. */
+  const outlooks = new WeakMap<OccurrenceProgress, { revision: number; outlook: JobOutlook }>();
+
+  function learnEnd(run: Run): number | undefined {
+    if (!isComparable(run) || run.startedClockMs === undefined || run.endedClockMs === undefined)
+      return undefined;
+    const tookMs = run.endedClockMs - run.startedClockMs;
+    const work = describeRun(run);
+    if (!run.step.step.gang) return forecast.learnEnd(work, run.session.incarnation, tookMs);
+    // All members end together, and the first of them completes the step.
+    if (isStepDone(run.step)) return undefined;
+    return forecast.learnGangEnd(work, membersOf(run.step), tookMs);
+  }
+
+  function learnProgress({ runs, incarnation }: WorkerSession) {
+    for (const run of runs.values()) {
+      const { percent, startedClockMs, progressedClockMs } = run;
+      if (percent === 0 || run.slow || run.step.step.gang || !isComparable(run)) continue;
+      if (startedClockMs === undefined || progressedClockMs === undefined) continue;
+      const progress = { percent, elapsedMs: progressedClockMs - startedClockMs };
+      run.slow = forecast.learnProgress(describeRun(run), incarnation, progress);
+    }
+  }
+
+  function outlookOf({ entry, step }: ReadyStep): JobOutlook {
+    const occurrence = entry.progress.occurrences.get(step.occurrence);
+    if (occurrence === undefined) return entryOutlook(entry, step.occurrence);
+    const known = outlooks.get(occurrence);
+    if (known?.revision === forecast.revision) return known.outlook;
+    const outlook = entryOutlook(entry, step.occurrence);
+    outlooks.set(occurrence, { revision: forecast.revision, outlook });
+    return outlook;
+  }
+
+  function entryOutlook(entry: JobEntry, occurrence: number): JobOutlook {
+    const { job } = entry.progress;
+    const workMs = job.steps.map(({ longRunning, estimateMs }, number) =>
+      longRunning ? estimateMs : forecast.workOf(describeStep(job, occurrence, number)).workMs,
+    );
+    const criticalPathMs = estimateCriticalPaths(job.steps, workMs);
+    const nominalMs = longestOf(criticalPathMs) * forecast.nominalFactorOf(job.service);
+    const laterMs = entry.stretch * (nominalMs - longestOf(entry.criticalPathMs));
+    return {
+      workMs,
+      criticalPathMs,
+      objectiveAtMs: entry.objectiveAtMs + laterMs,
+      uselessAtMs: entry.uselessAtMs + USEFUL_LATENESS_FACTOR * laterMs,
+    };
+  }
+
+  function expectRestMs(run: Run): number {
+    const nowMs = now();
+    if (run.status === 'stopping') return Math.max(0, run.since + STOP_MS - nowMs);
+    const { workMs, variance } = forecast.workOf(describeRun(run));
+    const expectedMs = workMs / slowestSpeed(run);
+    const { startedClockMs, progressedClockMs, percent } = run;
+    const input = { nowMs, expectedMs, variance, percent: 0, percentAfterMs: 0 };
+    if (run.status === 'logging') return expectEnd({ ...input, startedAtMs: nowMs }) - nowMs;
+    if (run.resumed || startedClockMs === undefined) {
+      // What was done before the start, or before this leader's term, is known from the percent alone.
+      const startedAtMs = run.progressedAt - (percent / 100) * expectedMs;
+      return expectEnd({ ...input, startedAtMs }) - nowMs;
+    }
+    const percentAfterMs = (progressedClockMs ?? startedClockMs) - startedClockMs;
+    return expectEnd({ ...input, startedAtMs: run.startedAt, percent, percentAfterMs }) - nowMs;
+  }
+
+  function slowestSpeed({ session, step }: Run): number {
+    if (!step.step.gang) return forecast.speedOf(session.incarnation);
+    return Math.min(...membersOf(step).map((worker) => forecast.speedOf(worker)));
+  }
+
+  return {
+    learnEnd,
+    learnProgress,
+    speedOf: ({ incarnation }) => forecast.speedOf(incarnation),
+    outlookOf,
+    expectRestMs,
+    releasesOf: ({ runs }, nowMs) =>
+      [...runs.values()]
+        .filter(({ step }) => !step.step.longRunning)
+        .map((run) => ({ atMs: nowMs + expectRestMs(run), size: run.size }))
+        .sort((left, right) => left.atMs - right.atMs),
+    forecast,
+  };
+}
+
+/**
+ * Whether the duration of the run shows the work of its task: it did all of it, and was slowed down neither by the
+ * distance from its data nor by a spread of its step over racks.
+ */
+function isComparable({ step, session, resumed }: Run): boolean {
+  const { longRunning, dataRack, rackSensitive, count } = step.step;
+  if (longRunning || resumed || (rackSensitive && count > 1)) return false;
+  return dataRack === undefined || dataRack === session.worker.rack;
+}
+
+function membersOf({ tasks }: StepProgress) {
+  return [...tasks.values()].flatMap(({ worker }) => (worker === undefined ? [] : [worker]));
+}
+
+function describeRun(run: Run): StepWork {
+  const { count, estimateMs } = run.step.step;
+  const { queue, service } = run.progress.job;
+  return { key: stepNameOf(run), service, queue, count, estimateMs };
+}
+
+function describeStep(job: Job, occurrence: number, number: number): StepWork {
+  const key = formatStepName({ job: job.id, occurrence, step: number });
+  const { count = 1, estimateMs = 0 } = job.steps[number] ?? {};
+  return { key, service: job.service, queue: job.queue, count, estimateMs };
+}
+
+function longestOf(values: readonly number[]): number {
+  return values.reduce((longest, value) => Math.max(longest, value), 0);
+}
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -50,6 +50,14 @@
    */
   progressedClockMs: number | undefined;
   startedAt: number;
+  /** The worker's clock when it accepted the start; undefined if an earlier order may have started the run. */
+  startedClockMs: number | undefined;
+  /** The worker's clock in the report that listed the end. */
+  endedClockMs: number | undefined;
+  /** Whether the run began with a checkpoint, so that it does only a part of the work. */
+  readonly resumed: boolean;
+  /** Whether its progress has shown that it takes much longer than expected. */
+  slow: boolean;
   /** Age of what the leader knew of the workers when it sent the order; undefined if it has not sent one. */
   fleetAgeMs: number | undefined;
   /** Milliseconds from the placement until the order was sent. */
@@ -103,6 +111,10 @@
     progressedAt: now,
     progressedClockMs: undefined,
     startedAt: now,
+    startedClockMs: undefined,
+    endedClockMs: undefined,
+    resumed: task.checkpoint !== '',
+    slow: false,
     fleetAgeMs: undefined,
     orderedMs: undefined,
     answeredMs: undefined,
--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -103,6 +103,7 @@
     if (outcome.kind === 'accepted') {
       run.answeredMs = performance.now() - run.startedAt;
       clock.note(outcome.clockMs);
+      if (run.lateStartUntil === -Infinity) run.startedClockMs = outcome.clockMs;
       run.progressedClockMs ??= outcome.clockMs;
       transition(run, 'starting', 'running');
       transition(run, 'in-doubt', 'running');
--- a/src/controller/worker-reports.ts
+++ b/src/controller/worker-reports.ts
@@ -66,7 +66,7 @@
   async function apply(report: WorkerReport, requestedAt: number): Promise<void> {
     const durable = report.ended
       .filter(({ sequence }) => sequence > processedThrough)
-      .map((end) => applyEnd(end));
+      .map((end) => applyEnd(end, report.clockMs));
     processedThrough = Math.max(processedThrough, ...report.ended.map(({ sequence }) => sequence));
     // A run whose end is among those that the report leaves out is in neither list.
     const isComplete = report.ended.length < MAX_LISTED_ENDS;
@@ -126,7 +126,7 @@
     );
   }
 
-  async function applyEnd(end: EndedTask): Promise<boolean> {
+  async function applyEnd(end: EndedTask, clockMs: number): Promise<boolean> {
     const run = runs.get(end.task);
     if (run?.number !== end.run) {
       events.info('foreign-end-ignored', {
@@ -139,6 +139,7 @@
       });
       return true;
     }
+    run.endedClockMs = clockMs;
     return endRun(run, end.how, end.checkpoint);
   }
 
--- a/src/controller/worker-session-types.ts
+++ b/src/controller/worker-session-types.ts
@@ -33,6 +33,8 @@
     end: RunEnd,
     checkpoint: string,
   ) => Promise<boolean>;
+  /** Learns from a run that is done; returns the work that it showed in milliseconds, undefined if it showed none. */
+  readonly learnEnd?: (run: Run) => number | undefined;
   /** Called when a report, made at `clockMs` on the worker's clock, has updated the progress of runs. */
   readonly onReport: (session: WorkerSession, clockMs: number) => void;
   /** Called when the worker has refused the ticket of a start. */
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -224,6 +224,7 @@
     run.listed = false;
     run.percent = 0;
     run.progressedClockMs = undefined;
+    run.startedClockMs = undefined;
     run.since = -Infinity;
     run.fencedAt = performance.now();
     if (ended) {
@@ -240,6 +241,7 @@
     if (runs.get(run.name) !== run) return Promise.resolve(true);
     detach(run);
     meters.taskEnds.inc({ how: end });
+    const workMs = end === 'done' ? options.learnEnd?.(run) : undefined;
     events.info('run-ended', {
       job: run.progress.job.id,
       task: run.name,
@@ -255,6 +257,7 @@
       answeredMs: run.answeredMs === undefined ? undefined : Math.round(run.answeredMs),
       tookMs: Math.round(performance.now() - run.startedAt),
       percent: run.percent,
+      workMs: workMs === undefined ? undefined : Math.round(workMs),
     });
     return options.onEnd(session, run, end, checkpoint);
   }
--- a/src/forecast/forecast.ts
+++ b/src/forecast/forecast.ts
@@ -143,6 +143,10 @@
     return predictWork(correction ?? NO_CORRECTION, Math.log(step.estimateMs));
   }
 
+  function medianOfService({ service }: StepWork): number {
+    return services.get(service)?.median ?? 0;
+  }
+
   function stepState(step: StepWork): StepState {
     const known = steps.get(step.key);
     if (known !== undefined) return known;
@@ -223,8 +227,9 @@
       const belief = known === undefined ? priorOf(step) : believeWork(known);
       if (belief === undefined)
         return { workMs: step.estimateMs, variance: NO_CORRECTION.variance };
-      const median = services.get(step.service)?.median ?? 0;
-      return { workMs: Math.exp(belief.work - median), variance: belief.variance };
+      const factor = Math.exp(belief.work - Math.log(step.estimateMs || 1) - medianOfService(step));
+      // Exact while nothing is learned, so that steps with equal estimates keep their order.
+      return { workMs: (step.estimateMs || 1) * factor, variance: belief.variance };
     },
     nominalFactorOf: (service) => services.get(service)?.nominalFactor ?? 1,
     get revision() {
--- a/src/forecast/summary.ts
+++ b/src/forecast/summary.ts
@@ -3,19 +3,13 @@
  */
 import type { Correction } from './queue-work.js';
 
-export interface SpeedQuantiles {
-  readonly min: number;
-  readonly p25: number;
-  readonly p50: number;
-  readonly p75: number;
-  readonly max: number;
-}
+export type Quantile = 'min' | 'p25' | 'p50' | 'p75' | 'max';
 
 export interface ForecastSummary {
   /** Number of workers whose speed is known. */
   readonly workers: number;
   /** Quantiles of their speeds. */
-  readonly speeds: SpeedQuantiles;
+  readonly speeds: Readonly<Record<Quantile, number>>;
   readonly queues: Readonly<Record<string, QueueSummary>>;
 }
 
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -91,6 +91,21 @@
   return ends.reduce((latest, end) => Math.max(latest, end), 0);
 }
 
+/** Length of the longest chain of dependent steps from the start of each step, for the given durations of steps. */
+export function estimateCriticalPaths(
+  steps: readonly Step[],
+  durationsMs: readonly number[] = steps.map(({ estimateMs }) => estimateMs),
+): number[] {
+  const criticalPathMs = [...durationsMs];
+  for (let index = steps.length - 1; index >= 0; index -= 1) {
+    for (const earlier of steps[index]?.after ?? []) {
+      const through = (durationsMs[earlier] ?? 0) + (criticalPathMs[index] ?? 0);
+      criticalPathMs[earlier] = Math.max(criticalPathMs[earlier] ?? 0, through);
+    }
+  }
+  return criticalPathMs;
+}
+
 /** Whether each `after` names an earlier step, which rules out dependency cycles. */
 export function hasValidDependencies(steps: readonly Step[]): boolean {
   return steps.every((step, index) =>
--- a/src/observability/meters.ts
+++ b/src/observability/meters.ts
@@ -24,6 +24,11 @@
   /** Age of what the leader knows of the workers; 0 on other hosts. */
   readonly fleetAgeSeconds: Gauge;
   readonly waitingTasks: Gauge<'queue'>;
+  /** Quantiles of the speeds of workers that the leader has learned. */
+  readonly workerSpeed: Gauge<'quantile'>;
+  readonly knownSpeeds: Gauge;
+  /** Expected work of a mean task over its estimate. */
+  readonly estimateFactor: Gauge<'queue'>;
   readonly adviceCalls: Counter<'outcome'>;
   /** Errors that nothing handled. */
   readonly unexpectedErrors: Counter<'origin'>;
@@ -114,6 +119,23 @@
       labelNames: ['queue'],
       registers,
     }),
+    workerSpeed: new Gauge({
+      name: 'sapphirewing_worker_speed',
+      help: 'Learned speeds of workers, 1 for the median of a service',
+      labelNames: ['quantile'],
+      registers,
+    }),
+    knownSpeeds: new Gauge({
+      name: 'sapphirewing_known_speeds',
+      help: 'Workers whose speed the leader has learned',
+      registers,
+    }),
+    estimateFactor: new Gauge({
+      name: 'sapphirewing_estimate_factor',
+      help: 'Learned work of tasks over their estimate',
+      labelNames: ['queue'],
+      registers,
+    }),
     adviceCalls: new Counter({
       name: 'sapphirewing_advice_calls_total',
       help: 'Calls to the advice service',
--- a/test/forecast/forecast.test.ts
+++ b/test/forecast/forecast.test.ts
@@ -160,7 +160,9 @@
   describe('of the work of tasks', () => {
     it('equals the estimate while nothing is learned', () => {
       const forecast = createForecast();
-      expect(forecast.workOf(STEP).workMs).to.be.closeTo(1000, 1e-6);
+      for (const estimateMs of [1000, 333, 0.7, 12_345.678]) {
+        expect(forecast.workOf({ ...STEP, estimateMs }).workMs).to.equal(estimateMs);
+      }
       expect(forecast.workOf({ ...STEP, estimateMs: 0 }).workMs).to.equal(0);
       expect(forecast.speedOf(W1)).to.equal(1);
       expect(forecast.nominalFactorOf('rota')).to.equal(1);
