--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -34,6 +34,8 @@
 import { createProgressLog } from './progress-log.js';
 import { createResponsiveClock } from './responsive-clock.js';
 import { stepNameOf } from './run.js';
+import { createForecastReport } from './forecast-report.js';
+import { createRunForecast } from './run-forecast.js';
 import type { SilentWorker } from './silent-workers.js';
 import { createSilentWorkers } from './silent-workers.js';
 import { createShareMeter } from './share-meter.js';
@@ -80,6 +82,7 @@
       });
     },
   });
+  const forecast = createRunForecast({ now });
   const cell = createCell({
     now,
     onStepSettled: (key) => {
@@ -137,7 +140,12 @@
     events,
     onChange: requestPlan,
     onLeaving: (session) => {
-      stopUnfinishableRuns(session, lifecycle);
+      stopUnfinishableRuns(session, {
+        stop: (run, reason) => {
+          lifecycle.stop(run, reason);
+        },
+        expectRestMs: (run) => forecast.expectRestMs(run),
+      });
     },
     latestOrderAt: () => latestOrderAt(fleetView),
     isEvacuated: evacuations.isEvacuated,
@@ -165,6 +173,7 @@
     renewedAt: options.renewedAt,
     orderWindow,
     fleetAgeMs,
+    forecast,
   });
 
   function requestPlan() {
@@ -207,6 +216,7 @@
         formerLeader?.noteEnd(session, run, end, checkpoint);
         return Promise.resolve(false);
       },
+      learnEnd: (run) => forecast.learnEnd(run),
       onReport: checkStalls,
       onTicketRefused: (run) => {
         permits.invalidate(stepNameOf(run), run.session.incarnation.id);
@@ -224,6 +234,7 @@
 
   function checkStalls(session: WorkerSession, clockMs: number) {
     if (closed) return;
+    forecast.learnProgress(session);
     stopStalledRuns(session, {
       clockMs,
       health,
@@ -249,6 +260,13 @@
   }, SILENT_WORKERS_INTERVAL_MS);
   silentWorkersTimer.unref();
 
+  const forecastReport = createForecastReport({
+    forecast: forecast.forecast,
+    workers: () => [...sessions.all()].map(({ incarnation }) => incarnation),
+    events,
+    meters,
+  });
+
   const fleetEntries = createFleetEntries({ fleet: options.fleet, sessions, events, meters });
 
   /** Keeps only the ids of ended jobs, so that a takeover spends no time decoding their records. */
@@ -398,6 +416,7 @@
     responsiveClock.stop();
     dispatcher.stop();
     clearInterval(silentWorkersTimer);
+    forecastReport.close();
     housekeeping.close();
     feed.stop();
     log.close();
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -50,6 +50,14 @@
    */
   progressedClockMs: number | undefined;
   startedAt: number;
+  /** The worker's clock when it accepted the start; undefined if an earlier order may have started the run. */
+  startedClockMs: number | undefined;
+  /** The worker's clock in the report that listed the end. */
+  endedClockMs: number | undefined;
+  /** Whether the run began with a checkpoint, so that it does only a part of the work. */
+  readonly resumed: boolean;
+  /** Whether its progress has shown that it takes much longer than expected. */
+  slow: boolean;
   /** Age of what the leader knew of the workers when it sent the order; undefined if it has not sent one. */
   fleetAgeMs: number | undefined;
   /** Milliseconds from the placement until the order was sent. */
@@ -103,6 +111,10 @@
     progressedAt: now,
     progressedClockMs: undefined,
     startedAt: now,
+    startedClockMs: undefined,
+    endedClockMs: undefined,
+    resumed: task.checkpoint !== '',
+    slow: false,
     fleetAgeMs: undefined,
     orderedMs: undefined,
     answeredMs: undefined,
@@ -119,10 +131,6 @@
   return !listed || lateStartUntil > -Infinity;
 }
 
-/** How a run ended. `never-ran`: the worker certainly did not start it. `lost`: its worker ended or lost it. */
-export type RunEnd =
-  'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'never-ran' | 'lost';
-
 /** Fraction of the estimate. A healthy worker reports 15 % progress in it, a worker that is 7 times slower 2 %. */
 const STALL_FRACTION = 0.15;
 const MIN_STALL_MS = 600;
--- a/src/controller/worker-reports.ts
+++ b/src/controller/worker-reports.ts
@@ -3,11 +3,10 @@
  * acknowledged.
  */
 import type { EndedTask, RunningTask, WorkerReport } from '../fleet/index.js';
-import type { WorkerIncarnation } from '../jobs/index.js';
+import type { ReportedEnd, RunEnd, WorkerIncarnation } from '../jobs/index.js';
 import type { EventLog } from '../observability/index.js';
 import { pause } from '../records/index.js';
-import type { ReportedEnd } from './former-leader.js';
-import type { Run, RunEnd } from './run.js';
+import type { Run } from './run.js';
 
 /** Time for a run with an unanswered start to appear in a report before it is stopped. */
 const UNANSWERED_START_MS = 150;
@@ -67,7 +66,7 @@
   async function apply(report: WorkerReport, requestedAt: number): Promise<void> {
     const durable = report.ended
       .filter(({ sequence }) => sequence > processedThrough)
-      .map((end) => applyEnd(end));
+      .map((end) => applyEnd(end, report.clockMs));
     processedThrough = Math.max(processedThrough, ...report.ended.map(({ sequence }) => sequence));
     // A run whose end is among those that the report leaves out is in neither list.
     const isComplete = report.ended.length < MAX_LISTED_ENDS;
@@ -127,7 +126,7 @@
     );
   }
 
-  async function applyEnd(end: EndedTask): Promise<boolean> {
+  async function applyEnd(end: EndedTask, clockMs: number): Promise<boolean> {
     const run = runs.get(end.task);
     if (run?.number !== end.run) {
       events.info('foreign-end-ignored', {
@@ -140,6 +139,7 @@
       });
       return true;
     }
+    run.endedClockMs = clockMs;
     return endRun(run, end.how, end.checkpoint);
   }
 
--- a/src/controller/worker-session-types.ts
+++ b/src/controller/worker-session-types.ts
@@ -2,12 +2,11 @@
  * Interface of the leader's sessions with workers, and what a session needs from the controller.
  */
 import type { FleetWorker, WorkerConnection } from '../fleet/index.js';
-import type { WorkerIncarnation } from '../jobs/index.js';
+import type { ReportedEnd, RunEnd, WorkerIncarnation } from '../jobs/index.js';
 import type { Resources } from '../model/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { FencingTokens } from './fencing-tokens.js';
-import type { ReportedEnd } from './former-leader.js';
-import type { Run, RunEnd } from './run.js';
+import type { Run } from './run.js';
 
 export interface WorkerSessionOptions {
   readonly worker: FleetWorker;
@@ -34,6 +33,8 @@
     end: RunEnd,
     checkpoint: string,
   ) => Promise<boolean>;
+  /** Learns from a run that is done; returns the work that it showed in milliseconds, undefined if it showed none. */
+  readonly learnEnd?: (run: Run) => number | undefined;
   /** Called when a report, made at `clockMs` on the worker's clock, has updated the progress of runs. */
   readonly onReport: (session: WorkerSession, clockMs: number) => void;
   /** Called when the worker has refused the ticket of a start. */
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -6,6 +6,7 @@
  * then its runs stay charged and are not started elsewhere.
  */
 import type { WorkerConnection } from '../fleet/index.js';
+import type { RunEnd } from '../jobs/index.js';
 import { addResources, NO_RESOURCES, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
 import { createFaultContainment } from '../observability/index.js';
@@ -13,7 +14,7 @@
 import { createLeaseClock } from './lease-clock.js';
 import { choosePauseMs, chooseWaitMs } from './renewal-pace.js';
 import { LATE_ORDER_MS, mayReachLaterIncarnation } from './run.js';
-import type { Run, RunEnd } from './run.js';
+import type { Run } from './run.js';
 import { createSessionToken } from './session-token.js';
 import { UNREACHABLE_CONNECTION } from './unreachable-connection.js';
 import { createWorkerOrders } from './worker-orders.js';
@@ -223,6 +224,7 @@
     run.listed = false;
     run.percent = 0;
     run.progressedClockMs = undefined;
+    run.startedClockMs = undefined;
     run.since = -Infinity;
     run.fencedAt = performance.now();
     if (ended) {
@@ -239,6 +241,7 @@
     if (runs.get(run.name) !== run) return Promise.resolve(true);
     detach(run);
     meters.taskEnds.inc({ how: end });
+    const workMs = end === 'done' ? options.learnEnd?.(run) : undefined;
     events.info('run-ended', {
       job: run.progress.job.id,
       task: run.name,
@@ -254,6 +257,7 @@
       answeredMs: run.answeredMs === undefined ? undefined : Math.round(run.answeredMs),
       tookMs: Math.round(performance.now() - run.startedAt),
       percent: run.percent,
+      workMs: workMs === undefined ? undefined : Math.round(workMs),
     });
     return options.onEnd(session, run, end, checkpoint);
   }
