Place work by the speed of workers

Cause: workers differ in speed (0.7, 0.7 and 1.7 of the nominal speed in equal parts on one deployment), and the planner treats them as equal. A gang on a mixed set holds fast workers until its slowest member has ended, and deferrable work fills the fast workers that urgent work needs.

Other tasks prefer workers that are fast enough for their slack, or the fastest if none is. Deferrable work with ample slack prefers slower workers.

--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -24,15 +24,17 @@
   canHold,
   couldEverRun,
   couldHold,
+  freeShare,
   groupByService,
   isAllowed,
   isInTrial,
-  slotsIn,
   tasksAtOnce,
   withinBudget,
   workersWithRoom,
 } from './pool.js';
 import type { Pool } from './pool.js';
+import { workersToReserve } from './reservation.js';
+import { chooseAlike, speedCostsFor } from './speed.js';
 
 /** Number of gangs that may reserve workers at the same time; each reservation leaves capacity idle. */
 const MAX_RESERVING_GANGS = 2;
@@ -94,14 +96,18 @@
     const usable = (members: readonly CandidateWorker[]) =>
       step.gang ? chooseForGang(step, members, pool, isLate(step, nowMs)) : members;
     const place = step.gang ? placeGang : placeTasks;
-    const placed = startable.length === 0 ? [] : place(step, usable(startable), budgets);
+    const placed = startable.length === 0 ? [] : place(step, usable(startable), budgets, nowMs);
     placements.push(...placed);
     if (placed.length === step.waiting) continue;
     pool.unplacedSteps += 1;
     onBlocked(step, findBarrier(step, usable(runnableOf(step, candidates)), budgets));
     const mustWait = step.gang && placed.length === 0;
     if (!mustWait || reservingGangs >= maxReservingGangs || isLate(step, nowMs)) continue;
-    const reservation = workersToReserve(step, runnableOf(step, pool.workers.filter(isOpen)));
+    const reservation = workersToReserve(
+      step,
+      runnableOf(step, pool.workers.filter(isOpen)),
+      nowMs,
+    );
     if (reservation.length === 0) continue;
     reservingGangs += 1;
     for (const id of reservation) reserved.add(id);
@@ -151,12 +157,14 @@
   step: WaitingStep,
   pool: readonly CandidateWorker[],
   budgets: ReadonlyMap<string, TeamBudget>,
+  nowMs: number,
 ): Placement[] {
   const placements: Placement[] = [];
   const added = new Map<string, number>();
+  const speedCosts = speedCostsFor(step, pool, nowMs);
   for (const task of step.tasks) {
     if (!withinBudget(step, budgets, 1)) break;
-    const worker = chooseWorker(step, task, pool, added);
+    const worker = chooseWorker(step, task, pool, added, speedCosts);
     // All tasks of a step have the same requirements, so the others find no worker either.
     if (worker === undefined) break;
     charge(step, worker, budgets, added);
@@ -170,13 +178,15 @@
   step: WaitingStep,
   pool: readonly CandidateWorker[],
   budgets: ReadonlyMap<string, TeamBudget>,
+  nowMs: number,
 ): Placement[] {
   if (!canHold(step, pool)) return [];
+  const members = membersForGang(step, pool, nowMs);
   const placements: Placement[] = [];
   const added = new Map<string, number>();
   const touched: { worker: CandidateWorker; free: Resources }[] = [];
   for (const task of step.tasks) {
-    const worker = chooseWorker(step, task, pool, added);
+    const worker = chooseWorker(step, task, members, added);
     if (worker === undefined) {
       for (const { worker: changed, free } of touched.reverse()) {
         changed.free = free;
@@ -194,19 +204,33 @@
   return placements;
 }
 
+/** Narrows the workers for a gang by speed, unless some are on trial; those in its data rack go first. */
+function membersForGang(
+  step: WaitingStep,
+  pool: readonly CandidateWorker[],
+  nowMs: number,
+): readonly CandidateWorker[] {
+  if (!pool.every(isTrusted)) return pool;
+  const local = pool.filter(({ rack }) => rack === step.dataRack);
+  return chooseAlike(step, canHold(step, local) ? local : pool, nowMs);
+}
+
 function chooseWorker(
   step: WaitingStep,
   task: number,
   pool: readonly CandidateWorker[],
   added: ReadonlyMap<string, number>,
+  speedCosts: readonly number[] = [],
 ): CandidateWorker | undefined {
   let best: CandidateWorker | undefined;
   let bestCost = Infinity;
+  let index = -1;
   for (const worker of pool) {
+    index += 1;
     if (!fitsWithin(step.size, worker.free)) continue;
     if (!isAllowed(step, worker, added)) continue;
     if (isInTrial(worker) && !(step.gang && added.has(worker.id))) continue;
-    const cost = placementCost(step, task, worker, added);
+    const cost = placementCost(step, task, worker, added) + (speedCosts[index] ?? 0);
     if (cost >= bestCost) continue;
     best = worker;
     bestCost = cost;
@@ -235,30 +259,6 @@
   return cost;
 }
 
-function freeShare({ free, room }: CandidateWorker): number {
-  return room.processors > 0 ? free.processors / room.processors : 0;
-}
-
-/**
- * Chooses the workers that a gang reserves among those that may run it, the emptiest first, until the gang would
- * fit if they were empty. Returns nothing if it would fit on no set of workers.
- */
-function workersToReserve(step: WaitingStep, pool: readonly CandidateWorker[]): string[] {
-  const fitting = pool
-    .filter((worker) => isAllowed(step, worker, new Map()))
-    .map((worker) => ({ worker, slots: slotsIn(worker.room, step.size) }))
-    .filter(({ slots }) => slots > 0)
-    .sort((left, right) => freeShare(right.worker) - freeShare(left.worker));
-  const reserved: string[] = [];
-  let slots = 0;
-  for (const { worker, slots: more } of fitting) {
-    if (slots >= step.waiting) break;
-    slots += more;
-    reserved.push(worker.id);
-  }
-  return slots >= step.waiting ? reserved : [];
-}
-
 function charge(
   step: WaitingStep,
   worker: CandidateWorker,
--- a/src/planner/pool.ts
+++ b/src/planner/pool.ts
@@ -84,11 +84,14 @@
 
 /** Whether the workers have room for the waiting gang, or for one task of a step that is none. */
 export function canHold(step: WaitingStep, workers: readonly CandidateWorker[]): boolean {
-  return hasSlots(step, workers, (worker) => {
-    const present = step.placed.get(worker.id) ?? 0;
-    const most = (step.maxPerWorker ?? Infinity) - present;
-    return Math.max(0, Math.min(most, slotsIn(worker.free, step.size)));
-  });
+  return hasSlots(step, workers, (worker) => slotsFreeFor(step, worker));
+}
+
+/** Number of tasks of the step for which the worker has room now. */
+export function slotsFreeFor(step: WaitingStep, worker: CandidateWorker): number {
+  if (!hasLabel(step, worker)) return 0;
+  const most = (step.maxPerWorker ?? Infinity) - (step.placed.get(worker.id) ?? 0);
+  return Math.max(0, Math.min(most, slotsIn(worker.free, step.size)));
 }
 
 /** Whether the step could run if the workers were empty, trusted and permitted, and its team used nothing. */
@@ -144,6 +147,11 @@
   return present < step.maxPerWorker;
 }
 
+/** Share of the worker's processors that is free. */
+export function freeShare({ free, room }: CandidateWorker): number {
+  return room.processors > 0 ? free.processors / room.processors : 0;
+}
+
 /** Number of tasks of this size that fit into the given resources; infinite for a size of zero. */
 export function slotsIn(room: Resources, size: Resources): number {
   const ratio = (whole: number, part: number) =>
--- /dev/null
+++ b/src/planner/speed.ts
@@ -0,0 +1,118 @@
+/**
+ * Placement on workers that differ in speed. Work with little slack goes to workers that are fast enough for it, work
+ * with ample slack leaves fast workers free, and the members of a gang go to workers of similar speed, because a gang
+ * ends with its slowest member and holds the workers of the faster ones until then.
+ *
+ * Speeds are learned from the ends of runs, so differences of a few percent carry no information. Where all workers are
+ * alike, nothing here changes a placement.
+ */
+import type { CandidateWorker, WaitingStep } from './candidates.js';
+import { slotsFreeFor } from './pool.js';
+
+/** Workers whose speeds differ by at most this factor count as alike; tasks of one step vary by about 15 %. */
+export const ALIKE_FACTOR = 1.1;
+/** A worker is fast enough if the work could take this much longer than expected; estimates are off by up to 20 %. */
+const ENOUGH_FACTOR = 1.2;
+/** With so much more speed than needed, slack is ample: one failed attempt of the task still leaves it on time. */
+const AMPLE_FACTOR = 2;
+/** Cost by which a ratio of speeds counts; at a ratio of 1.3 it outweighs the largest difference in packing, which is 1. */
+const UNLIKE_COST = 6;
+/** Less than the cost of another rack, so that speed alone does not outweigh locality. */
+const MAX_UNLIKE_COST = 3.9;
+
+/** Speed that a worker needs to end a task of the step on time; infinite if the step is late on any worker. */
+export function neededSpeed(step: WaitingStep, nowMs: number): number {
+  // The end of work that is of no use any more does not matter.
+  if (nowMs + step.remainingMs > step.uselessAtMs) return 0;
+  const restMs = Math.max(0, step.remainingMs - step.workMs);
+  const leftMs = step.objectiveAtMs - nowMs - restMs;
+  return leftMs > 0 ? (ENOUGH_FACTOR * step.workMs) / leftMs : Infinity;
+}
+
+/** Cost of the speed of each of the workers for a task of the step; undefined if they are alike. */
+export function speedCostsFor(
+  step: WaitingStep,
+  workers: readonly CandidateWorker[],
+  nowMs: number,
+): readonly number[] | undefined {
+  let slowest = Infinity;
+  let fastest = 0;
+  for (const { speed } of workers) {
+    slowest = Math.min(slowest, speed);
+    fastest = Math.max(fastest, speed);
+  }
+  if (areAlike(slowest, fastest)) return undefined;
+  const needed = neededSpeed(step, nowMs);
+  const enough = Math.min(needed, fastest);
+  const ample =
+    step.priority === 0 ? Infinity : Math.max((needed * AMPLE_FACTOR) / ENOUGH_FACTOR, slowest);
+  return workers.map(({ speed }) => unlikeCost(enough / speed) + unlikeCost(speed / ample));
+}
+
+function areAlike(slowest: number, fastest: number): boolean {
+  return fastest <= slowest * ALIKE_FACTOR;
+}
+
+function unlikeCost(ratio: number): number {
+  if (!(ratio > ALIKE_FACTOR)) return 0;
+  return Math.min(MAX_UNLIKE_COST, UNLIKE_COST * (ratio / ALIKE_FACTOR - 1));
+}
+
+/**
+ * Chooses the workers for a gang by their speed: the slowest workers of similar speed that hold it and end it on time,
+ * or those that differ least, or the ones that end it soonest if it is late on all of them. Returns all workers if they
+ * are alike or do not hold the gang.
+ */
+export function chooseAlike(
+  step: WaitingStep,
+  workers: readonly CandidateWorker[],
+  nowMs: number,
+): readonly CandidateWorker[] {
+  const sorted = workers
+    .map((worker) => ({
+      speed: worker.speed,
+      slots: Math.min(step.waiting, slotsFreeFor(step, worker)),
+    }))
+    .filter(({ slots }) => slots > 0)
+    .sort((left, right) => left.speed - right.speed);
+  const [slowest, fastest] = [sorted[0]?.speed ?? 0, sorted.at(-1)?.speed ?? 0];
+  if (areAlike(slowest, fastest)) return workers;
+  const range = findSpeedRange(sorted, step.waiting, neededSpeed(step, nowMs));
+  if (range === undefined) return workers;
+  return workers.filter(({ speed }) => speed >= range.slowest && speed <= range.fastest);
+}
+
+interface SpeedRange {
+  readonly slowest: number;
+  readonly fastest: number;
+}
+
+/** `sorted`: the slots of each worker, the slowest worker first. */
+function findSpeedRange(
+  sorted: readonly { readonly speed: number; readonly slots: number }[],
+  wanted: number,
+  needed: number,
+): SpeedRange | undefined {
+  let best: SpeedRange | undefined;
+  let leastSpread = Infinity;
+  let soonest: SpeedRange | undefined;
+  let slots = 0;
+  let end = 0;
+  for (const first of sorted) {
+    while (slots < wanted && end < sorted.length) {
+      slots += sorted[end]?.slots ?? 0;
+      end += 1;
+    }
+    if (slots < wanted) break;
+    slots -= first.slots;
+    soonest = { slowest: first.speed / ALIKE_FACTOR, fastest: Infinity };
+    if (first.speed < needed) continue;
+    const alikeUntil = first.speed * ALIKE_FACTOR;
+    const fastest = Math.max(alikeUntil, sorted[end - 1]?.speed ?? 0);
+    const spread = fastest / first.speed;
+    if (spread >= leastSpread) continue;
+    best = { slowest: first.speed, fastest };
+    leastSpread = spread;
+  }
+  return best ?? soonest;
+}
