Let work wait a bounded time for its place

Cause: work away from its data rack, or a rack-sensitive gang on several racks, takes 1.5 to 3 times as long, and the planner takes another rack at once if the place has no room.

Change: with `remote-factor` under [bounds], a task waits while the forecast says that it ends sooner at its data rack than elsewhere, and a rack-sensitive gang for a single rack. The wait ends when the room is gone or late; it is bounded by the saving at its start and by the latest start elsewhere that keeps the objective. Held work takes and reserves no room and does not count as work that fits nowhere. A gang goes to one rack that ends it on time before it spreads, and a place that is late gives way to another rack that is on time. Without the factor the decision is as before. The costs of a trial and of a failed worker are doubled to stay above those of place and speed together; their order is the same. Gangs avoid a worker on which a member has failed if the others hold them.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -65,6 +65,8 @@
   readonly cancelMs?: number;
   /** The longest lease that a worker keeps, in milliseconds. */
   readonly maxLeaseMs?: number;
+  /** How many times as long work takes away from its place; if unset, work does not wait for its place. */
+  readonly remoteFactor?: number | undefined;
   /** The most bytes of memory that open jobs may take up at a leader; by default a part of its heap. */
   readonly openBytesLimit?: number;
   readonly connect: (address: string, incarnation: WorkerIncarnation) => WorkerConnection;
@@ -200,6 +202,7 @@
         ...(options.drainMs === undefined ? {} : { drainMs: options.drainMs }),
         ...(options.cancelMs === undefined ? {} : { cancelMs: options.cancelMs }),
         ...(options.maxLeaseMs === undefined ? {} : { maxLeaseMs: options.maxLeaseMs }),
+        remoteFactor: options.remoteFactor,
         ...(options.openBytesLimit === undefined ? {} : { openBytesLimit: options.openBytesLimit }),
         silentWorkersSeen,
         connect: options.connect,
--- a/src/controller/controller-types.ts
+++ b/src/controller/controller-types.ts
@@ -58,6 +58,8 @@
   readonly cancelMs?: number;
   /** The longest lease that a worker keeps, in milliseconds. */
   readonly maxLeaseMs?: number;
+  /** How many times as long work takes away from its place; if unset, work does not wait for its place. */
+  readonly remoteFactor?: number | undefined;
   /** The most bytes of memory that open jobs may take up; by default a part of the heap. */
   readonly openBytesLimit?: number;
   readonly connect: (address: string, incarnation: WorkerIncarnation) => WorkerConnection;
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -153,6 +153,7 @@
     renewedAt: options.renewedAt,
     orderWindow,
     fleetAgeMs,
+    remoteFactor: options.remoteFactor,
   });
 
   function requestPlan() {
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -5,7 +5,7 @@
 import { createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { Placement, TeamBudget, WaitingStep, WorkerHealth } from '../planner/index.js';
-import type { CandidateWorker, PlacementBarrier } from '../planner/index.js';
+import type { CandidateWorker, Hold, PlacementBarrier } from '../planner/index.js';
 import { orderSteps, planRound } from '../planner/index.js';
 import type { CellConfiguration, Queue } from '../queues/index.js';
 import { openTask, setPhase } from '../jobs/index.js';
@@ -57,6 +57,8 @@
   readonly orderWindow: OrderWindow;
   /** Age in milliseconds of what this leader knows of the workers. */
   readonly fleetAgeMs: () => number;
+  /** How many times as long work takes away from its place; if unset, work does not wait for its place. */
+  readonly remoteFactor?: number | undefined;
 }
 
 interface Round {
@@ -69,6 +71,8 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { cell, sessions, lifecycle, permits, events, meters } = options;
+  /** Waits of steps for their place, from round to round. */
+  const holds = new Map<string, Hold>();
   const faults = createFaultContainment({ events, meters });
   let timer: NodeJS.Timeout | undefined;
   /** A round was requested and its timer is running. */
@@ -122,6 +126,8 @@
       steps,
       budgets: describeBudgets(configuration),
       round: effort.rounds,
+      remoteFactor: options.remoteFactor,
+      holds,
       onBlocked: ({ key }, barrier) => barriers.set(key, barrier),
     });
     // Permits are requested all the same, so that placement can continue as soon as the workers are known again.
--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -91,6 +91,12 @@
   readonly step: WaitingStep;
   readonly task: number;
   readonly worker: string;
+  /** Speed of the worker. */
+  readonly speed: number;
+  /** Whether the task is where its data is, or its rack-sensitive gang on one rack; undefined if that does not matter. */
+  readonly place: 'local' | 'remote' | undefined;
+  /** How long the task waited for room at its place although there was room elsewhere; undefined if it did not. */
+  readonly heldMs: number | undefined;
 }
 
 /**
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -19,22 +19,24 @@
   TeamBudget,
   WaitingStep,
 } from './candidates.js';
+import { chooseForGang, chooseMembers, isTrusted, listPlaces, placeOf } from './gang-members.js';
+import { createLocality, pruneHolds } from './locality.js';
+import type { Hold, Holds, Locality } from './locality.js';
 import { isLate, orderSteps } from './order.js';
 import {
   canHold,
   couldEverRun,
-  couldHold,
   freeShare,
   groupByService,
   isAllowed,
   isInTrial,
+  runnableOf,
   tasksAtOnce,
   withinBudget,
   workersWithRoom,
 } from './pool.js';
-import type { Pool } from './pool.js';
 import { workersToReserve } from './reservation.js';
-import { chooseAlike, speedCostsFor } from './speed.js';
+import { speedCostsFor } from './speed.js';
 
 /** Number of gangs that may reserve workers at the same time; each reservation leaves capacity idle. */
 const MAX_RESERVING_GANGS = 2;
@@ -53,10 +55,22 @@
   readonly maxUnplacedSteps?: number;
   /** Number of the round, which selects the fraction of a long backlog that is tried. */
   readonly round?: number;
+  /** How many times as long work takes away from its place; if unset, work does not wait for its place. */
+  readonly remoteFactor?: number | undefined;
+  /** Waits of steps for their place, which the caller keeps from round to round. */
+  readonly holds?: Holds;
   /** Called for each step that was considered and has waiting tasks left. */
   readonly onBlocked?: (step: WaitingStep, barrier: PlacementBarrier) => void;
 }
 
+/** What the placement of one step depends on beside the workers with room. */
+interface StepRound {
+  readonly nowMs: number;
+  readonly locality: Locality | undefined;
+  /** Workers that may run the step, with or without room. */
+  readonly runnable: () => readonly CandidateWorker[];
+}
+
 /** Assigns workers to tasks and charges the placements to the given workers and budgets. */
 export function planRound(options: PlanOptions): Placement[] {
   const {
@@ -67,12 +81,17 @@
     maxReservingGangs = MAX_RESERVING_GANGS,
     maxUnplacedSteps = MAX_UNPLACED_STEPS,
     round = 0,
+    remoteFactor,
+    holds = new Map<string, Hold>(),
     onBlocked = () => undefined,
   } = options;
   const pools = groupByService(workers);
   const reserved = new Set<string>();
   const placements: Placement[] = [];
   let reservingGangs = 0;
+  const locality =
+    remoteFactor === undefined ? undefined : createLocality({ nowMs, remoteFactor, holds });
+  pruneHolds(holds, steps);
 
   for (const [position, step] of orderSteps(steps, nowMs).entries()) {
     const pool = pools.get(step.service);
@@ -96,18 +115,21 @@
     const usable = (members: readonly CandidateWorker[]) =>
       step.gang ? chooseForGang(step, members, pool, isLate(step, nowMs)) : members;
     const place = step.gang ? placeGang : placeTasks;
-    const placed = startable.length === 0 ? [] : place(step, usable(startable), budgets, nowMs);
+    const runnable = () => runnableOf(step, pool.workers.filter(isOpen));
+    const context = { nowMs, locality, runnable };
+    const placed = startable.length === 0 ? [] : place(step, usable(startable), budgets, context);
     placements.push(...placed);
     if (placed.length === step.waiting) continue;
+    // Work that waits for its place although it fits elsewhere holds up nothing behind it.
+    if (placed.length + (locality?.heldTasks(step) ?? 0) >= step.waiting) {
+      onBlocked(step, 'room');
+      continue;
+    }
     pool.unplacedSteps += 1;
     onBlocked(step, findBarrier(step, usable(runnableOf(step, candidates)), budgets));
     const mustWait = step.gang && placed.length === 0;
     if (!mustWait || reservingGangs >= maxReservingGangs || isLate(step, nowMs)) continue;
-    const reservation = workersToReserve(
-      step,
-      runnableOf(step, pool.workers.filter(isOpen)),
-      nowMs,
-    );
+    const reservation = workersToReserve(step, runnable(), nowMs);
     if (reservation.length === 0) continue;
     reservingGangs += 1;
     for (const id of reservation) reserved.add(id);
@@ -115,13 +137,6 @@
   return placements;
 }
 
-function runnableOf(
-  { constraint }: WaitingStep,
-  workers: readonly CandidateWorker[],
-): readonly CandidateWorker[] {
-  return constraint === undefined ? workers : constraint.runnable(workers);
-}
-
 /** What keeps the tasks that are left from a place on the workers that may run them and have room. */
 function findBarrier(
   step: WaitingStep,
@@ -132,43 +147,25 @@
   return step.constraint !== undefined && canHold(step, runnable) ? 'permit' : 'room';
 }
 
-/**
- * The workers on which a gang may be placed. A failure of one member costs the whole gang a run, so a gang waits for
- * trusted workers while it can be on time and they could hold it. Otherwise it is a trial like any other work, since
- * nothing else may come that would end the trials.
- */
-function chooseForGang(
-  step: WaitingStep,
-  workers: readonly CandidateWorker[],
-  pool: Pool,
-  late: boolean,
-): readonly CandidateWorker[] {
-  const trusted = workers.filter(isTrusted);
-  if (trusted.length === workers.length || canHold(step, trusted)) return trusted;
-  if (late || !couldHold(step, runnableOf(step, pool.workers.filter(isTrusted)))) return workers;
-  return trusted;
-}
-
-function isTrusted({ healthStatus }: CandidateWorker): boolean {
-  return healthStatus === 'trusted';
-}
-
 function placeTasks(
   step: WaitingStep,
   pool: readonly CandidateWorker[],
   budgets: ReadonlyMap<string, TeamBudget>,
-  nowMs: number,
+  { nowMs, locality, runnable }: StepRound,
 ): Placement[] {
   const placements: Placement[] = [];
   const added = new Map<string, number>();
-  const speedCosts = speedCostsFor(step, pool, nowMs);
+  const remoteFactor = locality?.remoteFactor;
+  const speedCosts = speedCostsFor(step, pool, { nowMs, remoteFactor });
+  const isHeldBack = locality?.holdTasksOf(step, runnable);
   for (const task of step.tasks) {
     if (!withinBudget(step, budgets, 1)) break;
     const worker = chooseWorker(step, task, pool, added, speedCosts);
     // All tasks of a step have the same requirements, so the others find no worker either.
     if (worker === undefined) break;
+    if (isHeldBack?.(task, worker) === true) continue;
     charge(step, worker, budgets, added);
-    placements.push({ step, task, worker: worker.id });
+    placements.push(describePlacement(step, task, worker, locality));
   }
   return placements;
 }
@@ -178,10 +175,17 @@
   step: WaitingStep,
   pool: readonly CandidateWorker[],
   budgets: ReadonlyMap<string, TeamBudget>,
-  nowMs: number,
+  { nowMs, locality, runnable }: StepRound,
 ): Placement[] {
   if (!canHold(step, pool)) return [];
-  const members = membersForGang(step, pool, nowMs);
+  const remoteFactor = locality?.remoteFactor;
+  // The choice of trusted workers over those on trial goes before speed and place.
+  const { workers: members, elsewhereMs } = pool.every(isTrusted)
+    ? chooseMembers(step, pool, { nowMs, remoteFactor })
+    : { workers: pool, elsewhereMs: undefined };
+  if (elsewhereMs !== undefined && locality !== undefined) {
+    if (locality.holdGang(step, elsewhereMs, listPlaces(step, runnable()))) return [];
+  }
   const placements: Placement[] = [];
   const added = new Map<string, number>();
   const touched: { worker: CandidateWorker; free: Resources }[] = [];
@@ -198,21 +202,30 @@
     worker.free = subtractResources(worker.free, step.size);
     worker.runs += 1;
     added.set(worker.id, (added.get(worker.id) ?? 0) + 1);
-    placements.push({ step, task, worker: worker.id });
+    placements.push(describePlacement(step, task, worker, locality));
   }
   chargeBudget(step, budgets, placements.length);
-  return placements;
+  const place = placeOf(
+    step,
+    touched.map(({ worker }) => worker),
+  );
+  return placements.map((placement) => ({ ...placement, place }));
 }
 
-/** Narrows the workers for a gang by speed, unless some are on trial; those in its data rack go first. */
-function membersForGang(
+function describePlacement(
   step: WaitingStep,
-  pool: readonly CandidateWorker[],
-  nowMs: number,
-): readonly CandidateWorker[] {
-  if (!pool.every(isTrusted)) return pool;
-  const local = pool.filter(({ rack }) => rack === step.dataRack);
-  return chooseAlike(step, canHold(step, local) ? local : pool, nowMs);
+  task: number,
+  worker: CandidateWorker,
+  locality: Locality | undefined,
+): Placement {
+  return {
+    step,
+    task,
+    worker: worker.id,
+    speed: worker.speed,
+    place: placeOf(step, [worker]),
+    heldMs: locality?.heldMs(step, task),
+  };
 }
 
 function chooseWorker(
@@ -220,7 +233,7 @@
   task: number,
   pool: readonly CandidateWorker[],
   added: ReadonlyMap<string, number>,
-  speedCosts: readonly number[] = [],
+  speedCosts?: readonly number[],
 ): CandidateWorker | undefined {
   let best: CandidateWorker | undefined;
   let bestCost = Infinity;
@@ -230,7 +243,7 @@
     if (!fitsWithin(step.size, worker.free)) continue;
     if (!isAllowed(step, worker, added)) continue;
     if (isInTrial(worker) && !(step.gang && added.has(worker.id))) continue;
-    const cost = placementCost(step, task, worker, added) + (speedCosts[index] ?? 0);
+    const cost = placementCost(step, task, worker, added) + (speedCosts?.[index] ?? 0);
     if (cost >= bestCost) continue;
     best = worker;
     bestCost = cost;
@@ -241,8 +254,9 @@
 /** Work in another rack takes 1.5 to 3 times as long, which outweighs any gain from tighter packing. */
 const REMOTE_COST = 4;
 /** A worker on which the task failed before is the last choice, but better than none. */
-const FAILED_BEFORE_COST = 20;
-const TRIAL_COST = 10;
+const FAILED_BEFORE_COST = 40;
+/** More than the costs of place and speed together, which are up to 15. */
+const TRIAL_COST = 20;
 
 /** Cost of a placement; lower is better. The base cost is the share of the worker that is free. */
 function placementCost(
--- a/src/planner/pool.ts
+++ b/src/planner/pool.ts
@@ -65,6 +65,14 @@
     .filter((worker) => fitsWithin(size, worker.free) && !isInTrial(worker));
 }
 
+/** Those of the workers on which the step may ever run, as far as is known. */
+export function runnableOf(
+  { constraint }: WaitingStep,
+  workers: readonly CandidateWorker[],
+): readonly CandidateWorker[] {
+  return constraint === undefined ? workers : constraint.runnable(workers);
+}
+
 /** Number of values, sorted from the largest, that are at least `least`. */
 export function countAtLeast(sorted: readonly number[], least: number): number {
   let low = 0;
@@ -94,6 +102,14 @@
   return Math.max(0, Math.min(most, slotsIn(worker.free, step.size)));
 }
 
+/** The workers on which no waiting task of the step has failed. */
+export function withoutFailed(
+  { tasks, avoids }: WaitingStep,
+  workers: readonly CandidateWorker[],
+): readonly CandidateWorker[] {
+  return workers.filter(({ id }) => !tasks.some((task) => avoids(task, id)));
+}
+
 /** Whether the step could run if the workers were empty, trusted and permitted, and its team used nothing. */
 export function couldEverRun(
   step: WaitingStep,
--- a/test/planner/speed.test.ts
+++ b/test/planner/speed.test.ts
@@ -123,6 +123,13 @@
       expect(place(workers, [gangOf(3, 2000)], 3000)).to.deep.equal(['idle', 'idle', 'trial']);
     });
 
+    // Members on a worker where the gang has failed before would cost it another run.
+    it('avoids a worker where a member has failed if the others hold the gang', () => {
+      const avoids = (task: number, worker: string) => task === 4 && worker === 's1';
+      const placed = place(workersOf(MIXED), [gangOf(6, 20_000, { avoids })]);
+      expect(new Set(placed)).to.have.keys('m1', 'm2');
+    });
+
     it('keeps the data rack ahead of speed', () => {
       const workers = [
         ...workersOf({ s1: 0.7, s2: 0.7 }),
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -143,6 +143,15 @@
       });
     });
 
+    // Without the factor no work may wait for its data rack.
+    it('give the factor of work away from its place only if they name it', () => {
+      const withFactor = (factor: string) =>
+        parseSettings(SETTINGS.replace('[bounds]', `[bounds]\nremote-factor = ${factor}`));
+      expect(parseSettings(SETTINGS)._unsafeUnwrap().remoteFactor).to.equal(undefined);
+      expect(withFactor('1.5')._unsafeUnwrap().remoteFactor).to.equal(1.5);
+      expect(withFactor('0.5')._unsafeUnwrapErr()).to.have.length(1);
+    });
+
     it('report all findings together', () => {
       const text = SETTINGS.replace('"10.200.1.7:8182"', '"store"')
         .replace('"rpc"', '"heartbeat"')
