Record the place and the speed of placements

Cause: operators could not see whether work gets its data rack, how long it waited for it, and which workers gangs get.

Change: `task-placed` gets speed, place and heldMs; sapphirewing_placements_total counts placed tasks by place and by whether they waited. Long-running tasks do not wait for a place, because they have no end that a wait could bring forward.

--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -190,6 +190,7 @@
       gang: step.step.gang,
       rackSensitive: step.step.rackSensitive,
       dataRack: step.step.dataRack,
+      longRunning: step.step.longRunning,
       requiredLabel: step.step.requiredLabel,
       maxPerWorker: step.step.maxPerWorker,
       placed,
@@ -293,10 +294,19 @@
       beyondShare: entry.beyondShare,
       fleetAgeMs: options.fleetAgeMs(),
       entryRevision: session.worker.revision,
+      speed: Math.round(placement.speed * 100) / 100,
+      place: placement.place,
+      heldMs: placement.heldMs,
     });
+    countPlacement(placement);
     return run;
   }
 
+  function countPlacement({ place, heldMs }: Placement) {
+    if (place === undefined) return;
+    meters.placements.inc({ place, waited: heldMs === undefined ? 'no' : 'yes' });
+  }
+
   /** Sends the start orders of one job, or withdraws them. If any run of a gang is withdrawn, all of them are. */
   function sendOrders(runs: readonly Run[], durable: boolean, writtenAt: number) {
     if (!durable) return;
--- a/src/observability/meters.ts
+++ b/src/observability/meters.ts
@@ -16,6 +16,8 @@
   /** Orders to workers, by kind and outcome. */
   readonly orders: Counter<'order' | 'outcome'>;
   readonly taskEnds: Counter<'how'>;
+  /** Placed tasks whose place matters, and whether they waited for it. */
+  readonly placements: Counter<'place' | 'waited'>;
   /** Time from the readiness of a task to its start order. */
   readonly waitSeconds: Histogram<'queue'>;
   readonly planSeconds: Histogram;
@@ -79,6 +81,12 @@
       labelNames: ['how'],
       registers,
     }),
+    placements: new Counter({
+      name: 'sapphirewing_placements_total',
+      help: 'Tasks placed at or away from their data rack or single rack, at once or after a wait for it',
+      labelNames: ['place', 'waited'],
+      registers,
+    }),
     waitSeconds: new Histogram({
       name: 'sapphirewing_task_wait_seconds',
       help: 'Time from readiness of a task to its start order',
--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -70,6 +70,8 @@
   readonly tasks: readonly number[];
   readonly gang: boolean;
   readonly rackSensitive: boolean;
+  /** Whether the tasks run until they are stopped, so that a wait for a place saves nothing. */
+  readonly longRunning: boolean;
   readonly dataRack: string | undefined;
   readonly requiredLabel: string | undefined;
   readonly maxPerWorker: number | undefined;
--- a/src/planner/locality.ts
+++ b/src/planner/locality.ts
@@ -67,7 +67,7 @@
     elsewhereMs: number,
     opening: Opening | undefined,
   ): boolean {
-    if (opening === undefined) return false;
+    if (opening === undefined || step.longRunning) return false;
     const { startMs, runMs, claims } = opening;
     if (runMs >= elsewhereMs) return false;
     if (startMs + runMs > nowMs + elsewhereMs * (1 - MIN_GAIN)) return false;
--- a/test/planner/locality.test.ts
+++ b/test/planner/locality.test.ts
@@ -73,6 +73,12 @@
       expect(workersOf([full('home', []), open()], [step('task')])).to.deep.equal(['away']);
     });
 
+    // Such a task has no end that a wait could bring forward, and after a failure it is missed while it waits.
+    it('does not wait if it is long-running', () => {
+      const workers = [full('home', [500]), open()];
+      expect(workersOf(workers, [step('service', { longRunning: true })])).to.deep.equal(['away']);
+    });
+
     it('compares the ends on the workers, which differ in speed', () => {
       const slow = full('home', [100], { speed: 0.7 });
       expect(workersOf([slow, open('away', { speed: 1.7 })], [step('task')])).to.deep.equal([
--- a/test/planner/support.ts
+++ b/test/planner/support.ts
@@ -40,6 +40,7 @@
     waiting: options.tasks?.length ?? 1,
     gang: false,
     rackSensitive: false,
+    longRunning: false,
     dataRack: undefined,
     requiredLabel: undefined,
     maxPerWorker: undefined,
