--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -174,6 +174,7 @@
     orderWindow,
     fleetAgeMs,
     forecast,
+    remoteFactor: options.remoteFactor,
   });
 
   function requestPlan() {
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -5,7 +5,7 @@
 import { createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { Placement, TeamBudget, WaitingStep, WorkerHealth } from '../planner/index.js';
-import type { CandidateWorker, PlacementBarrier } from '../planner/index.js';
+import type { CandidateWorker, Hold, PlacementBarrier } from '../planner/index.js';
 import { orderSteps, planRound } from '../planner/index.js';
 import type { CellConfiguration, Queue } from '../queues/index.js';
 import { openTask, setPhase } from '../jobs/index.js';
@@ -61,6 +61,8 @@
   readonly fleetAgeMs: () => number;
   /** By default, one that has learned nothing. */
   readonly forecast?: RunForecast;
+  /** How many times as long work takes away from its place; if unset, work does not wait for its place. */
+  readonly remoteFactor?: number | undefined;
 }
 
 interface Round {
@@ -74,6 +76,8 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { cell, sessions, lifecycle, permits, events, meters } = options;
   const { forecast = createRunForecast() } = options;
+  /** Waits of steps for their place, from round to round. */
+  const holds = new Map<string, Hold>();
   const faults = createFaultContainment({ events, meters });
   let timer: NodeJS.Timeout | undefined;
   /** A round was requested and its timer is running. */
@@ -127,6 +131,8 @@
       steps,
       budgets: describeBudgets(configuration),
       round: effort.rounds,
+      remoteFactor: options.remoteFactor,
+      holds,
       onBlocked: ({ key }, barrier) => barriers.set(key, barrier),
     });
     // Permits are requested all the same, so that placement can continue as soon as the workers are known again.
@@ -190,6 +196,7 @@
       gang: step.step.gang,
       rackSensitive: step.step.rackSensitive,
       dataRack: step.step.dataRack,
+      longRunning: step.step.longRunning,
       requiredLabel: step.step.requiredLabel,
       maxPerWorker: step.step.maxPerWorker,
       placed,
@@ -289,15 +296,23 @@
       run: run.number,
       worker: session.incarnation.id,
       waitedMs: Math.round(waitedMs),
-      speed: Math.round(forecast.speedOf(session) * 100) / 100,
       slackMs: Math.round(placement.step.objectiveAtMs - round.nowMs - placement.step.remainingMs),
       beyondShare: entry.beyondShare,
       fleetAgeMs: options.fleetAgeMs(),
       entryRevision: session.worker.revision,
+      speed: Math.round(placement.speed * 100) / 100,
+      place: placement.place,
+      heldMs: placement.heldMs,
     });
+    countPlacement(placement);
     return run;
   }
 
+  function countPlacement({ place, heldMs }: Placement) {
+    if (place === undefined) return;
+    meters.placements.inc({ place, waited: heldMs === undefined ? 'no' : 'yes' });
+  }
+
   /** Sends the start orders of one job, or withdraws them. If any run of a gang is withdrawn, all of them are. */
   function sendOrders(runs: readonly Run[], durable: boolean, writtenAt: number) {
     if (!durable) return;
--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -70,6 +70,8 @@
   readonly tasks: readonly number[];
   readonly gang: boolean;
   readonly rackSensitive: boolean;
+  /** Whether the tasks run until they are stopped, so that a wait for a place saves nothing. */
+  readonly longRunning: boolean;
   readonly dataRack: string | undefined;
   readonly requiredLabel: string | undefined;
   readonly maxPerWorker: number | undefined;
@@ -91,6 +93,12 @@
   readonly step: WaitingStep;
   readonly task: number;
   readonly worker: string;
+  /** Speed of the worker. */
+  readonly speed: number;
+  /** Whether the task is where its data is, or its rack-sensitive gang on one rack; undefined if that does not matter. */
+  readonly place: 'local' | 'remote' | undefined;
+  /** How long the task waited for room at its place although there was room elsewhere; undefined if it did not. */
+  readonly heldMs: number | undefined;
 }
 
 /**
