Measure the age of jobs on a clock that does not step

Cause: whether a job is late was decided by the time of day of the host that accepted it against that of the leader. A host whose clock is 2.5 s behind makes its urgent jobs count as late at once, and they wait behind all other work; a step of the leader's clock does so for all jobs.

Change: the leader's clock follows the monotonic clock within its term. Hosts announce how old an accepted job is; the time of day in a record counts only for jobs that are read from the store, and is not taken to be in the future. Set times of occurrences still follow the time of day, as callers give them.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -140,8 +140,9 @@
   function handleCommitted(jobs: readonly Job[], { revision }: Condition, sentAt: number) {
     feed.recordConfirmation(revision, sentAt);
     for (const job of jobs) {
-      if (controller === undefined) link.announceAccepted(job);
-      else controller.addAcceptedJob(job);
+      const ageMs = Date.now() - job.acceptedAtMs;
+      if (controller === undefined) link.announceAccepted(job, ageMs);
+      else controller.addAcceptedJob(job, ageMs);
     }
   }
 
@@ -171,8 +172,8 @@
     controller?.handleCallersChanged();
     election.recordStrongestHost(hub.maxProcessors);
   });
-  hub.onAccepted((job) => {
-    controller?.addAcceptedJob(job);
+  hub.onAccepted((job, ageMs) => {
+    controller?.addAcceptedJob(job, ageMs);
   });
   hub.onLeaderChanged((leader) => {
     election.observeReported(leader);
--- a/src/controller/cell.ts
+++ b/src/controller/cell.ts
@@ -27,9 +27,11 @@
   readonly progress: JobProgress;
   /** Whether the job was submitted beyond the team's share. */
   readonly beyondShare: boolean;
-  /** Unix milliseconds at which the job misses its objective. */
+  /** When the job was accepted, on the leader's clock like the times below; see `term-clock.ts`. */
+  readonly acceptedAtMs: number;
+  /** When the job misses its objective. */
   readonly objectiveAtMs: number;
-  /** Unix milliseconds after which the result is of no use to callers. */
+  /** When the result is of no use to callers any more. */
   readonly uselessAtMs: number;
   /** Estimated duration of the longest chain of steps from the start of each step to the end of the job. */
   readonly criticalPathMs: readonly number[];
@@ -40,7 +42,7 @@
   readonly occurrenceBytes: number;
   /** Bytes that the cell counts for the job at present; none after its end. */
   openBytes: number;
-  /** Unix milliseconds at which the job reached its final state. */
+  /** When the job reached its final state. */
   finishedAtMs: number | undefined;
 }
 
@@ -177,16 +179,20 @@
   readonly progress: JobProgress;
   readonly queue: QueueTerms | undefined;
   readonly beyondShare: boolean;
+  /** On the leader's clock; by default, the time at which the host has accepted the job by its time of day. */
+  readonly acceptedAtMs?: number;
 }): JobEntry {
   const { progress, queue, beyondShare } = options;
   const { job } = progress;
+  const { acceptedAtMs = job.acceptedAtMs } = options;
   const { stretch, targetLatencyMs } = termsOf(job, queue);
   const objectiveMs = stretch * estimateCriticalPathMs(job.steps) + targetLatencyMs;
   return {
     progress,
     beyondShare,
-    objectiveAtMs: job.acceptedAtMs + objectiveMs,
-    uselessAtMs: job.acceptedAtMs + USEFUL_LATENESS_FACTOR * objectiveMs,
+    acceptedAtMs,
+    objectiveAtMs: acceptedAtMs + objectiveMs,
+    uselessAtMs: acceptedAtMs + USEFUL_LATENESS_FACTOR * objectiveMs,
     criticalPathMs: estimateCriticalPaths(job.steps),
     stretch,
     jobBytes: estimateJobBytes(job),
--- a/src/controller/controller-types.ts
+++ b/src/controller/controller-types.ts
@@ -18,8 +18,8 @@
   updateTerm(term: LeadershipTerm): void;
   /** Called when the hosts that can call the advice service have changed. */
   handleCallersChanged(): void;
-  /** Adds a job that a host has accepted and whose record is durable. */
-  addAcceptedJob(job: Job): void;
+  /** Adds a job that a host has accepted `ageMs` ago and whose record is durable. */
+  addAcceptedJob(job: Job, ageMs: number | undefined): void;
   /** Age in milliseconds of what this leader knows of the workers; infinite before it has read them. */
   readonly fleetAgeMs: number;
   /** Amount of work in the cell, and what planning has cost in this term. */
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -40,6 +40,7 @@
 import { createSilentWorkers } from './silent-workers.js';
 import { createShareMeter } from './share-meter.js';
 import { awaitStoppingRuns } from './stopping-runs.js';
+import { createTermClock } from './term-clock.js';
 import { createWorkerSession, LEASE_MS } from './worker-session.js';
 import type { WorkerSession } from './worker-session-types.js';
 
@@ -63,6 +64,7 @@
   const { drainMs = DEFAULT_DRAIN_MS, cancelMs = DEFAULT_CANCEL_MS } = options;
   const now = () => performance.now();
   const startedAt = now();
+  const clock = createTermClock();
   /** Whether the term has ended. */
   let closed = false;
   let formerLeader: FormerLeader | undefined;
@@ -117,7 +119,7 @@
       options.announceEnd(job, state);
     },
     onChange: requestPlan,
-    now: Date.now,
+    now: clock,
   });
   const permits = createPermitClient({
     callers: options.callers,
@@ -172,6 +174,7 @@
     write: (job) => log.write(job, 'order'),
     renewedAt: options.renewedAt,
     orderWindow,
+    clock,
     fleetAgeMs,
     forecast,
     remoteFactor: options.remoteFactor,
@@ -183,7 +186,7 @@
 
   /** Keeps only the id of a job whose end is durable. */
   function releaseEndedJob(id: string) {
-    const finishedAtMs = cell.jobs.get(id)?.finishedAtMs ?? Date.now();
+    const finishedAtMs = cell.jobs.get(id)?.finishedAtMs ?? clock();
     finishedJobs.set(id, { finishedAtMs, revision: log.forget(id) });
     cell.remove(id);
   }
@@ -275,7 +278,7 @@
     for (const entry of entries) {
       const id = entry.key.slice(JOB_STORE_KEYS.progress.length);
       if (isFinalRecord(entry.value)) {
-        finishedJobs.set(id, { finishedAtMs: Date.now(), revision: entry.revision });
+        finishedJobs.set(id, { finishedAtMs: clock(), revision: entry.revision });
       } else savedProgress.set(id, entry);
     }
   }
@@ -299,6 +302,7 @@
     cell,
     condition: () => condition,
     active: () => feed.restored && !closed,
+    clock,
     finishedJobs,
     ...(options.openBytesLimit === undefined ? {} : { openBytesLimit: options.openBytesLimit }),
     onChange: requestPlan,
@@ -310,6 +314,7 @@
     sessions,
     lifecycle,
     log,
+    clock,
     share: createShareMeter({ now }),
     savedProgress,
     finishedJobs,
@@ -364,9 +369,9 @@
     handleCallersChanged: () => {
       permits.dispatchQueued();
     },
-    addAcceptedJob: (job) => {
+    addAcceptedJob: (job, ageMs) => {
       // Before the restore is complete, the job is in the listing that is still being read.
-      if (feed.restored && !closed) intake.addAccepted(job);
+      if (feed.restored && !closed) intake.addAccepted(job, ageMs);
     },
     get fleetAgeMs() {
       return fleetAgeMs();
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -59,6 +59,8 @@
   readonly orderWindow: OrderWindow;
   /** Age in milliseconds of what this leader knows of the workers. */
   readonly fleetAgeMs: () => number;
+  /** The leader's clock, on which jobs have their objectives. */
+  readonly clock?: () => number;
   /** By default, one that has learned nothing. */
   readonly forecast?: RunForecast;
   /** How many times as long work takes away from its place; if unset, work does not wait for its place. */
@@ -75,7 +77,7 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { cell, sessions, lifecycle, permits, events, meters } = options;
-  const { forecast = createRunForecast() } = options;
+  const { forecast = createRunForecast(), clock = Date.now } = options;
   /** Waits of steps for their place, from round to round. */
   const holds = new Map<string, Hold>();
   const faults = createFaultContainment({ events, meters });
@@ -115,7 +117,7 @@
     const startedAt = performance.now();
     const usable = sessions.usable();
     const round: Round = {
-      nowMs: Date.now(),
+      nowMs: clock(),
       room: createPlacementRoom([...sessions.all()]),
       queues: new Map(configuration.queues.map((queue) => [queue.name, queue])),
       sessionsById: new Map(usable.map((session) => [session.incarnation.id, session])),
--- a/src/controller/housekeeping.ts
+++ b/src/controller/housekeeping.ts
@@ -35,7 +35,7 @@
 
 /** A job that has ended, whose record is kept for callers. */
 export interface FinishedJob {
-  /** Unix milliseconds at which it ended or this leader read its record. */
+  /** When it ended or this leader read its record, on the leader's clock. */
   readonly finishedAtMs: number;
   /** Revision of its record of progress. */
   readonly revision: number;
@@ -57,6 +57,8 @@
   readonly finishedJobs: Map<string, FinishedJob>;
   /** The most bytes of memory that open jobs may take up. */
   readonly openBytesLimit?: number;
+  /** The leader's clock, on which finished jobs have their times. */
+  readonly clock?: () => number;
   readonly onChange: () => void;
   /** Keeps an error that one job causes away from the others. */
   readonly contain: FaultContainment['contain'];
@@ -64,7 +66,7 @@
 }
 
 export function createHousekeeping(options: HousekeepingOptions): Housekeeping {
-  const { store, cell, finishedJobs, events } = options;
+  const { store, cell, finishedJobs, events, clock = Date.now } = options;
   const { openBytesLimit = OPEN_WORK_SHARE * getHeapStatistics().heap_size_limit } = options;
 
   function beginDueOccurrences(entry: JobEntry) {
@@ -109,7 +111,7 @@
   }
 
   async function removeOldJobs() {
-    const before = Date.now() - KEEP_FINISHED_MS;
+    const before = clock() - KEEP_FINISHED_MS;
     const old = [...finishedJobs]
       .filter(([, { finishedAtMs }]) => finishedAtMs < before)
       .slice(0, REMOVALS_PER_SWEEP)
--- a/src/controller/job-intake.ts
+++ b/src/controller/job-intake.ts
@@ -24,6 +24,7 @@
 import type { JobLifecycle } from './job-lifecycle.js';
 import type { ProgressLog } from './progress-log.js';
 import type { ShareMeter } from './share-meter.js';
+import { acceptedOnTermClock } from './term-clock.js';
 
 export interface JobIntake {
   /** Applies a complete listing of the prefix of jobs. */
@@ -32,8 +33,8 @@
   /** Applies a complete listing of the cancelled jobs that have not ended. */
   applyCancelledJobs(ids: readonly string[]): void;
   applyCancelledJob(id: string): void;
-  /** Adds a newly accepted job before the feed delivers it. */
-  addAccepted(job: Job): void;
+  /** Adds a job that was accepted `ageMs` ago before the feed delivers it. */
+  addAccepted(job: Job, ageMs: number | undefined): void;
 }
 
 export interface JobIntakeOptions {
@@ -47,6 +48,8 @@
   /** Jobs that have ended, by id. */
   readonly finishedJobs: ReadonlyMap<string, FinishedJob>;
   readonly configuration: () => CellConfiguration | undefined;
+  /** The leader's clock, on which jobs have their objectives. */
+  readonly clock?: () => number;
   readonly beginDueOccurrences: (entry: JobEntry) => void;
   readonly onChange: () => void;
   /** Keeps an error that one job of a listing causes away from the others. */
@@ -55,8 +58,15 @@
   readonly meters?: Meters;
 }
 
+interface JobNews {
+  readonly cancelled: boolean;
+  /** Milliseconds since the job was accepted, if its host reports it; undefined if it comes from the store. */
+  readonly ageMs: number | undefined;
+}
+
 export function createJobIntake(options: JobIntakeOptions): JobIntake {
   const { cell, sessions, lifecycle, log, share, savedProgress, finishedJobs, events } = options;
+  const { clock = Date.now } = options;
 
   const jobRecords = createEntryReader({
     prefix: JOB_STORE_KEYS.jobs,
@@ -81,11 +91,12 @@
     return options.configuration()?.queues.find((queue) => queue.name === name);
   }
 
-  function addJob(job: Job, cancelled: boolean) {
+  function addJob(job: Job, { cancelled, ageMs }: JobNews) {
     if (cell.jobs.has(job.id) || withheld.has(job.id)) return;
     const progress = createProgress(job);
     const entry = createJobEntry({
       progress,
+      acceptedAtMs: acceptedOnTermClock(job, { nowMs: clock(), ageMs }),
       queue: findQueue(job.queue),
       beyondShare: share.recordJob(job.team, weightOf(job.team)),
     });
@@ -97,7 +108,7 @@
     }
     if (record !== undefined) log.setRevision(job.id, record.revision);
     if (decoded !== undefined) restoreProgress(progress, decoded);
-    if (isFinal(progress.state)) entry.finishedAtMs = Date.now();
+    if (isFinal(progress.state)) entry.finishedAtMs = clock();
     cell.add(entry);
     if (decoded !== undefined) inheritRuns({ progress, sessions, lifecycle });
     events.info('job-learned', {
@@ -106,7 +117,7 @@
       team: job.team,
       steps: job.steps.length,
       tasks: job.steps.reduce((sum, { count }) => sum + count, 0),
-      ageMs: Date.now() - job.acceptedAtMs,
+      ageMs: Math.round(clock() - entry.acceptedAtMs),
       state: progress.state,
       beyondShare: entry.beyondShare,
       restored: decoded !== undefined,
@@ -142,7 +153,7 @@
     const { id, kind } = parseJobKey(key);
     if (kind !== 'job' || cell.jobs.has(id) || finishedJobs.has(id)) return;
     const job = jobRecords.read({ key, value }, decodeJob);
-    if (job !== undefined) addJob(job, cancelled.has(id));
+    if (job !== undefined) addJob(job, { cancelled: cancelled.has(id), ageMs: undefined });
   }
 
   function applyChange({ key, value }: StoreChange) {
@@ -174,8 +185,8 @@
       cancelledJobs.add(id);
       applyCancellation(id);
     },
-    addAccepted: (job) => {
-      if (!finishedJobs.has(job.id)) addJob(job, false);
+    addAccepted: (job, ageMs) => {
+      if (!finishedJobs.has(job.id)) addJob(job, { cancelled: false, ageMs });
     },
   };
 }
--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -183,8 +183,8 @@
       queue: job.queue,
       team: job.team,
       state,
-      tookMs: Math.round(entry.finishedAtMs - job.acceptedAtMs),
-      objectiveMs: Math.round(entry.objectiveAtMs - job.acceptedAtMs),
+      tookMs: Math.round(entry.finishedAtMs - entry.acceptedAtMs),
+      objectiveMs: Math.round(entry.objectiveAtMs - entry.acceptedAtMs),
     });
   }
 
--- a/src/peers/hub.ts
+++ b/src/peers/hub.ts
@@ -21,8 +21,8 @@
   readonly maxProcessors: number;
   /** Sets the handler of calls that hosts forward because they cannot serve them. */
   setCallHandler(handler: (call: RelayedCall) => Promise<RelayedAnswer>): void;
-  /** Calls the listener with each job that a host has accepted. */
-  onAccepted(listener: (job: Job) => void): void;
+  /** Calls the listener with each job that a host has accepted and the milliseconds since then, if it tells them. */
+  onAccepted(listener: (job: Job, ageMs: number | undefined) => void): void;
   /** Calls the listener with the leader for which a host has left this one. */
   onLeaderChanged(listener: (leader: Leader) => void): void;
   /** Calls the listener with each end that a former leader has read from a worker. */
@@ -55,7 +55,7 @@
   const processors = new Map<WebSocket, number>();
   const connectionListeners: (() => void)[] = [];
   let callHandler: ((call: RelayedCall) => Promise<RelayedAnswer>) | undefined;
-  const acceptanceListeners: ((job: Job) => void)[] = [];
+  const acceptanceListeners: ((job: Job, ageMs: number | undefined) => void)[] = [];
   const successionListeners: ((leader: Leader) => void)[] = [];
   const endListeners: ((end: ReportedEnd) => void)[] = [];
   const server = new WebSocketServer({
@@ -104,7 +104,7 @@
       if (message.kind === 'advice-response') resolveAdvice(message);
       if (message.kind === 'call-request') void answer(message);
       if (message.kind === 'job-accepted') {
-        for (const listener of acceptanceListeners) listener(message.job);
+        for (const listener of acceptanceListeners) listener(message.job, message.ageMs);
       }
       if (message.kind === 'leader-changed') {
         for (const listener of successionListeners) listener(message.leader);
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -21,7 +21,7 @@
    */
   setLeaderAddress(address: string | undefined, successor?: Leader): void;
   /** Notifies the leader, if it is connected, of a job that this host has accepted. */
-  announceAccepted(job: Job): void;
+  announceAccepted(job: Job, ageMs: number): void;
   /** Reports an end that this host, a former leader, has read from a worker. */
   reportEnd(end: ReportedEnd): void;
   /** Forwards a caller's call to the leader. */
@@ -189,9 +189,9 @@
   return {
     setLeaderAddress,
     relay,
-    announceAccepted: (job) => {
+    announceAccepted: (job, ageMs) => {
       if (socket?.readyState !== WebSocket.OPEN) return;
-      const message = packr.pack({ kind: 'job-accepted', job });
+      const message = packr.pack({ kind: 'job-accepted', job, ageMs });
       // The leader would close the link at a longer one; it learns of such a job from the store.
       if (message.length <= MAX_MESSAGE_BYTES) socket.send(message);
     },
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -52,6 +52,8 @@
 export interface JobAccepted {
   readonly kind: 'job-accepted';
   readonly job: Job;
+  /** Milliseconds since the sender accepted the job; senders of an earlier version do not tell. */
+  readonly ageMs?: number;
 }
 
 /** A job that this host accepted has ended, and its record is durable. */
