Log evacuations and count the runs that they leave

An operator could not see whether an evacuation is in force or what still runs in the data centre. The leader logs evacuation-begun, evacuation-emptied and evacuation-ended, and sets a gauge of evacuated data centres and one of the runs left in each. It reports only once it has restored the runs of former leaders, and calls no data centre empty while runs go on at workers whose entries are gone.

--- a/src/controller/controller-types.ts
+++ b/src/controller/controller-types.ts
@@ -1,7 +1,7 @@
 /**
  * Interface of the scheduler for one leadership term, and what it needs from its host.
  */
-import type { EvacuationSource } from '../evacuations/index.js';
+import type { EvacuationSource, EvacuationState } from '../evacuations/index.js';
 import type { WorkerConnection } from '../fleet/index.js';
 import type { Job, JobState, WorkerIncarnation } from '../jobs/index.js';
 import type { LeadershipTerm } from '../leadership/index.js';
@@ -25,6 +25,8 @@
   readonly fleetAgeMs: number;
   /** Amount of work in the cell, and what planning has cost in this term. */
   describeLoad(): CellLoad;
+  /** The evacuations in force; undefined on a deployment without evacuations. */
+  describeEvacuations(): readonly EvacuationState[] | undefined;
   /** Stops placement and waits until all progress is durable, before a planned stop. */
   quiesce(timeoutMs: number): Promise<void>;
   /** Ends the term, but goes on reporting ends of its runs to the successor, which may not reach their workers. */
@@ -45,6 +47,8 @@
   readonly fleetAgeMs: number;
   /** Age of what this leader knows of cancellations. */
   readonly cancellationsAgeMs: number;
+  /** Age of what this leader knows of evacuations, on a deployment that has them. */
+  readonly evacuationsAgeMs?: number;
 }
 
 export interface ControllerOptions {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -2,7 +2,6 @@
  * Runs the scheduler for one leadership term: restores jobs and runs from the store, follows new jobs and the fleet,
  * and places tasks until the term ends.
  */
-import { createEvacuations } from '../evacuations/index.js';
 import type { FleetWorker } from '../fleet/index.js';
 import {
   encodeProgress,
@@ -16,6 +15,7 @@
 import type { StoreEntry } from '../records/index.js';
 import { pause } from '../records/index.js';
 import { createCell, termsOf } from './cell.js';
+import { createCellEvacuations } from './cell-evacuations.js';
 import { createCellFeed } from './cell-feed.js';
 import type { Controller, ControllerOptions } from './controller-types.js';
 import { createDispatcher } from './dispatcher.js';
@@ -29,7 +29,6 @@
 import { createJobIntake } from './job-intake.js';
 import { createJobLifecycle, stopStalledRuns, stopUnfinishableRuns } from './job-lifecycle.js';
 import { createOrderWindow, latestOrderAt } from './order-window.js';
-import type { ConfirmedView } from './order-window.js';
 import { createPermitClient } from './permit-client.js';
 import { createProgressLog } from './progress-log.js';
 import { createResponsiveClock } from './responsive-clock.js';
@@ -128,9 +127,13 @@
     condition: () => condition,
     seen: options.silentWorkersSeen,
   });
-  const evacuations = createEvacuations({
-    prefix: options.evacuations?.prefix ?? '',
+  const evacuations = createCellEvacuations({
+    source: options.evacuations,
+    confirmedAt: () => feed.evacuationsConfirmedAt,
+    sessions: () => sessions.all(),
     onEnded: requestPlan,
+    events,
+    meters,
   });
   const sessions = createFleetSessions({
     open: openSession,
@@ -145,12 +148,7 @@
   });
   const fleetView = { confirmedAt: () => feed.fleetConfirmedAt, maxAgeMs: drainMs };
   const cancelView = { confirmedAt: () => feed.cancellationsConfirmedAt, maxAgeMs: cancelMs };
-  const views: ConfirmedView[] = [fleetView, cancelView];
-  if (options.evacuations !== undefined) {
-    const { withinMs } = options.evacuations;
-    views.push({ confirmedAt: () => feed.evacuationsConfirmedAt, maxAgeMs: withinMs });
-  }
-  const orderWindow = createOrderWindow({ views });
+  const orderWindow = createOrderWindow({ views: [fleetView, cancelView, ...evacuations.views] });
   const fleetAgeMs = () => Math.round(now() - feed.fleetConfirmedAt);
   const dispatcher = createDispatcher({
     cell,
@@ -272,6 +270,7 @@
       waitingSteps: cell.ready.size,
       tookMs: Math.round(now() - startedAt),
     });
+    evacuations.startReports();
     requestPlan();
   }
 
@@ -345,6 +344,7 @@
     handleCallersChanged: () => {
       permits.dispatchQueued();
     },
+    describeEvacuations: () => evacuations.describe(),
     addAcceptedJob: (job) => {
       // Before the restore is complete, the job is in the listing that is still being read.
       if (feed.restored && !closed) intake.addAccepted(job);
@@ -363,6 +363,9 @@
         openBytes: cell.openBytes,
         fleetAgeMs: fleetAgeMs(),
         cancellationsAgeMs: Math.round(now() - feed.cancellationsConfirmedAt),
+        ...(options.evacuations === undefined
+          ? {}
+          : { evacuationsAgeMs: Math.round(now() - feed.evacuationsConfirmedAt) }),
       };
     },
     quiesce: async (timeoutMs) => {
@@ -399,6 +402,7 @@
     dispatcher.stop();
     clearInterval(silentWorkersTimer);
     housekeeping.close();
+    evacuations.close();
     feed.stop();
     log.close();
   }
--- a/src/observability/meters.ts
+++ b/src/observability/meters.ts
@@ -24,6 +24,9 @@
   /** Age of what the leader knows of the workers; 0 on other hosts. */
   readonly fleetAgeSeconds: Gauge;
   readonly waitingTasks: Gauge<'queue'>;
+  /** Evacuated data centres, and the runs left in each; none on hosts that do not lead. */
+  readonly evacuatedDataCentres: Gauge;
+  readonly evacuationRuns: Gauge<'dataCentre'>;
   readonly adviceCalls: Counter<'outcome'>;
   /** Errors that nothing handled. */
   readonly unexpectedErrors: Counter<'origin'>;
@@ -114,6 +117,17 @@
       labelNames: ['queue'],
       registers,
     }),
+    evacuatedDataCentres: new Gauge({
+      name: 'sapphirewing_evacuated_data_centres',
+      help: 'Data centres that get no new work because operators evacuate them',
+      registers,
+    }),
+    evacuationRuns: new Gauge({
+      name: 'sapphirewing_evacuation_runs',
+      help: 'Runs left in an evacuated data centre',
+      labelNames: ['dataCentre'],
+      registers,
+    }),
     adviceCalls: new Counter({
       name: 'sapphirewing_advice_calls_total',
       help: 'Calls to the advice service',
