Show evacuations at /evacuations and with `sapphirewing evacuations`

An operator had to read the leader's log to learn whether a data centre is empty. Each host answers /evacuations at its metrics address with whether it leads, and the leader with the evacuations in force. It answers `unknown` until it has read them and the runs of the cell. The command asks hosts until one leads.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -2,7 +2,7 @@
  * Host of a cell on the platform: serves callers, takes part in elections and leads when elected. The clients of
  * the store, the workers and the advice service are passed in, so that nothing here depends on their protocols.
  */
-import type { EvacuationSource } from '../evacuations/index.js';
+import type { EvacuationSource, EvacuationState } from '../evacuations/index.js';
 import type { WorkerConnection } from '../fleet/index.js';
 import type { Job, WorkerIncarnation } from '../jobs/index.js';
 import type { Controller, FleetSource, SeenRecord } from '../controller/index.js';
@@ -41,6 +41,8 @@
   /** Whether the platform should route new callers to this host. */
   readonly ready: boolean;
   readonly stopping: boolean;
+  /** Whether this host leads, and the evacuations that it follows then, if the deployment has them. */
+  describeEvacuations(): EvacuationAnswer;
   /** Port that listens for links from other hosts. */
   readonly peerPort: number;
   /** Hands over the leadership and becomes unready for new callers; open connections are still served. */
@@ -48,6 +50,16 @@
   close(): void;
 }
 
+export interface EvacuationAnswer {
+  readonly host: string;
+  readonly leader: boolean;
+  /**
+   * `unknown` while a new leader reads them; undefined on a host that does not lead, and on a deployment without
+   * evacuations.
+   */
+  readonly evacuations: readonly EvacuationState[] | 'unknown' | undefined;
+}
+
 export interface CellHostOptions {
   readonly host: string;
   readonly ip: string;
@@ -306,6 +318,11 @@
     get stopping() {
       return stopping;
     },
+    describeEvacuations: () => ({
+      host,
+      leader: controller !== undefined,
+      evacuations: controller?.describeEvacuations(),
+    }),
     get peerPort() {
       return hub.port;
     },
--- a/src/cli/columns.ts
+++ b/src/cli/columns.ts
@@ -1,6 +1,7 @@
 /**
  * Column definitions of the operators' tables.
  */
+import type { EvacuationState } from '../evacuations/index.js';
 import type { Resources } from '../model/index.js';
 import type { HostRow, QueueRow, TeamRow, WorkerRow } from '../operators/index.js';
 import type { Column } from './table.js';
@@ -84,6 +85,19 @@
   { title: 'wait', value: (row) => formatMs(row.waitMs), align: 'right' },
 ];
 
+export const EVACUATION_COLUMNS: readonly Column<EvacuationState>[] = [
+  { title: 'data centre', value: (row) => row.dataCentre },
+  { title: 'since', value: (row) => row.since },
+  { title: 'in force', value: (row) => formatMs(row.inForceMs), align: 'right' },
+  { title: 'workers', value: (row) => String(row.workers), align: 'right' },
+  {
+    title: 'runs left',
+    value: (row) => String(row.runs),
+    align: 'right',
+    tone: (row) => toneOf(row.runs === 0),
+  },
+];
+
 function toneOf(good: boolean): 'good' | 'warning' {
   return good ? 'good' : 'warning';
 }
--- a/src/cli/run-cli.ts
+++ b/src/cli/run-cli.ts
@@ -7,6 +7,7 @@
 import { CancelCommand } from './commands/cancel.js';
 import { CheckCommand } from './commands/check.js';
 import { DiffCommand } from './commands/diff.js';
+import { EvacuationsCommand } from './commands/evacuations.js';
 import { GrantKeyCommand, ListKeysCommand, WithdrawKeyCommand } from './commands/keys.js';
 import { ShowCommand } from './commands/show.js';
 import { StatusCommand, SubmitCommand } from './commands/requests.js';
@@ -20,6 +21,7 @@
   CancelCommand,
   CheckCommand,
   DiffCommand,
+  EvacuationsCommand,
   GrantKeyCommand,
   HostsCommand,
   ListKeysCommand,
--- a/src/controller/cell-evacuations.ts
+++ b/src/controller/cell-evacuations.ts
@@ -19,8 +19,8 @@
 > {
   /** The view that bounds the age of orders; none without a source. */
   readonly views: readonly ConfirmedView[];
-  /** The evacuations in force; undefined without a source. */
-  describe(): readonly EvacuationState[] | undefined;
+  /** The evacuations in force; `unknown` until they and the runs of the cell are read, undefined without a source. */
+  describe(): readonly EvacuationState[] | 'unknown' | undefined;
   /** Begins to report evacuations, when the runs of the cell are known. */
   startReports(): void;
   close(): void;
@@ -53,14 +53,21 @@
     source === undefined
       ? undefined
       : createEvacuationMonitor({ evacuations, useOf, events, meters });
+  let reporting = false;
   const { isEvacuated, applyListing, applyChange } = evacuations;
   return {
     isEvacuated,
     applyListing,
     applyChange,
     views: source === undefined ? [] : [{ confirmedAt, maxAgeMs: source.withinMs }],
-    describe: () => monitor?.describe(),
-    startReports: () => monitor?.start(),
+    describe: () => {
+      const isKnown = reporting && confirmedAt() > -Infinity;
+      return monitor === undefined || isKnown ? monitor?.describe() : 'unknown';
+    },
+    startReports: () => {
+      reporting = true;
+      monitor?.start();
+    },
     close: () => monitor?.close(),
   };
 }
--- a/src/controller/controller-types.ts
+++ b/src/controller/controller-types.ts
@@ -25,8 +25,8 @@
   readonly fleetAgeMs: number;
   /** Amount of work in the cell, and what planning has cost in this term. */
   describeLoad(): CellLoad;
-  /** The evacuations in force; undefined on a deployment without evacuations. */
-  describeEvacuations(): readonly EvacuationState[] | undefined;
+  /** The evacuations in force; `unknown` until they are read, undefined on a deployment without evacuations. */
+  describeEvacuations(): readonly EvacuationState[] | 'unknown' | undefined;
   /** Stops placement and waits until all progress is durable, before a planned stop. */
   quiesce(timeoutMs: number): Promise<void>;
   /** Ends the term, but goes on reporting ends of its runs to the successor, which may not reach their workers. */
--- a/test/platform-path/evacuation-processes.test.ts
+++ b/test/platform-path/evacuation-processes.test.ts
@@ -4,10 +4,11 @@
  * Guards against a setting or a key that the daemon does not pass on, and against a start in the evacuated data centre
  * after a change of leader.
  */
-import { spawn, type ChildProcess } from 'node:child_process';
+import { execFile, spawn, type ChildProcess } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { promisify } from 'node:util';
 import { expect } from 'chai';
 import { Agent, request } from 'undici';
 import { SETTINGS_VARIABLE } from '../../platform/settings.js';
@@ -25,6 +26,7 @@
 } from './support.js';
 
 const DAEMON = 'dist/platform/main.js';
+const CLI = 'dist/src/bin/sapphirewing.js';
 const EVACUATE_MS = 2000;
 const KEY = `${EVACUATION_PREFIX}dc1`;
 
@@ -97,6 +99,17 @@
     return answer?.statusCode === 200 ? true : undefined;
   }
 
+  /** Returns what the command shows of the data centre. */
+  async function showEvacuations() {
+    const hosts = daemons.flatMap(({ ip }) => ['--host', `${ip}:9464`]);
+    const args = [CLI, 'evacuations', '--json', ...hosts];
+    const { stdout } = await promisify(execFile)(process.execPath, args);
+    const { evacuations } = JSON.parse(stdout) as {
+      evacuations: { dataCentre: string; workers: number; runs: number }[];
+    };
+    return evacuations.map(({ dataCentre, workers, runs }) => ({ dataCentre, workers, runs }));
+  }
+
   const findLeader = () => daemons.find(({ output }) => output().includes('"leadership-won"'));
 
   beforeEach(async () => {
@@ -128,15 +141,21 @@
     const since = Date.now();
     await pause(500);
     const waiting = await submit(leader, '10');
+    const shown = { dataCentre: 'dc1', workers: 1, runs: 1 };
+    expect(await showEvacuations()).to.deep.equal([shown]);
+    await eventually(() => (leader.output().includes('"evacuation-begun"') ? true : undefined));
     leader.process.kill('SIGKILL');
     await awaitCompletion(other, running);
     // Long enough for the next leader to place what waits.
     await pause(EVACUATE_MS);
+    expect(await showEvacuations()).to.deep.equal([{ ...shown, runs: 0 }]);
+    expect(other.output()).to.include('"evacuation-emptied"');
     const late = inside.starts.filter(({ at }) => at > since);
     expect(late).to.deep.equal([]);
     expect(inside.finished.map(({ how }) => how)).to.deep.equal(['done']);
     store.items.apply([], [KEY]);
     await awaitCompletion(other, waiting);
     expect(inside.starts.filter(({ task }) => task.startsWith(waiting))).to.have.length(1);
+    expect(await showEvacuations()).to.deep.equal([]);
   });
 });
--- a/test/platform-path/evacuation.test.ts
+++ b/test/platform-path/evacuation.test.ts
@@ -211,6 +211,8 @@
     cell.kill(await cell.leader());
     const ids = await submitFor(3000);
     expect(inside.starts).to.have.length(formerStarts);
+    const { leader, evacuations } = host().describeEvacuations();
+    expect([leader, evacuations]).to.deep.equal([true, 'unknown']);
     cell.store.silentPrefix = undefined;
     await addOutside();
     await awaitAll(ids);
