Prefer warm workers to cold ones

The entry of a worker says with cold-remaining-ms how much longer it is slow, as after an evacuation, and the planner did not read it. A cold worker now costs more than any worse fit. For urgent work and gangs it costs more than a remote place, too; for other work, less. A cold worker is still better than none. The time counts from when an entry was first read, because listings repeat it. With nothing cold, no cost is added, so no placement changes.

--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -118,7 +118,7 @@
     const barriers = new Map<string, PlacementBarrier>();
     const placements = planRound({
       nowMs: round.nowMs,
-      workers: usable.map((session) => describeWorker(session)),
+      workers: usable.map((session) => describeWorker(session, startedAt)),
       steps,
       budgets: describeBudgets(configuration),
       round: effort.rounds,
@@ -133,7 +133,7 @@
     pauseMs = pauseAfterRound(tookMs);
   }
 
-  function describeWorker(session: WorkerSession): CandidateWorker {
+  function describeWorker(session: WorkerSession, now: number): CandidateWorker {
     const { worker, used, runs } = session;
     return {
       id: worker.incarnation.id,
@@ -146,6 +146,7 @@
       healthStatus: options.health.statusOf(worker.incarnation.id),
       speed: 1,
       releases: () => [],
+      cold: worker.coldUntil !== undefined && now < worker.coldUntil,
       runs: runs.size,
     };
   }
--- a/src/controller/fleet-entries.ts
+++ b/src/controller/fleet-entries.ts
@@ -4,7 +4,7 @@
  */
 import type { FleetWorker } from '../fleet/index.js';
 import { createEntryReader } from '../observability/index.js';
-import type { DecodedEntry, EventLog, Meters } from '../observability/index.js';
+import type { EventLog, Meters } from '../observability/index.js';
 import type { StoreChange, StoreEntry } from '../records/index.js';
 import type { FleetSessions } from './fleet-sessions.js';
 
@@ -25,6 +25,8 @@
   readonly sessions: FleetSessions;
   readonly events: EventLog;
   readonly meters: Meters;
+  /** Monotonic milliseconds. */
+  readonly now?: () => number;
 }
 
 export function createFleetEntries({
@@ -32,6 +34,7 @@
   sessions,
   events,
   meters,
+  now = () => performance.now(),
 }: FleetEntriesOptions): FleetEntries {
   const reader = createEntryReader({
     prefix: fleet.prefix,
@@ -40,8 +43,30 @@
     meters,
   });
   const idOf = (key: string) => key.slice(fleet.prefix.length);
-  const decode = (entry: DecodedEntry) =>
-    reader.read(entry, (text) => fleet.decode(entry.key, text));
+  /** Until when workers are cold, by their id, with the revision of the entry that says so. */
+  const cold = new Map<string, { readonly revision: number; readonly until: number }>();
+
+  function decode(entry: StoreEntry): FleetWorker | undefined {
+    const { revision } = entry;
+    const worker = reader.read(entry, (text) => fleet.decode(entry.key, text));
+    if (worker === undefined) return undefined;
+    return { ...worker, revision, coldUntil: findColdUntil(worker, revision) };
+  }
+
+  /** An entry that is listed again says how long its worker was cold when the entry was written, not from now on. */
+  function findColdUntil({ incarnation, coldRemainingMs = 0 }: FleetWorker, revision: number) {
+    const { id } = incarnation;
+    if (coldRemainingMs <= 0) {
+      cold.delete(id);
+      return undefined;
+    }
+    let known = cold.get(id);
+    if (known?.revision !== revision) {
+      known = { revision, until: now() + coldRemainingMs };
+      cold.set(id, known);
+    }
+    return known.until;
+  }
 
   return {
     applyListing: (entries) => {
@@ -50,18 +75,20 @@
       for (const entry of entries) {
         const worker = decode(entry);
         if (worker === undefined) unreadable.add(idOf(entry.key));
-        else workers.set(worker.incarnation.id, { ...worker, revision: entry.revision });
+        else workers.set(worker.incarnation.id, worker);
       }
+      for (const id of cold.keys()) if (!workers.has(id)) cold.delete(id);
       sessions.replace(workers, unreadable);
     },
     applyChange: ({ key, value, revision }) => {
       if (value === undefined) {
+        cold.delete(idOf(key));
         sessions.update(idOf(key), undefined);
         return;
       }
       const worker = decode({ key, value, revision });
       if (worker === undefined) sessions.markUnreadable(idOf(key));
-      else sessions.update(idOf(key), { ...worker, revision });
+      else sessions.update(idOf(key), worker);
     },
   };
 }
--- a/src/fleet/worker.ts
+++ b/src/fleet/worker.ts
@@ -19,6 +19,10 @@
   readonly rack: string;
   /** Shortest time until a leaving worker is gone, in milliseconds. */
   readonly leavesInMs: number | undefined;
+  /** How much longer the worker is slow after its start, in milliseconds from when its entry was written. */
+  readonly coldRemainingMs?: number | undefined;
+  /** Until when the worker is slow, in monotonic milliseconds; undefined if it is not. */
+  readonly coldUntil?: number | undefined;
   /** Revision of the worker's entry in the store; undefined if it is not listed. */
   readonly revision?: number;
 }
--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -31,6 +31,8 @@
   readonly speed: number;
   /** When resources on the worker are expected to become free, the earliest first; computed at each call. */
   readonly releases: () => readonly Release[];
+  /** Whether the worker is slow for a while, as after its start; by default, it is not. */
+  readonly cold?: boolean;
   /** Number of runs whose resources are charged to the worker. */
   runs: number;
 }
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -219,6 +219,13 @@
 /** A worker on which the task failed before is the last choice, but better than none. */
 const FAILED_BEFORE_COST = 20;
 const TRIAL_COST = 10;
+/** A cold worker is a worse choice than any worse fit and a second rack, but better than none. */
+const COLD_COST = 2.5;
+/**
+ * Urgent work has little slack, and a gang ends with its slowest member, so for both a warm worker is better also if it
+ * is remote.
+ */
+const URGENT_COLD_COST = 6;
 
 /** Cost of a placement; lower is better. The base cost is the share of the worker that is free. */
 function placementCost(
@@ -232,9 +239,14 @@
   if (step.rackSensitive && added.size > 0 && !added.has(worker.id)) cost += REMOTE_COST / 2;
   if (step.avoids(task, worker.id)) cost += FAILED_BEFORE_COST;
   if (worker.healthStatus === 'trial') cost += TRIAL_COST;
+  if (worker.cold === true) cost += coldCost(step);
   return cost;
 }
 
+function coldCost({ priority, gang }: WaitingStep): number {
+  return priority === 0 || gang ? URGENT_COLD_COST : COLD_COST;
+}
+
 function freeShare({ free, room }: CandidateWorker): number {
   return room.processors > 0 ? free.processors / room.processors : 0;
 }
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -52,6 +52,22 @@
       });
     });
 
+    // Guards against a worker that is lost to the cell because of a field that only a preference rests on.
+    const cold: readonly [unknown, number | undefined][] = [
+      [undefined, undefined],
+      [0, 0],
+      [2500, 2500],
+      [-1, undefined],
+      ['long', undefined],
+    ];
+    for (const [value, expected] of cold) {
+      it(`are cold for ${String(expected)} ms with ${String(value)} in their entry`, () => {
+        const text = JSON.stringify({ ...ENTRY, 'cold-remaining-ms': value });
+        expect(decodeWorker('servers/i-1', text)?.coldRemainingMs).to.equal(expected);
+        expect(decodeWorker('servers/i-1', text)?.state).to.equal('ready');
+      });
+    }
+
     const broken: readonly [string, string][] = [
       ['bytes that are not valid JSON', '\u0000\u0001'],
       ['a missing address', JSON.stringify({ ...ENTRY, address: undefined })],
