--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -159,6 +159,7 @@
       healthStatus: options.health.statusOf(worker.incarnation.id),
       speed: forecast.speedOf(session),
       releases: () => forecast.releasesOf(session, nowMs),
+      cold: worker.coldUntil !== undefined && performance.now() < worker.coldUntil,
       runs: runs.size,
     };
   }
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -257,6 +257,13 @@
 const FAILED_BEFORE_COST = 40;
 /** More than the costs of place and speed together, which are up to 15. */
 const TRIAL_COST = 20;
+/** A cold worker is a worse choice than any worse fit and a second rack, but better than none. */
+const COLD_COST = 2.5;
+/**
+ * Urgent work has little slack, and a gang ends with its slowest member, so for both a warm worker is better also if it
+ * is remote.
+ */
+const URGENT_COLD_COST = 6;
 
 /** Cost of a placement; lower is better. The base cost is the share of the worker that is free. */
 function placementCost(
@@ -270,9 +277,14 @@
   if (step.rackSensitive && added.size > 0 && !added.has(worker.id)) cost += REMOTE_COST / 2;
   if (step.avoids(task, worker.id)) cost += FAILED_BEFORE_COST;
   if (worker.healthStatus === 'trial') cost += TRIAL_COST;
+  if (worker.cold === true) cost += coldCost(step);
   return cost;
 }
 
+function coldCost({ priority, gang }: WaitingStep): number {
+  return priority === 0 || gang ? URGENT_COLD_COST : COLD_COST;
+}
+
 function charge(
   step: WaitingStep,
   worker: CandidateWorker,
