List the openings of a place once for each waiting step

Cause: a step that waits for its data rack searched all workers and replayed the expected ends of its rack for each of its tasks, in each round.

Change: the openings are listed once for each step and given to its tasks in order of their ends; tasks behind a held one reuse the worker that was found elsewhere.

--- a/src/planner/locality.ts
+++ b/src/planner/locality.ts
@@ -61,6 +61,11 @@
   const forecast = createRoomForecast(nowMs);
   const heldNow = new Map<string, number>();
 
+  /** Latest end at the place that is worth a wait. */
+  function latestEndMs(elsewhereMs: number): number {
+    return nowMs + elsewhereMs * (1 - MIN_GAIN);
+  }
+
   function hold(
     step: WaitingStep,
     tasks: readonly number[],
@@ -70,7 +75,7 @@
     if (opening === undefined || step.longRunning) return false;
     const { startMs, runMs, claims } = opening;
     if (runMs >= elsewhereMs) return false;
-    if (startMs + runMs > nowMs + elsewhereMs * (1 - MIN_GAIN)) return false;
+    if (startMs + runMs > latestEndMs(elsewhereMs)) return false;
     const found = holds.get(step.key) ?? {
       untilMs: latestStartMs(step, nowMs, { elsewhereMs, savingMs: elsewhereMs - runMs }),
       heldSince: new Map<number, number>(),
@@ -85,25 +90,42 @@
     return true;
   }
 
+  function listOpenings(
+    step: WaitingStep,
+    workers: readonly CandidateWorker[],
+    endMs: number,
+  ): Opening[] {
+    const place = workers.filter(({ rack }) => rack === step.dataRack);
+    return [...forecast.listForTasks(step, place, endMs)];
+  }
+
   return {
     remoteFactor,
     holdTasksOf: (step, runnable) => {
       const { dataRack } = step;
       if (dataRack === undefined) return () => false;
-      let place: readonly CandidateWorker[] | undefined;
+      let openings: Opening[] | undefined;
       let isWorthwhile = true;
       return (task, worker) => {
         // The tasks are alike, so once a wait is not worthwhile for one, it is not for those behind it.
         if (!isWorthwhile || worker.rack === dataRack) return false;
-        place ??= runnable().filter(({ rack }) => rack === dataRack);
         const elsewhereMs = (step.workMs * remoteFactor) / worker.speed;
-        const opening = forecast.findForTask(step, task, place, nowMs + elsewhereMs);
+        openings ??= listOpenings(step, runnable(), latestEndMs(elsewhereMs));
+        const index = openings.findIndex(
+          ({ claims }) => ![...claims.keys()].some((id) => step.avoids(task, id)),
+        );
+        const [opening] = index < 0 ? [] : openings.splice(index, 1);
         isWorthwhile = hold(step, [task], elsewhereMs, opening);
         return isWorthwhile;
       };
     },
     holdGang: (step, elsewhereMs, places) =>
-      hold(step, step.tasks, elsewhereMs, forecast.findForGang(step, places, nowMs + elsewhereMs)),
+      hold(
+        step,
+        step.tasks,
+        elsewhereMs,
+        forecast.findForGang(step, places, latestEndMs(elsewhereMs)),
+      ),
     heldMs: (step, task) => {
       const since = holds.get(step.key)?.heldSince.get(task);
       return since === undefined ? undefined : nowMs - since;
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -158,12 +158,19 @@
   const remoteFactor = locality?.remoteFactor;
   const speedCosts = speedCostsFor(step, pool, { nowMs, remoteFactor });
   const isHeldBack = locality?.holdTasksOf(step, runnable);
+  const hasLocal = pool.some(({ rack }) => rack === step.dataRack);
+  let elsewhere: CandidateWorker | undefined;
   for (const task of step.tasks) {
     if (!withinBudget(step, budgets, 1)) break;
+    // A task that is held back changes nothing for the next, so a wide step does not search all workers for each.
+    if (elsewhere !== undefined && isHeldBack?.(task, elsewhere) === true) continue;
     const worker = chooseWorker(step, task, pool, added, speedCosts);
     // All tasks of a step have the same requirements, so the others find no worker either.
     if (worker === undefined) break;
-    if (isHeldBack?.(task, worker) === true) continue;
+    if (elsewhere === undefined && isHeldBack?.(task, worker) === true) {
+      if (!hasLocal) elsewhere = worker;
+      continue;
+    }
     charge(step, worker, budgets, added);
     placements.push(describePlacement(step, task, worker, locality));
   }
--- a/src/planner/room-forecast.ts
+++ b/src/planner/room-forecast.ts
@@ -2,13 +2,7 @@
  * Forecast of when workers have room, from the expected ends of what runs on them. Room that was promised in this round
  * to work that waits for it is not promised again.
  */
-import {
-  addResources,
-  addTasks,
-  fitsWithin,
-  NO_RESOURCES,
-  subtractResources,
-} from '../model/index.js';
+import { addResources, addTasks, NO_RESOURCES, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
 import type { CandidateWorker, Release, WaitingStep } from './candidates.js';
 import { couldHold, isAllowed, slotsFreeFor } from './pool.js';
@@ -22,13 +16,12 @@
 }
 
 export interface RoomForecast {
-  /** Finds the room on which the task ends soonest, if it becomes free until the horizon. */
-  findForTask(
+  /** Lists room on which single tasks of the step end until `latestEndMs`, the soonest end first. */
+  listForTasks(
     step: WaitingStep,
-    task: number,
     workers: readonly CandidateWorker[],
-    horizonMs: number,
-  ): Opening | undefined;
+    latestEndMs: number,
+  ): readonly Opening[];
   /** Finds the rack on which the gang ends soonest. */
   findForGang(
     step: WaitingStep,
@@ -53,15 +46,21 @@
     return subtractResources(free, claimed.get(id) ?? NO_RESOURCES);
   }
 
-  function startOn(worker: CandidateWorker, size: Resources, horizonMs: number) {
+  /** Lists the times at which the worker has room for one more task of the step. */
+  function startsOn(step: WaitingStep, worker: CandidateWorker, horizonMs: number): number[] {
     let room = roomOf(worker);
-    if (fitsWithin(size, room)) return nowMs;
-    for (const release of releasesOf(worker)) {
-      if (release.atMs > horizonMs) return undefined;
-      room = addResources(room, release.size);
-      if (fitsWithin(size, room)) return Math.max(nowMs, release.atMs);
+    const starts: number[] = [];
+    const update = (atMs: number) => {
+      const slots = Math.min(step.waiting, slotsFreeFor(step, { ...worker, free: room }));
+      while (starts.length < slots) starts.push(Math.max(nowMs, atMs));
+    };
+    update(nowMs);
+    for (const { atMs, size } of releasesOf(worker)) {
+      if (atMs > horizonMs || starts.length >= step.waiting) break;
+      room = addResources(room, size);
+      update(atMs);
     }
-    return undefined;
+    return starts;
   }
 
   /** Finds when a rack has room for the whole gang. */
@@ -98,17 +97,19 @@
   }
 
   return {
-    findForTask: (step, task, workers, horizonMs) => {
-      let best: Opening | undefined;
-      for (const worker of workers) {
-        if (!isTakeable(step, worker) || step.avoids(task, worker.id)) continue;
-        const startMs = startOn(worker, step.size, horizonMs);
-        if (startMs === undefined) continue;
-        const claims = new Map([[worker.id, step.size]]);
-        best = sooner(best, { startMs, runMs: step.workMs / worker.speed, claims });
-      }
-      return best;
-    },
+    listForTasks: (step, workers, latestEndMs) =>
+      workers
+        .filter((worker) => isTakeable(step, worker))
+        .flatMap((worker) => {
+          const runMs = step.workMs / worker.speed;
+          const claims = new Map([[worker.id, step.size]]);
+          return startsOn(step, worker, latestEndMs - runMs).map((startMs) => ({
+            startMs,
+            runMs,
+            claims,
+          }));
+        })
+        .sort((left, right) => left.startMs + left.runMs - right.startMs - right.runMs),
     findForGang: (step, racks, horizonMs) => {
       let best: Opening | undefined;
       for (const rack of racks) {
