--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -262,7 +262,7 @@
 const REMOTE_COST = 4;
 /** A worker on which the task failed before is the last choice, but better than none. */
 const FAILED_BEFORE_COST = 40;
-/** More than the costs of place and speed together, which are up to 15. */
+/** More than the costs of place, speed and packing together, which are up to 16. */
 const TRIAL_COST = 20;
 
 /** Cost of a placement; lower is better. The base cost is the share of the worker that is free. */
