--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -158,12 +158,19 @@
   const remoteFactor = locality?.remoteFactor;
   const speedCosts = speedCostsFor(step, pool, { nowMs, remoteFactor });
   const isHeldBack = locality?.holdTasksOf(step, runnable);
+  const hasLocal = pool.some(({ rack }) => rack === step.dataRack);
+  let elsewhere: CandidateWorker | undefined;
   for (const task of step.tasks) {
     if (!withinBudget(step, budgets, 1)) break;
+    // A task that is held back changes nothing for the next, so a wide step does not search all workers for each.
+    if (elsewhere !== undefined && isHeldBack?.(task, elsewhere) === true) continue;
     const worker = chooseWorker(step, task, pool, added, speedCosts);
     // All tasks of a step have the same requirements, so the others find no worker either.
     if (worker === undefined) break;
-    if (isHeldBack?.(task, worker) === true) continue;
+    if (elsewhere === undefined && isHeldBack?.(task, worker) === true) {
+      if (!hasLocal) elsewhere = worker;
+      continue;
+    }
     charge(step, worker, budgets, added);
     placements.push(describePlacement(step, task, worker, locality));
   }
@@ -255,7 +262,7 @@
 const REMOTE_COST = 4;
 /** A worker on which the task failed before is the last choice, but better than none. */
 const FAILED_BEFORE_COST = 40;
-/** More than the costs of place and speed together, which are up to 15. */
+/** More than the costs of place, speed and packing together, which are up to 16. */
 const TRIAL_COST = 20;
 /** A cold worker is a worse choice than any worse fit and a second rack, but better than none. */
 const COLD_COST = 2.5;
