--- a/src/controller/run-forecast.ts
+++ b/src/controller/run-forecast.ts
@@ -3,9 +3,9 @@
  * the work and the critical paths of jobs, and when runs are expected to end.
  */
 import { createForecast, expectEnd } from '../forecast/index.js';
-import type { Forecast, StepWork } from '../forecast/index.js';
+import type { ExpectedWork, Forecast, StepWork } from '../forecast/index.js';
 import { estimateCriticalPaths, formatStepName, isStepDone } from '../jobs/index.js';
-import type { Job, OccurrenceProgress, StepProgress } from '../jobs/index.js';
+import type { Job, OccurrenceProgress, StepProgress, WorkerIncarnation } from '../jobs/index.js';
 import type { Release } from '../planner/index.js';
 import { USEFUL_LATENESS_FACTOR } from './cell.js';
 import type { JobEntry, ReadyStep } from './cell.js';
@@ -44,11 +44,19 @@
   readonly now?: () => number;
 }
 
+interface StepForecast extends ExpectedWork {
+  readonly revision: number;
+  /** Speed of the slowest worker of a gang. */
+  readonly slowestSpeed: number | undefined;
+}
+
 /** A worker takes up to 0.9 s to stop a run. */
 const STOP_MS = 900;
 
 export function createRunForecast(options: RunForecastOptions = {}): RunForecast {
   const { now = () => performance.now(), forecast = createForecast({ now }) } = options;
+  /** What is expected of the runs of a step. Thousands of runs may be asked for at a time. */
+  const stepForecasts = new WeakMap<StepProgress, StepForecast>();
   /** Outlooks with the revision of the forecast from which they were computed. */
   const outlooks = new WeakMap<OccurrenceProgress, { revision: number; outlook: JobOutlook }>();
 
@@ -60,7 +68,7 @@
     if (!run.step.step.gang) return forecast.learnEnd(work, run.session.incarnation, tookMs);
     // All members end together, and the first of them completes the step.
     if (isStepDone(run.step)) return undefined;
-    return forecast.learnGangEnd(work, membersOf(run.step), tookMs);
+    return forecast.learnGangEnd(work, membersOf(run), tookMs);
   }
 
   function learnProgress({ runs, incarnation }: WorkerSession) {
@@ -99,11 +107,10 @@
     };
   }
 
-  function expectRestMs(run: Run): number {
-    const nowMs = now();
+  function expectRestMs(run: Run, nowMs = now()): number {
     if (run.status === 'stopping') return Math.max(0, run.since + STOP_MS - nowMs);
-    const { workMs, variance } = forecast.workOf(describeRun(run));
-    const expectedMs = workMs / slowestSpeed(run);
+    const { workMs, variance, slowestSpeed } = stepForecastOf(run);
+    const expectedMs = workMs / (slowestSpeed ?? forecast.speedOf(run.session.incarnation));
     const { startedClockMs, progressedClockMs, percent } = run;
     const input = { nowMs, expectedMs, variance, percent: 0, percentAfterMs: 0 };
     if (run.status === 'logging') return expectEnd({ ...input, startedAtMs: nowMs }) - nowMs;
@@ -116,9 +123,16 @@
     return expectEnd({ ...input, startedAtMs: run.startedAt, percent, percentAfterMs }) - nowMs;
   }
 
-  function slowestSpeed({ session, step }: Run): number {
-    if (!step.step.gang) return forecast.speedOf(session.incarnation);
-    return Math.min(...membersOf(step).map((worker) => forecast.speedOf(worker)));
+  function stepForecastOf(run: Run): StepForecast {
+    const known = stepForecasts.get(run.step);
+    if (known?.revision === forecast.revision) return known;
+    const { workMs, variance } = forecast.workOf(describeRun(run));
+    const slowestSpeed = run.step.step.gang
+      ? Math.min(...membersOf(run).map((worker) => forecast.speedOf(worker)))
+      : undefined;
+    const next = { revision: forecast.revision, workMs, variance, slowestSpeed };
+    stepForecasts.set(run.step, next);
+    return next;
   }
 
   return {
@@ -126,12 +140,16 @@
     learnProgress,
     speedOf: ({ incarnation }) => forecast.speedOf(incarnation),
     outlookOf,
-    expectRestMs,
-    releasesOf: ({ runs }, nowMs) =>
-      [...runs.values()]
-        .filter(({ step }) => !step.step.longRunning)
-        .map((run) => ({ atMs: nowMs + expectRestMs(run), size: run.size }))
-        .sort((left, right) => left.atMs - right.atMs),
+    expectRestMs: (run) => expectRestMs(run),
+    releasesOf: ({ runs }, nowMs) => {
+      const monotonicMs = now();
+      const releases: Release[] = [];
+      for (const run of runs.values()) {
+        if (run.step.step.longRunning) continue;
+        releases.push({ atMs: nowMs + expectRestMs(run, monotonicMs), size: run.size });
+      }
+      return releases.sort((left, right) => left.atMs - right.atMs);
+    },
     forecast,
   };
 }
@@ -146,8 +164,10 @@
   return dataRack === undefined || dataRack === session.worker.rack;
 }
 
-function membersOf({ tasks }: StepProgress) {
-  return [...tasks.values()].flatMap(({ worker }) => (worker === undefined ? [] : [worker]));
+/** The workers of the run's gang. */
+function membersOf({ session, step }: Run): WorkerIncarnation[] {
+  const others = [...step.tasks.values()].flatMap(({ worker }) => worker ?? []);
+  return [session.incarnation, ...others];
 }
 
 function describeRun(run: Run): StepWork {
