Choose warm workers for a gang before those in its place

Merged, the choice of a gang's place came before the preference for warm workers: a gang went to a cold data rack although warm workers had room (test/planner/cold-workers). A gang ends with its slowest member, so warm workers go first.

--- a/src/planner/gang-members.ts
+++ b/src/planner/gang-members.ts
@@ -48,9 +48,12 @@
  */
 export function chooseMembers(
   step: WaitingStep,
-  open: readonly CandidateWorker[],
+  withRoom: readonly CandidateWorker[],
   { nowMs, remoteFactor }: { readonly nowMs: number; readonly remoteFactor: number | undefined },
 ): GangMembers {
+  // A gang ends with its slowest member, so warm workers go before the place of the gang.
+  const warm = withRoom.filter(({ cold }) => cold !== true);
+  const open = canHold(step, warm) ? warm : withRoom;
   if (remoteFactor === undefined || !hasPlace(step)) {
     const inRack = open.filter(({ rack }) => rack === step.dataRack);
     const local = canHold(step, inRack) ? inRack : open;
