--- a/test/platform-path/support.ts
+++ b/test/platform-path/support.ts
@@ -244,6 +244,7 @@
   readonly after?: readonly number[];
   readonly gang?: boolean;
   readonly 'max-per-server'?: number;
+  readonly 'estimate-ms'?: number;
 }
 
 let nextId = 1;
