Limit the memory, connections and time of clients of the platform daemon

Cause: the daemon read whole bodies before it checked their size and key, kept any number of connections, pipelined requests and unread responses, and waited for them without a limit.

Change: src/client-limits has the budget of bytes, the collection of a body into one buffer that is charged to it, the guard of a listener's connections and the guard of a link's messages. The announced length is checked before a byte is kept; an unfinished body is charged until it is refused or its job is answered. Links between hosts have to identify themselves with a short message in time, and unfinished messages are charged to the budget.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -2,6 +2,8 @@
  * Host of a cell on the platform: serves callers, takes part in elections and leads when elected. The clients of
  * the store, the workers and the advice service are passed in, so that nothing here depends on their protocols.
  */
+import type { Server } from 'node:http';
+import type { LinkListenerGuard } from '../client-limits/index.js';
 import type { WorkerConnection } from '../fleet/index.js';
 import type { Job, WorkerIncarnation } from '../jobs/index.js';
 import type { Controller, FleetSource, SeenRecord } from '../controller/index.js';
@@ -71,6 +73,8 @@
   readonly advise: (step: string, workers: readonly string[]) => Promise<AdviceAnswer | undefined>;
   readonly configurationKey: string;
   readonly decodeConfiguration: (text: string) => CellConfiguration | undefined;
+  /** Limits the links of other hosts; without it they are not limited. */
+  readonly protectLinks?: (server: Server) => LinkListenerGuard;
   readonly events: EventLog;
   readonly meters: Meters;
 }
@@ -118,7 +122,12 @@
     reader,
     events,
   });
-  const hub = createPeerHub({ ip, port: options.peerPort, events });
+  const hub = createPeerHub({
+    ip,
+    port: options.peerPort,
+    events,
+    ...(options.protectLinks === undefined ? {} : { protect: options.protectLinks }),
+  });
   const link = createLeaderLink({
     host,
     processors,
--- a/src/observability/meters.ts
+++ b/src/observability/meters.ts
@@ -33,6 +33,12 @@
   readonly loopFailures: Counter<'loop'>;
   /** Entries of the store that could not be used, each counted once. */
   readonly unreadableEntries: Counter<'prefix'>;
+  /** Requests that were refused and connections that were closed by a limit for clients. */
+  readonly limitedClients: Counter<'listener' | 'cause'>;
+  /** Open connections of clients. */
+  readonly connections: Gauge<'listener'>;
+  /** Bytes of unfinished bodies and messages, bodies in progress and unread responses. */
+  readonly clientBufferBytes: Gauge;
   render(): Promise<string>;
 }
 
@@ -144,6 +150,23 @@
       labelNames: ['prefix'],
       registers,
     }),
+    limitedClients: new Counter({
+      name: 'sapphirewing_limited_clients_total',
+      help: 'Requests refused and connections closed by a limit for clients',
+      labelNames: ['listener', 'cause'],
+      registers,
+    }),
+    connections: new Gauge({
+      name: 'sapphirewing_client_connections',
+      help: 'Open connections of clients',
+      labelNames: ['listener'],
+      registers,
+    }),
+    clientBufferBytes: new Gauge({
+      name: 'sapphirewing_client_buffer_bytes',
+      help: 'Bytes held for unfinished bodies and messages, bodies in progress and unread responses',
+      registers,
+    }),
     render: () => registry.metrics(),
   };
 }
--- a/src/peers/hub.ts
+++ b/src/peers/hub.ts
@@ -2,9 +2,12 @@
  * The leader's side of the links to all other hosts: one WebSocket per host, with messages encoded by
  * msgpackr. A host that does not answer in time is disconnected and reconnects by itself.
  */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { Packr } from 'msgpackr';
 import { WebSocket, WebSocketServer } from 'ws';
+import type { LinkListenerGuard } from '../client-limits/index.js';
 import type { ReportedEnd } from '../controller/index.js';
 import type { RelayedAnswer, RelayedCall } from '../intake/index.js';
 import type { Job, JobState } from '../jobs/index.js';
@@ -54,6 +57,8 @@
   readonly events: EventLog;
   /** Timeout of a call to a host; must cover the slowest decision of the advice service. */
   readonly callTimeoutMs?: number;
+  /** Limits the links; without it they are not limited. */
+  readonly protect?: (server: Server) => LinkListenerGuard;
 }
 
 /** The slowest decision, for a call that names all workers, takes 1 s. A dead link is detected after this. */
@@ -70,20 +75,29 @@
   const acceptanceListeners: ((job: Job) => void)[] = [];
   const successionListeners: ((leader: Leader) => void)[] = [];
   const endListeners: ((end: ReportedEnd) => void)[] = [];
+  const listener = createServer((_request, response) => {
+    response.writeHead(426).end('This port serves links between hosts only.\n');
+  });
+  const guard = options.protect?.(listener);
   const server = new WebSocketServer({
-    host: options.ip,
-    port: options.port,
+    server: listener,
     maxPayload: MAX_MESSAGE_BYTES,
     perMessageDeflate: false,
   });
   server.on('error', (error) => {
     events.error('peer-listener-failed', { error: error.message, port: options.port });
   });
-  server.on('connection', (socket) => {
-    serve(socket);
+  server.on('connection', (socket, request) => {
+    serve(socket, request);
   });
+  listener.listen(options.port, options.ip);
 
-  function serve(socket: WebSocket) {
+  function serve(socket: WebSocket, request: IncomingMessage) {
+    const messages = guard?.watch({
+      socket: request.socket,
+      webSocket: socket,
+      maxMessageBytes: MAX_MESSAGE_BYTES,
+    });
     const pending = new Map<number, (answer: AdviceAnswer | undefined) => void>();
     let nextId = 1;
     let name = '';
@@ -107,6 +121,7 @@
 
     function receive(message: PeerMessage) {
       if (message.kind === 'hello') {
+        if (messages?.identify() === false) return;
         name = message.host;
         callers.set(socket, { name, advise });
         processors.set(socket, message.processors);
@@ -199,6 +214,8 @@
     close: () => {
       for (const socket of server.clients) socket.terminate();
       server.close();
+      listener.close();
+      listener.closeAllConnections();
     },
   };
 }
--- /dev/null
+++ b/test/client-limits/body-collector.test.ts
@@ -0,0 +1,106 @@
+/**
+ * Guards against bodies that take more memory than the budget: unfinished ones, ones in tiny chunks and ones over the
+ * limit; and against charges that are not returned, after which a host would refuse every body.
+ */
+import { IncomingMessage } from 'node:http';
+import { Socket } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { collectBody, createByteBudget } from '../../src/client-limits/index.js';
+
+const LIMIT = 10_000;
+
+function receive(announced?: number): IncomingMessage {
+  const incoming = new IncomingMessage(new Socket());
+  if (announced !== undefined) incoming.headers['content-length'] = String(announced);
+  return incoming;
+}
+
+describe('the body of a request', () => {
+  it('is what was sent, in whatever chunks, and its charge is returned once', async () => {
+    const sizes = fc.array(fc.integer({ min: 1, max: 2500 }), { maxLength: 4 });
+    await fc.assert(
+      fc.asyncProperty(sizes, fc.boolean(), async (parts, isAnnounced) => {
+        const budget = createByteBudget(LIMIT);
+        const sent = Buffer.concat(parts.map((size, index) => Buffer.alloc(size, index)));
+        const incoming = receive(isAnnounced ? sent.byteLength : undefined);
+        const body = collectBody(incoming, { maxBytes: LIMIT, budget });
+        for (const [index, size] of parts.entries()) incoming.push(Buffer.alloc(size, index));
+        incoming.push(null);
+        const collected = await body.collected;
+        expect(collected.kind).to.equal('complete');
+        if (collected.kind === 'complete') {
+          expect(Buffer.compare(collected.bytes, sent)).to.equal(0);
+        }
+        expect(budget.used).to.be.at.least(sent.byteLength);
+        body.release();
+        body.release();
+        expect(budget.used).to.equal(0);
+      }),
+    );
+  });
+
+  it('costs little more than its bytes in chunks of one byte', async () => {
+    const budget = createByteBudget(LIMIT);
+    const incoming = receive();
+    collectBody(incoming, { maxBytes: LIMIT, budget });
+    for (let sent = 0; sent < 5000; sent += 1) incoming.push(Buffer.from('x'));
+    await nextTurn();
+    expect(budget.used).to.be.within(5000, LIMIT);
+    expect(incoming.readableLength).to.equal(0);
+  });
+
+  // 60 bodies in chunks of one byte kept a host from answering for more than 20 s.
+  it('ends the connection with too many small chunks, not with as many larger ones', async () => {
+    const options = { maxBytes: LIMIT, budget: createByteBudget(LIMIT), maxSmallChunks: 100 };
+    const incoming = receive();
+    const smaller = collectBody(incoming, options);
+    for (let sent = 0; sent < 101; sent += 1) incoming.push(Buffer.alloc(31));
+    expect(await smaller.collected).to.deep.equal({ kind: 'fragmented' });
+    expect(incoming.destroyed).to.equal(true);
+    const allowed = receive();
+    const body = collectBody(allowed, options);
+    for (let sent = 0; sent < 101; sent += 1) allowed.push(Buffer.alloc(32));
+    allowed.push(null);
+    expect((await body.collected).kind).to.equal('complete');
+  });
+
+  it('is refused over the limit, by its announcement before any byte', async () => {
+    const budget = createByteBudget(2 * LIMIT);
+    const announced = collectBody(receive(LIMIT + 1), { maxBytes: LIMIT, budget });
+    expect(await announced.collected).to.deep.equal({ kind: 'too-large' });
+    const incoming = receive();
+    const sent = collectBody(incoming, { maxBytes: LIMIT, budget });
+    incoming.push(Buffer.alloc(LIMIT));
+    incoming.push(Buffer.alloc(1));
+    expect(await sent.collected).to.deep.equal({ kind: 'too-large' });
+    expect(budget.used).to.equal(0);
+  });
+
+  it('is refused without room for it and leaves the room of others as it was', async () => {
+    const budget = createByteBudget(LIMIT);
+    const first = collectBody(receive(), { maxBytes: LIMIT, budget });
+    budget.reserve(LIMIT - 4096);
+    const incoming = receive();
+    const second = collectBody(incoming, { maxBytes: LIMIT, budget });
+    incoming.push(Buffer.alloc(4096));
+    incoming.push(Buffer.alloc(1));
+    expect(await second.collected).to.deep.equal({ kind: 'no-room' });
+    expect(budget.used).to.equal(LIMIT - 4096);
+    first.release();
+    expect(budget.used).to.equal(LIMIT - 4096);
+  });
+
+  it('returns its charge when the connection ends before the body', async () => {
+    const budget = createByteBudget(LIMIT);
+    const incoming = receive(5000);
+    const body = collectBody(incoming, { maxBytes: LIMIT, budget });
+    incoming.push(Buffer.alloc(100));
+    await nextTurn();
+    expect(budget.used).to.equal(5000);
+    incoming.destroy();
+    expect(await body.collected).to.deep.equal({ kind: 'aborted' });
+    expect(budget.used).to.equal(0);
+  });
+});
