--- a/src/callers/app.ts
+++ b/src/callers/app.ts
@@ -3,9 +3,11 @@
  * waits for the outcome or gets a receipt and polls the status. Open entries need no key.
  */
 import { Hono, type Context } from 'hono';
+import type { Result } from 'neverthrow';
 import { match } from 'ts-pattern';
 import { createRequestId, type Outcome, type WorkRequest } from '../model/index.js';
 import {
+  checkAccessBeforeBody,
   checkSubmission,
   authenticateCaller,
   tooLarge,
@@ -13,7 +15,13 @@
 } from './authorization.js';
 import type { CallerOptions } from './backend.js';
 import { createAttemptRefusal, createProblem, createRefusal, createUnknown } from './problem.js';
-import { parseRawSubmission, parseSubmission, readBody, type Submission } from './submission.js';
+import { withBody, type WithBodyOptions } from './body.js';
+import {
+  parseRawSubmission,
+  parseSubmission,
+  type MalformedSubmission,
+  type Submission,
+} from './submission.js';
 
 /** Allowance for the other members of the JSON form, such as entry, id and deadline. */
 const MAX_ENVELOPE_BYTES = 1024;
@@ -43,25 +51,37 @@
 }
 
 async function submitJson(options: CallerOptions, context: Context): Promise<Response> {
-  const limit = options.limits.maxBodyBytes + MAX_ENVELOPE_BYTES;
-  const body = await readBody(context.req.raw, limit);
-  if (body === undefined) return createRefusal(tooLarge(limit));
-  const submission = parseSubmission(body);
-  if (submission.isErr()) {
-    return createRefusal(submission.error.refused, undefined, submission.error.findings);
-  }
-  return submitWork(options, context, submission.value);
+  const denied = checkAccessBeforeBody(options, context, undefined);
+  if (denied !== undefined) return createAttemptRefusal(denied);
+  const maxBytes = options.limits.maxBodyBytes + MAX_ENVELOPE_BYTES;
+  return withBody(context, limitBody(options, maxBytes), async (body) =>
+    submitParsed(options, context, parseSubmission(body)),
+  );
 }
 
 async function submitRaw(options: CallerOptions, context: Context): Promise<Response> {
-  const body = await readBody(context.req.raw, options.limits.maxBodyBytes);
-  if (body === undefined) return createRefusal(tooLarge(options.limits.maxBodyBytes));
   const entry = context.req.param('entry') ?? '';
-  const submission = parseRawSubmission(entry, context.req.raw.headers, body);
-  if (submission.isErr()) {
-    return createRefusal(submission.error.refused, undefined, submission.error.findings);
+  const denied = checkAccessBeforeBody(options, context, entry);
+  if (denied !== undefined) {
+    return createAttemptRefusal(denied, context.req.header('request-id'));
   }
-  return submitWork(options, context, submission.value);
+  const { headers } = context.req.raw;
+  return withBody(context, limitBody(options, options.limits.maxBodyBytes), async (body) =>
+    submitParsed(options, context, parseRawSubmission(entry, headers, body)),
+  );
+}
+
+function limitBody({ bodies }: CallerOptions, maxBytes: number): WithBodyOptions {
+  return { maxBytes, limits: bodies, respondTooLarge: () => createRefusal(tooLarge(maxBytes)) };
+}
+
+async function submitParsed(
+  options: CallerOptions,
+  context: Context,
+  submission: Result<Submission, MalformedSubmission>,
+): Promise<Response> {
+  if (submission.isOk()) return submitWork(options, context, submission.value);
+  return createRefusal(submission.error.refused, undefined, submission.error.findings);
 }
 
 async function submitWork(
--- a/src/callers/authorization.ts
+++ b/src/callers/authorization.ts
@@ -52,6 +52,30 @@
   return checkRequestIdAge(submission.id, options.now(), limits) ?? { entry, team };
 }
 
+/**
+ * Checks what can be checked of a submission before its body is read: the entry, if it is known, and the key. Returns the
+ * refusal, which implies nothing about earlier attempts, because the id of the request may not be known.
+ */
+export function checkAccessBeforeBody(
+  { backend }: CallerOptions,
+  context: Context,
+  entryName: string | undefined,
+): RefusedOutcome | undefined {
+  const configuration = backend.configuration();
+  // A refusal for these reasons needs the id of the request, which the body may have.
+  if (configuration === undefined || !backend.keysCurrent()) return undefined;
+  const secret = readBearerToken(context);
+  if (entryName === undefined) {
+    if ([...configuration.entries.values()].some(({ open }) => open)) return undefined;
+    const key = authenticateSubmitter(backend, configuration, secret);
+    return 'kind' in key ? key : undefined;
+  }
+  const entry = configuration.entries.get(entryName);
+  if (entry === undefined) return undefined;
+  const team = authorize(backend, configuration, entry, secret);
+  return typeof team === 'string' ? undefined : team;
+}
+
 /** Returns the team that is charged for the work, or the refusal if the key does not allow it. */
 function authorize(
   backend: CallerBackend,
--- a/src/callers/backend.ts
+++ b/src/callers/backend.ts
@@ -8,6 +8,7 @@
   RequestStatus,
   WorkRequest,
 } from '../model/index.js';
+import type { BodyLimits } from './body.js';
 
 /** A submission is either accepted, with its outcome to follow, or has its outcome at once. */
 export type SubmissionResult =
@@ -42,5 +43,6 @@
 export interface CallerOptions {
   readonly backend: CallerBackend;
   readonly limits: CallerLimits;
+  readonly bodies: BodyLimits;
   readonly now: () => number;
 }
--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -5,4 +5,5 @@
 export { readBearerToken } from './authorization.js';
 export * from './backend.js';
 export { createProblem, REFUSAL_STATUS, UNKNOWN_STATUS } from './problem.js';
-export { readBody } from './submission.js';
+export { withBody } from './body.js';
+export type { BodyLimits } from './body.js';
--- a/src/callers/problem.ts
+++ b/src/callers/problem.ts
@@ -63,7 +63,7 @@
  * A refusal that was decided before the home host of the caller's id was asked, so it implies nothing
  * about earlier attempts with the same id.
  */
-export function createAttemptRefusal(refused: RefusedOutcome, id: string): Response {
+export function createAttemptRefusal(refused: RefusedOutcome, id?: string): Response {
   const title = 'This attempt was refused and did not run';
   return createRefusalProblem(refused, title, { id, scope: 'attempt' });
 }
--- a/src/callers/submission.ts
+++ b/src/callers/submission.ts
@@ -1,6 +1,5 @@
 /**
- * Reads and validates submissions. The body is read up to its size limit, and all validation errors
- * are reported together.
+ * Validates submissions. All validation errors are reported together.
  */
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
@@ -50,32 +49,6 @@
   wait: z.enum(['true', 'false'], 'send true or false').optional(),
 });
 
-/** Reads a body of at most `limit` bytes; returns undefined if it is longer. */
-export async function readBody(request: Request, limit: number): Promise<Uint8Array | undefined> {
-  const declared = request.headers.get('content-length');
-  if (declared !== null) return readBodyOfDeclaredLength(request, Number(declared), limit);
-  if (request.body === null) return new Uint8Array();
-  const chunks: Uint8Array[] = [];
-  let size = 0;
-  for await (const chunk of request.body as unknown as AsyncIterable<Uint8Array>) {
-    size += chunk.byteLength;
-    if (size > limit) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
-}
-
-/** The HTTP server ends a body at its declared length, so it can be read without a stream. */
-async function readBodyOfDeclaredLength(
-  request: Request,
-  declared: number,
-  limit: number,
-): Promise<Uint8Array | undefined> {
-  if (declared > limit) return undefined;
-  const body = await request.arrayBuffer();
-  return body.byteLength > limit ? undefined : new Uint8Array(body);
-}
-
 /** Parses the JSON form, in which the input is any JSON value inside the document. */
 export function parseSubmission(body: Uint8Array): Result<Submission, MalformedSubmission> {
   const document = parseJson(body);
--- a/src/client-limits/client-guard.ts
+++ b/src/client-limits/client-guard.ts
@@ -48,6 +48,8 @@
 /** Guard of the listener for links between hosts. */
 export interface LinkListenerGuard {
   watch(link: LinkGuardOptions): MessageGuard;
+  /** Counts the connection as a link that has identified itself; returns false if there are too many. */
+  establish(socket: Socket): boolean;
 }
 
 export interface ClientGuard {
@@ -133,6 +135,7 @@
       const { messageTimeoutMs } = limits;
       return {
         watch: (link) => guardMessages({ ...link, connections, budget, messageTimeoutMs }),
+        establish: (socket) => connections.establish(socket),
       };
     },
     close: () => {
--- a/src/client-limits/connection-guard.ts
+++ b/src/client-limits/connection-guard.ts
@@ -5,8 +5,10 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { Server as TlsServer } from 'node:tls';
 import type { ByteBudget } from './byte-budget.js';
 import type { LimitCause } from './limit-log.js';
+import { paceAccepts } from './paced-accepts.js';
 
 export interface ConnectionLimits {
   /** Connections without those that are established links. */
@@ -77,15 +79,18 @@
 ): ConnectionGuard {
   const { limits, budget, record, now = () => performance.now() } = options;
   const connections = new Map<Socket, Connection>();
+  const pace = paceAccepts();
   let established = 0;
 
-  server.on('connection', (socket: Socket) => {
+  // A TLS server reports the socket that its requests name after the TLS handshake, which has a timeout of its own.
+  server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', (socket: Socket) => {
     const connection = openConnection(socket, now());
     connections.set(socket, connection);
     socket.once('close', () => {
       forget(connection);
     });
     if (connections.size - established > limits.maxConnections) makeRoom(connection);
+    if (!socket.destroyed) pace(socket);
   });
 
   function forget(connection: Connection) {
--- a/src/client-limits/index.ts
+++ b/src/client-limits/index.ts
@@ -9,3 +9,4 @@
 export * from './limit-log.js';
 export * from './limits.js';
 export * from './message-guard.js';
+export * from './request-body.js';
--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -2,17 +2,19 @@
  * One entry host: its HTTP interface, its components and its lifecycle from start to graceful shutdown.
  */
 import { setMaxListeners } from 'node:events';
-import type { Server } from 'node:http';
+import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { promisify } from 'node:util';
-import { serve } from '@hono/node-server';
+import { getRequestListener, type HttpBindings } from '@hono/node-server';
 import { Hono } from 'hono';
-import { createCallerApp } from '../callers/index.js';
+import { createCallerApp, type BodyLimits } from '../callers/index.js';
+import type { ClientGuard } from '../client-limits/index.js';
 import type { Host } from '../model/index.js';
 import { createOperatorApp } from '../operators/index.js';
 import type { Settings } from '../settings/index.js';
 import { createCallerBackend } from './caller-backend.js';
+import { CALLERS, createEntryGuard } from './client-limits.js';
 import { createFaultApp } from './fault-app.js';
 import { createHostContext } from './host-context.js';
 import { startLoops } from './loops.js';
@@ -44,20 +46,23 @@
 
 /** Starts an entry host; it serves once the promise resolves. */
 export async function startEntryHost(settings: Settings): Promise<EntryHost> {
-  const httpInterface: { app?: Hono } = {};
+  const started: { app?: Hono; components?: HostComponents } = {};
+  const guard = createEntryGuard(settings, () => started.components?.metrics);
   const server = await listen(
     settings,
-    (request) =>
-      httpInterface.app?.fetch(request) ?? new Response(null, { status: STARTING_STATUS }),
+    guard,
+    (request, bindings) =>
+      started.app?.fetch(request, bindings) ?? new Response(null, { status: STARTING_STATUS }),
   );
   const { port } = server.address() as AddressInfo;
-  const components = createHostComponents(await createHostContext(settings, port));
+  const components = createHostComponents(await createHostContext(settings, port, guard));
+  started.components = components;
   const stopLoops = new AbortController();
   // Every loop and every waiting task listens to these signals, so the number of listeners is unbounded.
   setMaxListeners(0, stopLoops.signal, components.abort.signal);
   registerPeerHandlers(components);
   startLoops(components, stopLoops.signal);
-  httpInterface.app = createApp(components);
+  started.app = createApp(components, limitBodies(guard));
   components.log.info('Serves.', {
     url: components.host.url,
     link: components.host.linkUrl,
@@ -67,6 +72,7 @@
     components.abort.abort();
     stopLoops.abort();
     components.dispatcher.close();
+    guard.close();
     server.closeAllConnections();
     server.close();
     await Promise.all([
@@ -87,20 +93,38 @@
   };
 }
 
+function limitBodies(guard: ClientGuard): BodyLimits {
+  return {
+    budget: guard.budget,
+    maxSmallChunks: guard.maxSmallChunks,
+    record: (cause) => {
+      guard.record(CALLERS, cause);
+    },
+  };
+}
+
 async function listen(
-  { listen: { address, port } }: Settings,
-  fetch: (request: Request) => Response | Promise<Response>,
+  { listen: { address, port }, limits }: Settings,
+  guard: ClientGuard,
+  fetch: (request: Request, bindings: HttpBindings) => Response | Promise<Response>,
 ): Promise<Server> {
+  const handle = getRequestListener((request, bindings) =>
+    fetch(request, bindings as HttpBindings),
+  );
+  const server = createServer((request, response) => {
+    if (connections.admit(request, response)) void handle(request, response);
+  });
+  const connections = guard.protect(server, CALLERS, limits.callerConnections);
+  server.keepAliveTimeout = KEEP_ALIVE_MS;
   return new Promise((resolve, reject) => {
-    const server = serve({ fetch, hostname: address, port }, () => {
-      resolve(server as Server);
-    });
-    (server as Server).keepAliveTimeout = KEEP_ALIVE_MS;
     server.once('error', reject);
+    server.listen(port, address, () => {
+      resolve(server);
+    });
   });
 }
 
-function createApp(components: HostComponents): Hono {
+function createApp(components: HostComponents, bodies: BodyLimits): Hono {
   const app = new Hono();
   const { settings, now } = components;
   app.use(async (context, next) => {
@@ -113,11 +137,12 @@
     '/',
     createOperatorApp({
       backend: createOperatorBackend(components),
+      bodies,
       bootstrapKeyHash: settings.operators.bootstrapKeyHash,
     }),
   );
   const backend = createCallerBackend(components);
-  app.route('/', createCallerApp({ backend, limits: settings.limits, now }));
+  app.route('/', createCallerApp({ backend, limits: settings.limits, bodies, now }));
   return app;
 }
 
--- a/src/entry/host-context.ts
+++ b/src/entry/host-context.ts
@@ -4,6 +4,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
+import type { ClientGuard } from '../client-limits/index.js';
 import { compileConfiguration } from '../catalogue/index.js';
 import { createConfigurationHolder, type ConfigurationHolder } from '../configuration/index.js';
 import { createMembership, type TimedMembership } from '../hosts/index.js';
@@ -50,6 +51,7 @@
 export async function createHostContext(
   settings: Settings,
   httpPort: number,
+  guard: ClientGuard,
 ): Promise<HostContext> {
   const now = Date.now;
   const monotonicNow = () => performance.now();
@@ -59,7 +61,13 @@
   const timeline = createTimeline({ host: settings.host.id, bootId, now });
   const headers = { [DATA_CENTRE_HEADER]: settings.host.dataCentre };
   const store = createStore({ url: settings.store, headers });
-  const links = await openLinks(settings, { bootId, log: logFor('links'), timeline, faults });
+  const links = await openLinks(settings, {
+    bootId,
+    log: logFor('links'),
+    timeline,
+    faults,
+    guard,
+  });
   const host = describeHost(settings, httpPort, links.port);
   const membership = createMembership({
     host,
@@ -107,6 +115,7 @@
   readonly log: Log;
   readonly timeline: Timeline;
   readonly faults: LinkFaultInjector;
+  readonly guard: ClientGuard;
 }
 
 async function openLinks(
@@ -121,6 +130,7 @@
     listen: { address, port },
     log: dependencies.log,
     clock: dependencies.timeline.clock,
+    protect: (server) => dependencies.guard.protectLinks(server),
     ...(settings.faultInjection && { filter: dependencies.faults.filterLink }),
     ...(tls !== undefined && { tls: await readTls(tls) }),
   });
--- a/src/links/links.ts
+++ b/src/links/links.ts
@@ -89,6 +89,7 @@
     port: options.listen.port,
     tls: options.tls,
     handshakeTimeoutMs: context.timing.handshakeTimeoutMs,
+    protect: options.protect,
     log: options.log,
     isBlocked: (host) => isBlocked(context, host),
     acceptsLink: registry.acceptsLink,
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -8,6 +8,7 @@
 import type { Duplex } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
 import { WebSocketServer, type WebSocket } from 'ws';
+import type { LinkListenerGuard } from '../client-limits/index.js';
 import type { Log } from '../log/index.js';
 import type { AuthenticatedSocket } from './connection.js';
 import {
@@ -31,6 +32,7 @@
   readonly port: number;
   readonly tls: LinkTls | undefined;
   readonly handshakeTimeoutMs: number;
+  readonly protect: ((server: Server) => LinkListenerGuard) | undefined;
   readonly log: Log;
   /** Whether a test hook blocks links with the host. */
   readonly isBlocked: (host: string) => boolean;
@@ -48,6 +50,7 @@
 
 export async function createListener(options: ListenerOptions): Promise<Listener> {
   const server = createHttpServer(options.tls, options.handshakeTimeoutMs);
+  const guard = options.protect?.(server);
   const handshakeRequests = new WeakMap<IncomingMessage, HandshakeRequest>();
   const upgrades = new WebSocketServer({
     noServer: true,
@@ -66,6 +69,7 @@
       rejectUpgrade(options.log, request, stream, checked.error);
       return;
     }
+    if (guard?.establish(request.socket) === false) return;
     handshakeRequests.set(request, checked.value);
     upgrades.handleUpgrade(request, stream, head, (socket: WebSocket) => {
       const { host, bootId } = checked.value;
@@ -91,6 +95,7 @@
     headersTimeout: handshakeTimeoutMs,
     requestTimeout: handshakeTimeoutMs,
     connectionsCheckingInterval: handshakeTimeoutMs,
+    handshakeTimeout: handshakeTimeoutMs,
   };
   const server = tls
     ? createSecureServer({ ...limits, ...tls, requestCert: true, rejectUnauthorized: true })
--- a/src/links/types.ts
+++ b/src/links/types.ts
@@ -2,7 +2,9 @@
  * The interface of the links between entry hosts, which carry requests with replies and notifications
  * without.
  */
+import type { Server } from 'node:http';
 import type { ResultAsync } from 'neverthrow';
+import type { LinkListenerGuard } from '../client-limits/index.js';
 import type { Log } from '../log/index.js';
 import type { Host } from '../model/index.js';
 import type { HybridClock } from '../timeline/index.js';
@@ -104,6 +106,8 @@
   /** The clock of this process's timeline; messages are stamped with its time. */
   readonly clock?: HybridClock;
   readonly filter?: LinkFilter;
+  /** Limits connections that have not proved who they are; without it they are not limited. */
+  readonly protect?: (server: Server) => LinkListenerGuard;
   readonly random?: () => number;
   readonly timing?: Partial<LinkTiming>;
 }
--- a/src/operators/app.ts
+++ b/src/operators/app.ts
@@ -5,6 +5,7 @@
 import { Hono } from 'hono';
 import { createMiddleware } from 'hono/factory';
 import { readBearerToken, createProblem } from '../callers/index.js';
+import type { BodyLimits } from '../callers/index.js';
 import { authorizeOperator } from './authorize.js';
 import type { OperatorBackend } from './backend.js';
 import { putConfiguration } from './change.js';
@@ -12,6 +13,7 @@
 
 export interface OperatorAppOptions {
   readonly backend: OperatorBackend;
+  readonly bodies: BodyLimits;
   /** Hash of an operator key that is accepted while no operator key is in force. */
   readonly bootstrapKeyHash?: string | undefined;
 }
@@ -33,7 +35,7 @@
     return context.json({ revision, changeId, text });
   });
   app.put(`${BASE_PATH}/configuration`, async (context) =>
-    putConfiguration(backend, context.req.raw, context.get('operator')),
+    putConfiguration(backend, context, options.bodies, context.get('operator')),
   );
   app.get(`${BASE_PATH}/rollout`, async (context) => {
     const revision = parseNonNegativeInteger(context.req.query('revision'));
--- a/src/operators/change.ts
+++ b/src/operators/change.ts
@@ -4,7 +4,9 @@
 import { err, ok, type Result } from 'neverthrow';
 import { match } from 'ts-pattern';
 import { z } from 'zod';
-import { createProblem, readBody } from '../callers/index.js';
+import { createProblem, withBody } from '../callers/index.js';
+import type { BodyLimits } from '../callers/index.js';
+import type { BodySource } from '../client-limits/index.js';
 import type { ChangeError, ConfigurationChange, OperatorBackend } from './backend.js';
 
 /**
@@ -24,27 +26,39 @@
 /** Applies the change in the request and returns the response for its result. */
 export async function putConfiguration(
   backend: OperatorBackend,
-  request: Request,
+  source: BodySource,
+  limits: BodyLimits,
   operator: string,
 ): Promise<Response> {
-  const change = parseChange(await readBody(request, MAX_BODY_BYTES));
-  if (change.isErr()) return change.error;
+  return withBody(
+    source,
+    { maxBytes: MAX_BODY_BYTES, limits, respondTooLarge },
+    async (body): Promise<Response> => {
+      const change = parseChange(body);
+      return change.isErr() ? change.error : applyChange(backend, { ...change.value, operator });
+    },
+  );
+}
+
+async function applyChange(
+  backend: OperatorBackend,
+  change: ConfigurationChange,
+): Promise<Response> {
   // A host that has not read the configuration cannot tell whether the bootstrap key is still accepted.
-  if (backend.configuration() === undefined && change.value.baseRevision !== 0) {
+  if (backend.configuration() === undefined && change.baseRevision !== 0) {
     const detail = 'This host has no configuration yet; try another host or try again.';
     return createErrorResponse({ kind: 'unavailable', detail });
   }
-  const applied = await backend.apply({ ...change.value, operator });
+  const applied = await backend.apply(change);
   return applied.match((value) => Response.json(value), createErrorResponse);
 }
 
-function parseChange(
-  body: Uint8Array | undefined,
-): Result<Omit<ConfigurationChange, 'operator'>, Response> {
-  if (body === undefined) {
-    const detail = `The configuration is larger than the store accepts (${String(MAX_BODY_BYTES)} bytes); shorten it.`;
-    return err(createProblem({ status: 413, title: 'The configuration is too large', detail }));
-  }
+function respondTooLarge(): Response {
+  const detail = `The configuration is larger than the store accepts (${String(MAX_BODY_BYTES)} bytes); shorten it.`;
+  return createProblem({ status: 413, title: 'The configuration is too large', detail });
+}
+
+function parseChange(body: Uint8Array): Result<Omit<ConfigurationChange, 'operator'>, Response> {
   const parsed = changeSchema.safeParse(parseJson(body));
   if (parsed.success) return ok(parsed.data);
   const findings = parsed.error.issues.map(({ path, message }) => ({
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -72,10 +72,25 @@
   maxWaitBoostMs: wholeNumber('milliseconds', 0).default(60_000),
 });
 
+const count = (what: string) => wholeNumber(what, 1);
+
 const limitsSchema = mapping({
   maxBodyBytes: wholeNumber('bytes', 1).default(1024 * 1024),
   maxIdAgeMs: milliseconds.default(600_000),
   maxClockSkewMs: wholeNumber('milliseconds', 0).default(5000),
+  // 256 bodies of a quarter of the largest size, which is what callers usually send at most.
+  bufferBytes: wholeNumber('bytes', 1).default(64 * 1024 * 1024),
+  // What is left of the usual 1024 descriptors without those for links, workers, the store and files.
+  callerConnections: count('connections').default(600),
+  // All other hosts connect within a second after a start and prove at once who they are.
+  unidentifiedLinks: count('connections').default(64),
+  pipelinedRequests: count('requests').default(8),
+  smallChunks: count('chunks').default(8192),
+  headerTimeoutMs: milliseconds.default(3000),
+  bodyTimeoutMs: milliseconds.default(10_000),
+  responseTimeoutMs: milliseconds.default(10_000),
+  // Longer than callers keep idle connections, so that the caller closes first.
+  idleTimeoutMs: milliseconds.default(60_000),
 });
 
 const operatorsSchema = mapping({
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -55,6 +55,19 @@
   readonly maxBodyBytes: number;
   readonly maxIdAgeMs: number;
   readonly maxClockSkewMs: number;
+  /** Bytes of unfinished bodies, bodies in progress and unread responses of all clients. */
+  readonly bufferBytes: number;
+  readonly callerConnections: number;
+  /** Connections to the port for links that have not proved who they are. */
+  readonly unidentifiedLinks: number;
+  /** Requests on one connection whose responses are outstanding. */
+  readonly pipelinedRequests: number;
+  /** Chunks of less than 32 bytes in one body. */
+  readonly smallChunks: number;
+  readonly headerTimeoutMs: number;
+  readonly bodyTimeoutMs: number;
+  readonly responseTimeoutMs: number;
+  readonly idleTimeoutMs: number;
 }
 
 /** The settings of one entry host. */
--- a/test/callers/app.test.ts
+++ b/test/callers/app.test.ts
@@ -7,6 +7,7 @@
   type CallerBackend,
 } from '../../src/callers/index.js';
 import { compileConfiguration, hashSecret } from '../../src/catalogue/index.js';
+import { UNLIMITED_BODIES } from '../support.js';
 import {
   refuse,
   unknownOutcome,
@@ -52,7 +53,7 @@
     ...overrides,
   };
   const limits = { maxBodyBytes: 128, maxIdAgeMs: 600_000, maxClockSkewMs: 5000 };
-  const app = createCallerApp({ backend, limits, now: () => NOW });
+  const app = createCallerApp({ backend, limits, bodies: UNLIMITED_BODIES, now: () => NOW });
   const post = (body: unknown, key?: string) =>
     app.request('/v1/requests', {
       method: 'POST',
--- a/test/cli/harness.ts
+++ b/test/cli/harness.ts
@@ -10,6 +10,7 @@
 import { Hono, type MiddlewareHandler } from 'hono';
 import { createOperatorApp, type OperatorBackend } from '../../src/operators/index.js';
 import { OPERATOR_SECRET } from '../operators/fake-backend.js';
+import { UNLIMITED_BODIES } from '../support.js';
 
 const CLI_PATH = 'dist/src/bin/sapphirewing.js';
 
@@ -51,7 +52,7 @@
     startHost: (backend, intercept) => {
       const app = new Hono<{ Bindings: HttpBindings }>();
       if (intercept !== undefined) app.use(intercept);
-      app.route('/', createOperatorApp({ backend }));
+      app.route('/', createOperatorApp({ backend, bodies: UNLIMITED_BODIES }));
       return listen(app.fetch);
     },
     run: (args, hosts = [], key = OPERATOR_SECRET) =>
--- a/test/operators/app.test.ts
+++ b/test/operators/app.test.ts
@@ -2,6 +2,7 @@
 import { errAsync } from 'neverthrow';
 import { hashSecret } from '../../src/catalogue/index.js';
 import { createOperatorApp, type ChangeError } from '../../src/operators/index.js';
+import { UNLIMITED_BODIES } from '../support.js';
 import {
   createFakeBackend,
   OPERATOR_SECRET,
@@ -12,7 +13,11 @@
 const BOOTSTRAP = 'bootstrap-secret';
 
 function call(backend = createFakeBackend(), secret?: string) {
-  const app = createOperatorApp({ backend, bootstrapKeyHash: hashSecret(BOOTSTRAP) });
+  const app = createOperatorApp({
+    backend,
+    bodies: UNLIMITED_BODIES,
+    bootstrapKeyHash: hashSecret(BOOTSTRAP),
+  });
   const headers: Record<string, string> =
     secret === undefined ? {} : { authorization: `Bearer ${secret}` };
   return async (method: string, path: string, body?: unknown) => {
--- a/test/settings/settings.test.ts
+++ b/test/settings/settings.test.ts
@@ -30,6 +30,15 @@
       maxBodyBytes: 1_048_576,
       maxIdAgeMs: 600_000,
       maxClockSkewMs: 5000,
+      bufferBytes: 67_108_864,
+      callerConnections: 600,
+      unidentifiedLinks: 64,
+      pipelinedRequests: 8,
+      smallChunks: 8192,
+      headerTimeoutMs: 3000,
+      bodyTimeoutMs: 10_000,
+      responseTimeoutMs: 10_000,
+      idleTimeoutMs: 60_000,
     });
     expect(settings.scheduling.urgentShare).to.equal(0.9);
     expect([settings.metrics, settings.peers, settings.links.address]).to.deep.equal([
--- a/test/support.ts
+++ b/test/support.ts
@@ -5,6 +5,15 @@
 import { once } from 'node:events';
 import { createServer, type RequestListener } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import type { BodyLimits } from '../src/callers/index.js';
+import { createByteBudget } from '../src/client-limits/index.js';
+
+/** Limits for bodies that no test meets, for applications that are called without a connection. */
+export const UNLIMITED_BODIES: BodyLimits = {
+  budget: createByteBudget(Infinity),
+  maxSmallChunks: Infinity,
+  record: () => undefined,
+};
 
 type ReleaseFunction = () => Promise<unknown>;
 
