--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -2,6 +2,7 @@
  * Host of a cell on the platform: serves callers, takes part in elections and leads when elected. The clients of
  * the store, the workers and the advice service are passed in, so that nothing here depends on their protocols.
  */
+import { createAdmission } from '../admission/index.js';
 import type { WorkerConnection } from '../fleet/index.js';
 import type { Job, WorkerIncarnation } from '../jobs/index.js';
 import type { Controller, FleetSource, SeenRecord } from '../controller/index.js';
@@ -9,7 +10,6 @@
 import type { CallerService } from '../intake/index.js';
 import {
   answerRelayedCall,
-  createAdmission,
   createCallerService,
   createConfigurationFeed,
   createJobReader,
--- a/src/controller/cell.ts
+++ b/src/controller/cell.ts
@@ -10,14 +10,15 @@
   StepProgress,
 } from '../jobs/index.js';
 import {
-  estimateCriticalPathMs,
   estimateJobBytes,
+  estimateObjectiveMs,
   estimateOccurrenceBytes,
   formatStepName,
   hasBegun,
   isFinal,
   isStepDone,
   isStepReady,
+  USEFUL_LATENESS_FACTOR,
 } from '../jobs/index.js';
 import { addTasks, NO_RESOURCES } from '../model/index.js';
 import type { Resources } from '../model/index.js';
@@ -151,9 +152,6 @@
   };
 }
 
-/** A late result is still useful to callers up to this multiple of the objective. */
-const USEFUL_LATENESS_FACTOR = 3;
-
 /** Terms of jobs whose queue is not configured and whose records hold none. */
 const DEFAULT_TERMS: QueueTerms = {
   priority: 1,
@@ -177,8 +175,7 @@
 }): JobEntry {
   const { progress, queue, beyondShare } = options;
   const { job } = progress;
-  const { stretch, targetLatencyMs } = termsOf(job, queue);
-  const objectiveMs = stretch * estimateCriticalPathMs(job.steps) + targetLatencyMs;
+  const objectiveMs = estimateObjectiveMs(job.steps, termsOf(job, queue));
   return {
     progress,
     beyondShare,
--- a/src/intake/caller-service.ts
+++ b/src/intake/caller-service.ts
@@ -11,7 +11,7 @@
 import type { ConfigurationHolder, ActiveConfiguration, Queue } from '../queues/index.js';
 import { findQueue, findTeamByKey } from '../queues/index.js';
 import type { StoreEntry, KeyValueStore } from '../records/index.js';
-import type { Admission } from './admission.js';
+import type { Admission } from '../admission/index.js';
 import { cancelJob } from './cancellations.js';
 import type { CancellationOutcome } from './cancellations.js';
 import type { JobReader } from './job-reader.js';
--- a/src/intake/index.ts
+++ b/src/intake/index.ts
@@ -1,7 +1,6 @@
 /**
  * The service that every host offers to callers: submit jobs, cancel them and query their state.
  */
-export * from './admission.js';
 export * from './cancellations.js';
 export * from './job-reader.js';
 export * from './submissions.js';
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -91,6 +91,17 @@
   return ends.reduce((latest, end) => Math.max(latest, end), 0);
 }
 
+/** A late result is still useful to callers up to this multiple of the objective. */
+export const USEFUL_LATENESS_FACTOR = 3;
+
+/** Milliseconds from acceptance within which a job has to end to meet its objective. */
+export function estimateObjectiveMs(
+  steps: readonly Step[],
+  { stretch, targetLatencyMs }: Pick<QueueTerms, 'stretch' | 'targetLatencyMs'>,
+): number {
+  return stretch * estimateCriticalPathMs(steps) + targetLatencyMs;
+}
+
 /** Whether each `after` names an earlier step, which rules out dependency cycles. */
 export function hasValidDependencies(steps: readonly Step[]): boolean {
   return steps.every((step, index) =>
--- a/src/planner/index.ts
+++ b/src/planner/index.ts
@@ -4,5 +4,5 @@
 export * from './candidates.js';
 export * from './order.js';
 export * from './plan.js';
-export { countAtLeast } from './pool.js';
+export { countAtLeast, slotsIn } from './pool.js';
 export * from './worker-health.js';
--- a/src/planner/order.ts
+++ b/src/planner/order.ts
@@ -7,31 +7,43 @@
 import type { WaitingStep } from './candidates.js';
 
 /** Time left until the job must start in order to be on time; negative if it is late. */
-export function slackMs(step: WaitingStep, nowMs: number): number {
+export function slackMs(
+  step: Pick<WaitingStep, 'objectiveAtMs' | 'remainingMs'>,
+  nowMs: number,
+): number {
   return step.objectiveAtMs - nowMs - step.remainingMs;
 }
 
 /** Estimates are rough, so a job counts as late only if it would miss its objective by more than this. */
-const LATE_TOLERANCE_MS = 250;
+export const LATE_TOLERANCE_MS = 250;
 
-export function isLate(step: WaitingStep, nowMs: number): boolean {
+type Timing = Pick<WaitingStep, 'objectiveAtMs' | 'uselessAtMs' | 'remainingMs'>;
+
+export function isLate(step: Timing, nowMs: number): boolean {
   return slackMs(step, nowMs) < -LATE_TOLERANCE_MS;
 }
 
 /** 0: can be on time; 1: late, but the result is still of use; 2: the result is of no use any more. */
-function lateness(step: WaitingStep, nowMs: number): number {
+function lateness(step: Timing, nowMs: number): number {
   if (nowMs + step.remainingMs > step.uselessAtMs) return 2;
   return isLate(step, nowMs) ? 1 : 0;
 }
 
+/** Rank of steps beyond their team's share that can be on time. */
+export const BEYOND_RANK = 3;
+
+/** Lateness of a step within its team's share, and above that beyond it; steps of a lower rank get workers first. */
+export function rankOf(step: Timing & Pick<WaitingStep, 'beyondShare'>, nowMs: number): number {
+  return (step.beyondShare ? BEYOND_RANK : 0) + lateness(step, nowMs);
+}
+
 /** Returns the steps in the order in which they get workers. */
 export function orderSteps(steps: readonly WaitingStep[], nowMs: number): WaitingStep[] {
-  const rank = (step: WaitingStep) => (step.beyondShare ? 3 : 0) + lateness(step, nowMs);
   const urgency = (step: WaitingStep) => (step.priority === 0 ? 0 : 1);
   return steps
     .map((step) => ({
       step,
-      rank: rank(step),
+      rank: rankOf(step, nowMs),
       urgency: urgency(step),
       slack: slackMs(step, nowMs),
     }))
