Publish expected waits and refuse jobs that would end too late

Cause: hosts accepted urgent jobs in a burst that ended after their result was of use, although the leader could tell.

A job that was accepted before is not refused, relayed calls are answered from the same record, and Retry-After follows the backlog. Refusals are counted by queue and reason, the expected wait is a gauge, and both sides log their decision.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -2,7 +2,12 @@
  * Host of a cell on the platform: serves callers, takes part in elections and leads when elected. The clients of
  * the store, the workers and the advice service are passed in, so that nothing here depends on their protocols.
  */
-import { createAdmission } from '../admission/index.js';
+import {
+  createAdmission,
+  createWaitGate,
+  decodeWaits,
+  EXPECTED_WAIT_KEY,
+} from '../admission/index.js';
 import type { WorkerConnection } from '../fleet/index.js';
 import type { Job, WorkerIncarnation } from '../jobs/index.js';
 import type { Controller, FleetSource, SeenRecord } from '../controller/index.js';
@@ -96,6 +101,7 @@
   });
   const reader = createJobReader({ store, events });
   const admission = createAdmission();
+  const waits = createWaitGate();
   const local = createCallerService({
     host,
     store,
@@ -115,8 +121,10 @@
       onCommitted: handleCommitted,
     }),
     admission,
+    waits,
     reader,
     events,
+    meters,
   });
   const hub = createPeerHub({ ip, port: options.peerPort, events });
   const link = createLeaderLink({
@@ -257,11 +265,14 @@
       election.observe(entries);
       const openWork = entries.find(({ key }) => key === OPEN_WORK_KEY);
       admission.update(decodeOpenWork(openWork?.value));
+      const expectedWait = entries.find(({ key }) => key === EXPECTED_WAIT_KEY);
+      waits.update(decodeWaits(expectedWait?.value), expectedWait?.revision ?? 0);
       noteSilentWorkers(entries.find(({ key }) => key === SILENT_WORKERS_KEY)?.revision);
     },
     onChange: ({ key, value, revision }) => {
       if (key === SILENT_WORKERS_KEY) noteSilentWorkers(revision);
       if (key === OPEN_WORK_KEY) admission.update(decodeOpenWork(value));
+      if (key === EXPECTED_WAIT_KEY) waits.update(decodeWaits(value), revision);
       if (value === undefined) election.observeRemoval(key);
       else election.observe([{ key, value, revision }]);
     },
--- a/src/controller/cell.ts
+++ b/src/controller/cell.ts
@@ -72,6 +72,7 @@
   readonly now: () => number;
   /** Called when a step needs no further runs: it is done or its job has ended. */
   readonly onStepSettled: (key: string) => void;
+  readonly onAdded?: (entry: JobEntry) => void;
 }
 
 export function createCell(options: CellOptions): Cell {
@@ -122,6 +123,7 @@
       jobs.set(entry.progress.job.id, entry);
       if (entry.progress.job.schedule !== undefined) scheduled.add(entry);
       refresh(entry);
+      options.onAdded?.(entry);
     },
     remove: (job) => {
       const entry = jobs.get(job);
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -36,6 +36,7 @@
 import { createSilentWorkers } from './silent-workers.js';
 import { createShareMeter } from './share-meter.js';
 import { awaitStoppingRuns } from './stopping-runs.js';
+import { createWaitPublisher } from './wait-publisher.js';
 import { createWorkerSession, LEASE_MS } from './worker-session.js';
 import type { WorkerSession } from './worker-session-types.js';
 
@@ -83,6 +84,23 @@
     onStepSettled: (key) => {
       permits.forget(key);
     },
+    onAdded: (entry) => {
+      waits.noteJob(entry);
+    },
+  });
+  const share = createShareMeter({ now });
+  const waits = createWaitPublisher({
+    store,
+    epoch: term.epoch,
+    cell,
+    sessions: () => sessions,
+    share,
+    configuration: () => configuration.current?.configuration,
+    condition: () => condition,
+    active: () => feed.restored && !closed,
+    hosts: () => options.callers().length,
+    events,
+    meters,
   });
   const log = createProgressLog({
     store,
@@ -153,6 +171,9 @@
     renewedAt: options.renewedAt,
     orderWindow,
     fleetAgeMs,
+    onRound: (round) => {
+      waits.noteRound(round);
+    },
   });
 
   function requestPlan() {
@@ -191,6 +212,7 @@
       inheritedLeaseUntil: () =>
         silentWorkers.leaseEndOf(worker.incarnation) ?? startedAt + MAX_INHERITED_LEASE_MS,
       onEnd: (session, run, end, checkpoint) => {
+        waits.noteEnd(run, end);
         if (!closed) return lifecycle.applyEnd(run, end, checkpoint);
         formerLeader?.noteEnd(session, run, end, checkpoint);
         return Promise.resolve(false);
@@ -279,7 +301,7 @@
     sessions,
     lifecycle,
     log,
-    share: createShareMeter({ now }),
+    share,
     savedProgress,
     finishedJobs,
     configuration: () => configuration.current?.configuration,
@@ -384,6 +406,7 @@
     dispatcher.stop();
     clearInterval(silentWorkersTimer);
     housekeeping.close();
+    waits.close();
     feed.stop();
     log.close();
   }
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -23,6 +23,7 @@
 import { pauseAfterRound } from './round-pace.js';
 import { createRun, stepNameOf } from './run.js';
 import type { Run } from './run.js';
+import type { PlannedRound } from './wait-publisher.js';
 import type { WorkerSession } from './worker-session-types.js';
 
 /** Interval of planning rounds without any change, because slack and the validity of tickets depend on time. */
@@ -57,6 +58,8 @@
   readonly orderWindow: OrderWindow;
   /** Age in milliseconds of what this leader knows of the workers. */
   readonly fleetAgeMs: () => number;
+  /** Called after each round with its steps, in order, and what kept them from being placed. */
+  readonly onRound?: (round: PlannedRound) => void;
 }
 
 interface Round {
@@ -127,6 +130,7 @@
     // Permits are requested all the same, so that placement can continue as soon as the workers are known again.
     if (options.orderWindow.allowsPlacement) orderPlacements(placements, round);
     requestPermits(steps, round, barriers);
+    options.onRound?.({ steps, barriers });
     const tookMs = performance.now() - startedAt;
     meters.planSeconds.observe(tookMs / 1000);
     effort = { rounds: effort.rounds + 1, tookMs: effort.tookMs + tookMs };
--- a/src/intake/caller-service.ts
+++ b/src/intake/caller-service.ts
@@ -5,13 +5,13 @@
  */
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import type { Admission, WaitGate } from '../admission/index.js';
 import type { Job, JobState, QueueTerms } from '../jobs/index.js';
 import { estimateJobBytes, estimateOccurrenceBytes, isFinal } from '../jobs/index.js';
-import type { EventLog } from '../observability/index.js';
+import type { EventFields, EventLog, Meters } from '../observability/index.js';
 import type { ConfigurationHolder, ActiveConfiguration, Queue } from '../queues/index.js';
 import { findQueue, findTeamByKey } from '../queues/index.js';
 import type { StoreEntry, KeyValueStore } from '../records/index.js';
-import type { Admission } from '../admission/index.js';
 import { cancelJob } from './cancellations.js';
 import type { CancellationOutcome } from './cancellations.js';
 import type { JobReader } from './job-reader.js';
@@ -84,8 +84,19 @@
   readonly refreshConfiguration: () => Promise<void>;
   readonly submissions: SubmissionBatcher;
   readonly admission: Admission;
+  /** Decides by the wait that a new job has to expect. */
+  readonly waits: WaitGate;
   readonly reader: JobReader;
   readonly events: EventLog;
+  readonly meters: Pick<Meters, 'admissionRefusals'>;
+}
+
+/** A refusal at admission; `label` names its reason in the metrics, and `fields` are those of its log line. */
+interface Refusal {
+  readonly label: string;
+  readonly reason: string;
+  readonly retryAfterS: number;
+  readonly fields: EventFields;
 }
 
 function termsOf({ priority, maxAttempts, stretch, targetLatencyMs, advice }: Queue): QueueTerms {
@@ -94,7 +105,8 @@
 }
 
 export function createCallerService(options: CallerServiceOptions): CallerService {
-  const { store, configuration, submissions, admission, reader, isStoreLost, events } = options;
+  const { store, configuration, submissions, admission, waits, reader, events } = options;
+  const { isStoreLost } = options;
 
   function checkAccess(caller: Caller): Result<Access, DenialReason> {
     const inForce = configuration.current;
@@ -146,8 +158,9 @@
     for (let attempt = 0; attempt < MAX_AUTHORIZATION_ATTEMPTS; attempt += 1) {
       const authorized = await authorize(caller);
       if (authorized.isErr()) return { kind: 'denied', denial: authorized.error };
-      if (!admission.hasRoom(bytes)) return answerWithoutRoom(work.id, bytes);
       const { queue, team, inForce } = authorized.value;
+      const refusal = findRefusal(work, bytes, authorized.value);
+      if (refusal !== undefined) return refuseUnlessKnown(work.id, queue.name, refusal);
       const job: Job = {
         ...work,
         team,
@@ -164,7 +177,10 @@
         else await options.refreshConfiguration();
         continue;
       }
-      if (outcome.kind === 'accepted') admission.recordAccepted(bytes);
+      if (outcome.kind === 'accepted') {
+        admission.recordAccepted(bytes);
+        waits.recordAccepted(team);
+      }
       events.info('job-submitted', {
         job: job.id,
         outcome: outcome.kind,
@@ -179,14 +195,51 @@
     return { kind: 'refused', reason: 'the configuration keeps changing' };
   }
 
+  /** Why a job is not accepted now, although its caller may submit it. */
+  function findRefusal(
+    work: JobSubmission,
+    bytes: number,
+    { queue, team }: Access,
+  ): Refusal | undefined {
+    if (!admission.hasRoom(bytes)) {
+      const reason = 'the cell holds as much open work as it can';
+      return { label: 'open-work', reason, retryAfterS: FULL_RETRY_AFTER_S, fields: { bytes } };
+    }
+    const { stretch, targetLatencyMs } = queue;
+    const late = waits.judge({
+      queue: queue.name,
+      team,
+      steps: work.steps,
+      stretch,
+      targetLatencyMs,
+      scheduled: work.schedule !== undefined,
+    });
+    if (late === undefined) return undefined;
+    const { reason: label, retryAfterS, ...measured } = late;
+    const reason = 'the job would end too late to be of use';
+    const fields = { team, beyondShare: label === 'too-late-beyond-share', ...measured };
+    return { label, reason, retryAfterS, fields };
+  }
+
   /** A job that was accepted before, at this host or at another one, is not refused when it is sent again. */
-  async function answerWithoutRoom(id: string, bytes: number): Promise<SubmitAnswer> {
+  async function refuseUnlessKnown(
+    id: string,
+    queue: string,
+    { label, reason, retryAfterS, fields }: Refusal,
+  ): Promise<SubmitAnswer> {
     const known = await reader.state(id);
     if (known.isErr()) return { kind: 'unknown' };
     if (known.value !== undefined) return { kind: 'accepted' };
-    const reason = 'the cell holds as much open work as it can';
-    events.info('job-submitted', { job: id, outcome: 'refused', reason, bytes });
-    return { kind: 'refused', reason, retryAfterS: FULL_RETRY_AFTER_S };
+    options.meters.admissionRefusals.inc({ queue, reason: label });
+    events.info('job-submitted', {
+      job: id,
+      outcome: 'refused',
+      reason,
+      queue,
+      ...fields,
+      retryAfterS,
+    });
+    return { kind: 'refused', reason, retryAfterS };
   }
 
   return {
--- a/src/intake/relay.ts
+++ b/src/intake/relay.ts
@@ -99,7 +99,7 @@
     submit: async (caller, work, deadlineAt) => {
       const answer = await local.submit(caller, work, deadlineAt);
       if (answer.kind === 'accepted' || answer.kind === 'denied') return answer;
-      // The leader has no room either.
+      // The leader decides by the same records.
       if (answer.kind === 'refused' && answer.retryAfterS !== undefined) return answer;
       return relaySubmission(caller, work, deadlineAt, answer);
     },
--- a/src/observability/meters.ts
+++ b/src/observability/meters.ts
@@ -24,6 +24,10 @@
   /** Age of what the leader knows of the workers; 0 on other hosts. */
   readonly fleetAgeSeconds: Gauge;
   readonly waitingTasks: Gauge<'queue'>;
+  /** Time that a new job would wait for its first worker, as the leader expects; 0 where nothing waits. */
+  readonly expectedWaitSeconds: Gauge<'queue' | 'share'>;
+  /** Jobs that were refused although access was granted, by reason. */
+  readonly admissionRefusals: Counter<'queue' | 'reason'>;
   readonly adviceCalls: Counter<'outcome'>;
   /** Errors that nothing handled. */
   readonly unexpectedErrors: Counter<'origin'>;
@@ -114,6 +118,18 @@
       labelNames: ['queue'],
       registers,
     }),
+    expectedWaitSeconds: new Gauge({
+      name: 'sapphirewing_expected_wait_seconds',
+      help: 'Expected wait of a new job within its team’s share or beyond it, on the leader',
+      labelNames: ['queue', 'share'],
+      registers,
+    }),
+    admissionRefusals: new Counter({
+      name: 'sapphirewing_admission_refusals_total',
+      help: 'Jobs refused for lack of room or because they would end too late',
+      labelNames: ['queue', 'reason'],
+      registers,
+    }),
     adviceCalls: new Counter({
       name: 'sapphirewing_advice_calls_total',
       help: 'Calls to the advice service',
--- a/test/platform-path/support.ts
+++ b/test/platform-path/support.ts
@@ -238,6 +238,7 @@
   readonly after?: readonly number[];
   readonly gang?: boolean;
   readonly 'max-per-server'?: number;
+  readonly 'estimate-ms'?: number;
 }
 
 let nextId = 1;
