Refuse jobs that would wait too long for their team's upper limit

Cause: a team at its limit waits for its own runs to end whatever room the workers have, and the expected waits left that out.

The work that waits ahead moves to src/admission/rivals.ts. Log lines name the cause of a refusal.

--- a/src/admission/expected-wait.ts
+++ b/src/admission/expected-wait.ts
@@ -8,31 +8,17 @@
  * job that becomes late is a different one.
  */
 import type { Resources } from '../model/index.js';
-import type { PlacementBarrier, WaitingStep } from '../planner/index.js';
-import { BEYOND_RANK, rankOf, slackMs, slotsIn } from '../planner/index.js';
+import { BEYOND_RANK, slotsIn } from '../planner/index.js';
 import type { FlowMeter, WorkClasses } from './flow-meter.js';
-
-/** A step with tasks that wait for a worker. */
-export interface WaitingWork {
-  readonly step: Pick<
-    WaitingStep,
-    | 'service'
-    | 'priority'
-    | 'beyondShare'
-    | 'objectiveAtMs'
-    | 'uselessAtMs'
-    | 'remainingMs'
-    | 'size'
-    | 'workMs'
-    | 'gang'
-    | 'requiredLabel'
-  >;
-  readonly queue: string;
-  /** Number of tasks that wait now. */
-  readonly waiting: number;
-  /** What kept the step from being placed when it was last tried; undefined if it was not tried. */
-  readonly barrier: PlacementBarrier | undefined;
-}
+import { teamFlow } from './flow-meter.js';
+import {
+  competesForRoom,
+  competesUnderLimit,
+  describeRival,
+  isLateHeldUp,
+  urgencyOf,
+} from './rivals.js';
+import type { Rival, WaitingWork } from './rivals.js';
 
 /** The workers of a service. */
 export interface ServiceRoom {
@@ -54,6 +40,8 @@
   readonly nowMs: number;
   readonly work: readonly WaitingWork[];
   readonly rooms: ReadonlyMap<string, ServiceRoom>;
+  /** Cores of the runs of each team that will end. */
+  readonly teamCores: ReadonlyMap<string, number>;
   readonly queues: readonly WaitedQueue[];
   readonly flow: Pick<FlowMeter, 'ageMs' | 'endedCores' | 'arrivingCores' | 'usualTask'>;
 }
@@ -76,89 +64,85 @@
 const MIN_MEASURED_MS = 3000;
 /** The measured arrivals are taken to go on for this long. Bursts last for tens of seconds, but their end is unknown. */
 const ARRIVALS_GO_ON_MS = 5000;
-/** Late work that is held up shows an overload if it is at least this part of the work of its class that can be on time. */
-const MIN_LATE_PART = 0.1;
-/**
- * Late work counts as held up after this part of the time from its objective until it is of no use. In a cell at its
- * usual load, work that is late for a moment is done well before that.
- */
-const HELD_UP_PART = 0.5;
-/** Part of an estimate that counts while the real durations of the queue are not known. Many estimates are too long. */
-const UNKNOWN_QUEUE_PART = 0.5;
 /** Wait that stands for all longer ones. */
 export const MAX_WAIT_MS = 60_000;
 
-/** A waiting step with the figures that decide which jobs wait for it. */
-interface Rival {
-  readonly rank: number;
-  readonly urgency: number;
-  readonly slack: number;
-  /** Part of the time between objective and uselessness that has passed. */
-  readonly lateness: number;
-  readonly cores: number;
-  readonly coreMs: number;
-  readonly accelerators: number;
+export interface ExpectedWaits {
+  /** By queue, for the queues of services that have work waiting. */
+  readonly queues: ReadonlyMap<string, QueueWaits>;
+  /** Of teams at their upper limits, for each queue in which work waits for that. */
+  readonly limited: readonly LimitedWaits[];
 }
 
-const urgencyOf = ({ priority }: { readonly priority: number }) => (priority === 0 ? 0 : 1);
+export interface LimitedWaits {
+  readonly team: string;
+  readonly queue: string;
+  readonly waits: QueueWaits;
+}
 
-/** Expected waits by queue, for the queues of services that have work waiting. */
-export function expectedWaits(backlog: Backlog): Map<string, QueueWaits> {
-  if (backlog.flow.ageMs < MIN_MEASURED_MS) return new Map();
-  const rivals = new Map<string, Rival[]>();
-  for (const work of backlog.work) {
-    if (!competes(work)) continue;
-    const known = rivals.get(work.step.service);
-    const rival = describeRival(work, backlog);
-    if (known === undefined) rivals.set(work.step.service, [rival]);
-    else known.push(rival);
-  }
+export function expectedWaits(backlog: Backlog): ExpectedWaits {
+  if (backlog.flow.ageMs < MIN_MEASURED_MS) return { queues: new Map(), limited: [] };
+  return { queues: waitsForRoom(backlog), limited: waitsUnderLimits(backlog) };
+}
+
+function waitsForRoom(backlog: Backlog): Map<string, QueueWaits> {
+  const rivals = groupRivals(backlog, competesForRoom, ({ step }) => step.service);
   const waits = new Map<string, QueueWaits>();
   for (const queue of backlog.queues) {
     const others = rivals.get(queue.service);
     const room = backlog.rooms.get(queue.service);
     if (others === undefined || room === undefined) continue;
-    waits.set(queue.name, waitsOf(queue, others, room, backlog));
+    const busy = { flow: queue.service, cores: room.busyCores, free: room.free };
+    waits.set(queue.name, waitsOf(queue, others, busy, backlog));
   }
   return waits;
 }
 
-/**
- * Whether other work waits for this. A step that is held up by its team's limit, by missing permits or by the lack of
- * suitable workers takes no room. Nor does a gang that waits for several workers, whose reservation is short, take what
- * becomes free piece by piece, and a label names few of the workers.
- */
-function competes({ step, waiting, barrier }: WaitingWork): boolean {
-  if (waiting <= 0 || step.gang || step.requiredLabel !== undefined) return false;
-  return barrier === undefined || barrier === 'room';
-}
-
-function describeRival({ step, queue, waiting }: WaitingWork, backlog: Backlog): Rival {
-  const cores = step.size.processors * waiting;
-  return {
-    rank: rankOf(step, backlog.nowMs),
-    urgency: urgencyOf(step),
-    slack: slackMs(step, backlog.nowMs),
-    lateness: -slackMs(step, backlog.nowMs) / Math.max(1, step.uselessAtMs - step.objectiveAtMs),
-    cores,
-    coreMs: cores * expectedWorkMs(step.workMs, backlog.flow.usualTask(queue)),
-    accelerators: step.size.accelerators,
-  };
+/** A team at its limit gets room for a job only as its own runs end. */
+function waitsUnderLimits(backlog: Backlog): LimitedWaits[] {
+  const rivals = groupRivals(backlog, competesUnderLimit, ({ step }) => step.team);
+  const used = new Map<string, Set<string>>();
+  for (const { step, queue, barrier } of backlog.work) {
+    if (barrier !== 'limit') continue;
+    used.set(step.team, (used.get(step.team) ?? new Set()).add(queue));
+  }
+  return [...rivals].flatMap(([team, others]) => {
+    const cores = backlog.teamCores.get(team) ?? 0;
+    const busy = { flow: teamFlow(team), cores, free: [] };
+    return backlog.queues
+      .filter(({ name }) => used.get(team)?.has(name) === true)
+      .map((queue) => ({ team, queue: queue.name, waits: waitsOf(queue, others, busy, backlog) }));
+  });
+}
+
+function groupRivals(
+  backlog: Backlog,
+  counts: (work: WaitingWork) => boolean,
+  groupOf: (work: WaitingWork) => string,
+): Map<string, Rival[]> {
+  const groups = new Map<string, Rival[]>();
+  for (const work of backlog.work) {
+    if (!counts(work)) continue;
+    const rival = describeRival(work, backlog);
+    const group = groups.get(groupOf(work));
+    if (group === undefined) groups.set(groupOf(work), [rival]);
+    else group.push(rival);
+  }
+  return groups;
 }
 
-/** The usual work of the queue if a single estimate is longer, since estimates may be wrong by a factor. */
-export function expectedWorkMs(
-  estimateMs: number,
-  usual: { readonly workMs: number } | undefined,
-): number {
-  if (usual === undefined) return estimateMs * UNKNOWN_QUEUE_PART;
-  return Math.min(estimateMs, usual.workMs);
+/** What is in use: by all work on the workers of a service, or by a team. */
+interface Usage {
+  /** Name under which its flow is measured. */
+  readonly flow: string;
+  readonly cores: number;
+  readonly free: readonly Resources[];
 }
 
 function waitsOf(
   queue: WaitedQueue,
   others: readonly Rival[],
-  room: ServiceRoom,
+  usage: Usage,
   { flow }: Backlog,
 ): QueueWaits {
   const usual = flow.usualTask(queue.name);
@@ -170,10 +154,10 @@
     rivals: others.filter(
       ({ accelerators }) => accelerators === 0 || (usual?.accelerators ?? 0) > 0,
     ),
-    freeCores: freeCoresFor(usual, room),
-    rateCores: Math.max(flow.endedCores(queue.service), room.busyCores),
+    freeCores: freeCoresFor(usual, usage.free),
+    rateCores: Math.max(flow.endedCores(usage.flow), usage.cores),
   };
-  const arriving = (classes: WorkClasses) => flow.arrivingCores(queue.service, classes);
+  const arriving = (classes: WorkClasses) => flow.arrivingCores(usage.flow, classes);
   return {
     within: waitsFrom(0, job, {
       onTimeCores: urgency === 0 ? 0 : arriving('urgent'),
@@ -220,27 +204,10 @@
   return { onTimeMs, lateMs: Math.max(onTimeMs, lateMs) };
 }
 
-/**
- * Whether late work of the class has waited for long. Only then is a job taken to be overtaken by what arrives: the
- * measured arrivals alone come close to the rate in any busy cell, and would make a short backlog a long wait.
- */
-function isLateHeldUp(rivals: readonly Rival[], urgency: number, best: number): boolean {
-  let onTime = 0;
-  let late = 0;
-  for (const rival of rivals) {
-    if (rival.urgency !== urgency) continue;
-    if (rival.rank === best) onTime += rival.coreMs;
-    else if (rival.rank > best && rival.rank < best + BEYOND_RANK) {
-      if (rival.lateness >= HELD_UP_PART) late += rival.coreMs;
-    }
-  }
-  return late > 0 && late >= MIN_LATE_PART * onTime;
-}
-
 /** Free cores on which tasks of the usual size fit. */
 function freeCoresFor(
   usual: { readonly processors: number; readonly accelerators: number } | undefined,
-  { free }: ServiceRoom,
+  free: readonly Resources[],
 ): number {
   const processors = Math.max(1, usual?.processors ?? 1);
   const size = { processors, memoryMb: 0, accelerators: usual?.accelerators ?? 0 };
--- a/src/admission/flow-meter.ts
+++ b/src/admission/flow-meter.ts
@@ -18,6 +18,7 @@
 /** Work that was accepted; `coreMs` is the expected work of all of its tasks. */
 export interface ArrivedWork {
   readonly service: string;
+  readonly team: string;
   readonly urgent: boolean;
   readonly beyondShare: boolean;
   readonly coreMs: number;
@@ -27,6 +28,7 @@
 export interface EndedRun {
   readonly queue: string;
   readonly service: string;
+  readonly team: string;
   readonly processors: number;
   readonly accelerators: number;
   readonly tookMs: number;
@@ -51,10 +53,10 @@
 export interface FlowMeter {
   noteArrival(work: ArrivedWork): void;
   noteEnd(run: EndedRun): void;
-  /** Cores whose work has ended, in core-milliseconds per millisecond. */
-  endedCores(service: string): number;
+  /** Cores of a service, or of a team, whose work has ended, in core-milliseconds per millisecond. */
+  endedCores(flow: string): number;
   /** Cores that newly accepted work asks for. */
-  arrivingCores(service: string, classes: WorkClasses): number;
+  arrivingCores(flow: string, classes: WorkClasses): number;
   /** Undefined as long as too few tasks of the queue have ended. */
   usualTask(queue: string): UsualTask | undefined;
   /** Milliseconds since the meter was started. */
@@ -74,6 +76,11 @@
   accelerators: number;
 }
 
+/** Name of the flow of a team, which no service has. */
+export function teamFlow(team: string): string {
+  return `team ${team}`;
+}
+
 export function createFlowMeter({ now }: { readonly now: () => number }): FlowMeter {
   const startedAt = now();
   const averages = new Map<string, Average>();
@@ -97,20 +104,23 @@
   }
 
   return {
-    noteArrival: ({ service, urgent, beyondShare, coreMs }) => {
-      add(`${beyondShare ? 'beyond' : urgent ? 'urgent' : 'other'} ${service}`, coreMs);
+    noteArrival: ({ service, team, urgent, beyondShare, coreMs }) => {
+      const kind = beyondShare ? 'beyond' : urgent ? 'urgent' : 'other';
+      for (const name of [service, teamFlow(team)]) add(`${kind} ${name}`, coreMs);
     },
     noteEnd: (run) => {
-      add(`ended ${run.service}`, run.processors * run.tookMs);
+      for (const name of [run.service, teamFlow(run.team)]) {
+        add(`ended ${name}`, run.processors * run.tookMs);
+      }
       if (!run.done || (durations.size >= MAX_QUEUES && !durations.has(run.queue))) return;
       const known = durations.get(run.queue);
       durations.set(run.queue, includeEnd(known, run));
     },
-    endedCores: (service) => rate(`ended ${service}`),
-    arrivingCores: (service, classes) =>
+    endedCores: (name) => rate(`ended ${name}`),
+    arrivingCores: (name, classes) =>
       classes === 'all'
-        ? rate(`urgent ${service}`) + rate(`other ${service}`)
-        : rate(`${classes} ${service}`),
+        ? rate(`urgent ${name}`) + rate(`other ${name}`)
+        : rate(`${classes} ${name}`),
     usualTask: (queue) => {
       const known = durations.get(queue);
       if (known === undefined || known.ends < MIN_ENDS) return undefined;
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -5,6 +5,8 @@
 export * from './expected-wait.js';
 export * from './flow-meter.js';
 export * from './open-work-admission.js';
+export { expectedWorkMs } from './rivals.js';
+export type { WaitingWork } from './rivals.js';
 export * from './wait-gate.js';
 export * from './wait-publication.js';
 export * from './wait-record.js';
--- a/src/admission/retry-after.ts
+++ b/src/admission/retry-after.ts
@@ -10,7 +10,7 @@
 export interface RetryOptions {
   /** Time until the backlog ahead of the job is worked off. */
   readonly backlogMs: number;
-  /** Whether the job is beyond its team's share; such callers come back after all others. */
+  /** Whether the job is beyond its team's share or limit; such callers come back after all others. */
   readonly beyondShare: boolean;
   /** A number from 0 up to 1. */
   readonly random: () => number;
--- a/src/admission/wait-gate.ts
+++ b/src/admission/wait-gate.ts
@@ -35,8 +35,11 @@
   readonly scheduled: boolean;
 }
 
-/** Why a job is refused. `too-late-beyond-share`: because its team is beyond its share. */
-export type WaitRefusalReason = 'too-late' | 'too-late-beyond-share';
+/**
+ * Why a job is refused. `too-late-beyond-share`: because its team is beyond its share. `too-late-at-limit`: because its
+ * team is at its upper limit.
+ */
+export type WaitRefusalReason = 'too-late' | 'too-late-beyond-share' | 'too-late-at-limit';
 
 export interface WaitRefusal {
   readonly reason: WaitRefusalReason;
@@ -100,20 +103,19 @@
       const ageMs = now() - last.receivedAt;
       if (ageMs > MAX_AGE_MS || job.scheduled || job.steps.some(isLongRunning)) return undefined;
       const within = credit.isWithin(job.team);
-      const wait = tooLongWait(job, last.record.queues[job.queue], within);
-      if (wait === undefined) return undefined;
-      if (tooLongWait(job, previous.record.queues[job.queue], within) === undefined) {
+      const wait = findTooLong(job, last.record, within);
+      if (wait === undefined || findTooLong(job, previous.record, within) === undefined) {
         return undefined;
       }
       return {
-        reason: within ? 'too-late' : 'too-late-beyond-share',
+        reason: wait.reason,
         expectedWaitMs: wait.waitMs,
         usefulMs: usefulMsOf(job),
         recordAgeMs: Math.round(ageMs),
         recordRevision: last.revision,
         retryAfterS: chooseRetryAfterS({
           backlogMs: wait.backlogMs,
-          beyondShare: !within,
+          beyondShare: wait.reason !== 'too-late',
           random,
         }),
       };
@@ -132,12 +134,33 @@
   return Math.round(USEFUL_LATENESS_FACTOR * estimateObjectiveMs(job.steps, job));
 }
 
+interface TooLongWait {
+  readonly reason: WaitRefusalReason;
+  readonly waitMs: number;
+  /** Wait for what is ahead of the job at present. */
+  readonly backlogMs: number;
+}
+
+/** The wait for room or for the team's limit that is too long for the job, if there is one. */
+function findTooLong(
+  job: SubmittedJob,
+  { queues, limited }: WaitRecord,
+  within: boolean,
+): TooLongWait | undefined {
+  const forRoom = tooLongWait(job, queues[job.queue], within);
+  if (forRoom !== undefined) {
+    return { reason: within ? 'too-late' : 'too-late-beyond-share', ...forRoom };
+  }
+  const atLimit = tooLongWait(job, limited[job.team]?.[job.queue], within);
+  return atLimit && { reason: 'too-late-at-limit', ...atLimit };
+}
+
 /** The wait of a job and the backlog ahead of it, if its result would come too late by the margin. */
 function tooLongWait(
   job: SubmittedJob,
   queue: QueueRecord | undefined,
   within: boolean,
-): { readonly waitMs: number; readonly backlogMs: number } | undefined {
+): Omit<TooLongWait, 'reason'> | undefined {
   if (queue === undefined) return undefined;
   const slack = (job.stretch - 1) * estimateCriticalPathMs(job.steps) + job.targetLatencyMs;
   const { onTimeMs, lateMs } = within ? queue.within : queue.beyond;
--- a/src/admission/wait-publication.ts
+++ b/src/admission/wait-publication.ts
@@ -2,6 +2,7 @@
  * Decides when the leader writes the record of expected waits: when it has changed, again at intervals while it is not
  * empty, so that hosts can tell it from an old one, and not at all while no wait is long.
  */
+import { isEmpty } from './wait-record.js';
 import type { WaitRecord } from './wait-record.js';
 
 /** Hosts use a record for 3 s, so one that does not change is still in force after a failed write. */
@@ -20,12 +21,12 @@
 
   return {
     next: (content) => {
-      const isEmpty = Object.keys(content.queues).length === 0;
+      const isCalm = isEmpty(content);
       // What an earlier leader has left is of another term and too old to be used.
-      if (isEmpty && written === undefined) return undefined;
+      if (isCalm && written === undefined) return undefined;
       const isUnchanged = written?.content === JSON.stringify(content);
       const isRecent = written !== undefined && now() - written.at < REFRESH_MS;
-      if (isUnchanged && (isEmpty || isRecent)) return undefined;
+      if (isUnchanged && (isCalm || isRecent)) return undefined;
       return { ...content, number: number + 1 };
     },
     recordWritten: ({ number: used, ...content }) => {
--- a/src/controller/wait-publisher.ts
+++ b/src/controller/wait-publisher.ts
@@ -10,7 +10,7 @@
   expectedWaits,
   expectedWorkMs,
 } from '../admission/index.js';
-import type { FlowMeter, QueueWaits, ServiceRoom, WaitingWork } from '../admission/index.js';
+import type { ExpectedWaits, FlowMeter, ServiceRoom, WaitingWork } from '../admission/index.js';
 import { subtractResources } from '../model/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import type { PlacementBarrier, WaitingStep } from '../planner/index.js';
@@ -27,6 +27,8 @@
 /** Rounds follow each other within 0.2 s while work waits; an older one says nothing about the present. */
 const MAX_ROUND_AGE_MS = 1000;
 
+const NO_WAITS: ExpectedWaits = { queues: new Map(), limited: [] };
+
 /** The steps of a planning round in the planner's order, and what kept them from being placed. */
 export interface PlannedRound {
   readonly steps: readonly WaitingStep[];
@@ -86,13 +88,13 @@
     });
   }
 
-  function computeWaits(measured: FlowMeter): Map<string, QueueWaits> {
+  function computeWaits(measured: FlowMeter): ExpectedWaits {
     const work = cell.ready.size === 0 ? [] : listWork();
-    if (work.length === 0) return new Map();
+    if (work.length === 0) return NO_WAITS;
     return expectedWaits({
       nowMs: Date.now(),
       work,
-      rooms: describeRooms(options.sessions()),
+      ...describeUsage(options.sessions()),
       queues: options.configuration()?.queues ?? [],
       flow: measured,
     });
@@ -115,11 +117,12 @@
     );
     if (next === undefined || !(await record.write(JSON.stringify(next)))) return;
     publication.recordWritten(next);
-    const { number, queues, teams } = next;
+    const { number, queues, limited, teams } = next;
     options.events.info('expected-wait-published', {
       number,
       queues,
-      teams: Object.keys(teams).length,
+      limited,
+      teams: Object.keys(teams),
     });
   }
 
@@ -139,7 +142,8 @@
           0,
         );
       const urgent = termsOf(job, queue).priority === 0;
-      flow.noteArrival({ service: queue?.service ?? job.service, urgent, beyondShare, coreMs });
+      const service = queue?.service ?? job.service;
+      flow.noteArrival({ service, team: job.team, urgent, beyondShare, coreMs });
     },
     noteRound: (round) => {
       lastRound = { ...round, at: now() };
@@ -152,6 +156,7 @@
       flow.noteEnd({
         queue: job.queue,
         service: queueOf(job.queue)?.service ?? job.service,
+        team: run.team,
         processors: run.size.processors,
         accelerators: run.size.accelerators,
         tookMs: now() - run.startedAt,
@@ -166,7 +171,9 @@
   };
 }
 
-function describeRooms(sessions: Pick<FleetSessions, 'all' | 'usable'>): Map<string, ServiceRoom> {
+/** What the workers of each service have free, and what runs there, by service and team. */
+function describeUsage(sessions: Pick<FleetSessions, 'all' | 'usable'>) {
+  const teamCores = new Map<string, number>();
   const rooms = new Map<string, { free: ServiceRoom['free'][number][]; busyCores: number }>();
   const roomOf = (service: string) => {
     const room = rooms.get(service) ?? { free: [], busyCores: 0 };
@@ -175,22 +182,24 @@
   };
   for (const { worker, runs } of sessions.all()) {
     const room = roomOf(worker.service);
-    for (const { step, size } of runs.values()) {
-      if (!step.step.longRunning) room.busyCores += size.processors;
+    for (const { step, size, team } of runs.values()) {
+      if (step.step.longRunning) continue;
+      room.busyCores += size.processors;
+      teamCores.set(team, (teamCores.get(team) ?? 0) + size.processors);
     }
   }
   for (const { worker, used } of sessions.usable()) {
     roomOf(worker.service).free.push(subtractResources(worker.room, used));
   }
-  return rooms;
+  return { rooms, teamCores };
 }
 
 function reportWaits(
-  waits: ReadonlyMap<string, QueueWaits>,
+  { queues }: ExpectedWaits,
   { expectedWaitSeconds }: Pick<Meters, 'expectedWaitSeconds'>,
 ) {
   expectedWaitSeconds.reset();
-  for (const [queue, { within, beyond }] of waits) {
+  for (const [queue, { within, beyond }] of queues) {
     expectedWaitSeconds.set({ queue, share: 'within' }, within.onTimeMs / 1000);
     expectedWaitSeconds.set({ queue, share: 'beyond' }, beyond.onTimeMs / 1000);
   }
--- a/src/intake/caller-service.ts
+++ b/src/intake/caller-service.ts
@@ -217,7 +217,7 @@
     if (late === undefined) return undefined;
     const { reason: label, retryAfterS, ...measured } = late;
     const reason = 'the job would end too late to be of use';
-    const fields = { team, beyondShare: label === 'too-late-beyond-share', ...measured };
+    const fields = { team, cause: label, ...measured };
     return { label, reason, retryAfterS, fields };
   }
 
--- a/test/admission/simulated-cell.ts
+++ b/test/admission/simulated-cell.ts
@@ -131,6 +131,7 @@
     job.beyondShare = share.recordJob(job.team, weightOf());
     flow.noteArrival({
       service: queue.service,
+      team: job.team,
       urgent: queue.priority === 0,
       beyondShare: job.beyondShare,
       coreMs:
@@ -182,6 +183,7 @@
         flow.noteEnd({
           queue: queue.name,
           service: queue.service,
+          team: entry.job.team,
           processors: cores,
           accelerators: 0,
           tookMs,
@@ -208,6 +210,7 @@
         barrier: 'room',
       })),
       rooms: new Map([[service, { free: rooms, busyCores }]]),
+      teamCores: new Map(),
       queues,
       flow,
     });
--- a/test/admission/wait-gate.test.ts
+++ b/test/admission/wait-gate.test.ts
@@ -29,6 +29,7 @@
     number,
     hosts: 2,
     queues: { checks: { within: LONG, beyond: LONG, usualMs: 500, factor: 1, ...queue } },
+    limited: {},
     teams: {},
     ...rest,
   };
@@ -216,6 +217,18 @@
     });
   });
 
+  describe('with a team at its upper limit', () => {
+    const limited = { lawns: { checks: { within: LONG, beyond: LONG, usualMs: 500, factor: 1 } } };
+
+    it('refuses jobs of that team, in the queue in which its work waits, and no others', () => {
+      const { judge, publish } = createCase();
+      publish({ within: NONE, beyond: NONE }, { limited });
+      expect(judge()?.reason).to.equal('too-late-at-limit');
+      expect(judge({ queue: 'patterns' })).to.equal(undefined);
+      expect(judge({ team: 'hedges' })).to.equal(undefined);
+    });
+  });
+
   describe('tells callers when to come back', () => {
     const teams = { lawns: { jobs: 0, perSecond: 1 } };
 
--- a/test/controller/wait-publisher.test.ts
+++ b/test/controller/wait-publisher.test.ts
@@ -32,6 +32,7 @@
   return Array.from({ length: 50 }, (_, index) => ({
     key: `job-${String(index)}`,
     service: 'seams',
+    team: 'lawns',
     priority: 0,
     beyondShare: false,
     objectiveAtMs: Date.now() + 3000,
@@ -49,6 +50,7 @@
   return {
     progress: { job: JOB },
     step: { step: { ...STEP, estimateMs: 500 } },
+    team: 'lawns',
     size: SIZE,
     inherited,
     startedAt: 3500,
@@ -160,8 +162,16 @@
 
   it('leaves out steps that wait for something other than room', async () => {
     await measure();
-    publisher.noteRound({ steps, barriers: new Map(steps.map(({ key }) => [key, 'limit'])) });
+    publisher.noteRound({ steps, barriers: new Map(steps.map(({ key }) => [key, 'permit'])) });
     await pause(900);
     expect(published()).to.equal(undefined);
   });
+
+  it('names a team at its upper limit with its wait', async () => {
+    await measure();
+    publisher.noteRound({ steps, barriers: new Map(steps.map(({ key }) => [key, 'limit'])) });
+    const record = await eventually(published, 'a record');
+    expect(record.queues).to.deep.equal({});
+    expect(record.limited.lawns?.checks?.within.onTimeMs).to.be.greaterThan(1000);
+  });
 });
--- a/test/intake/refusals.test.ts
+++ b/test/intake/refusals.test.ts
@@ -95,7 +95,7 @@
       outcome: 'refused',
       queue: 'checks',
       team: 'lawns',
-      beyondShare: false,
+      cause: 'too-late',
       expectedWaitMs: 5000,
       recordAgeMs: 120,
       recordRevision: 77,
