--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -5,6 +5,12 @@
 import type { Server } from 'node:http';
 import type { LinkListenerGuard } from '../client-limits/index.js';
 import type { EvacuationSource, EvacuationState } from '../evacuations/index.js';
+import {
+  createAdmission,
+  createWaitGate,
+  decodeWaits,
+  EXPECTED_WAIT_KEY,
+} from '../admission/index.js';
 import type { WorkerConnection } from '../fleet/index.js';
 import type { Job, WorkerIncarnation } from '../jobs/index.js';
 import type { Controller, FleetSource, SeenRecord } from '../controller/index.js';
@@ -12,7 +18,6 @@
 import type { CallerService } from '../intake/index.js';
 import {
   answerRelayedCall,
-  createAdmission,
   createCallerService,
   createConfigurationFeed,
   createJobReader,
@@ -117,6 +122,7 @@
   });
   const reader = createJobReader({ store, events });
   const admission = createAdmission();
+  const waits = createWaitGate();
   const local = createCallerService({
     host,
     store,
@@ -136,8 +142,10 @@
       onCommitted: handleCommitted,
     }),
     admission,
+    waits,
     reader,
     events,
+    meters,
   });
   const hub = createPeerHub({
     ip,
@@ -286,11 +294,14 @@
       election.observe(entries);
       const openWork = entries.find(({ key }) => key === OPEN_WORK_KEY);
       admission.update(decodeOpenWork(openWork?.value));
+      const expectedWait = entries.find(({ key }) => key === EXPECTED_WAIT_KEY);
+      waits.update(decodeWaits(expectedWait?.value), expectedWait?.revision ?? 0);
       noteSilentWorkers(entries.find(({ key }) => key === SILENT_WORKERS_KEY)?.revision);
     },
     onChange: ({ key, value, revision }) => {
       if (key === SILENT_WORKERS_KEY) noteSilentWorkers(revision);
       if (key === OPEN_WORK_KEY) admission.update(decodeOpenWork(value));
+      if (key === EXPECTED_WAIT_KEY) waits.update(decodeWaits(value), revision);
       if (value === undefined) election.observeRemoval(key);
       else election.observe([{ key, value, revision }]);
     },
--- a/src/controller/cell.ts
+++ b/src/controller/cell.ts
@@ -10,15 +10,16 @@
   StepProgress,
 } from '../jobs/index.js';
 import {
-  estimateCriticalPathMs,
   estimateCriticalPaths,
   estimateJobBytes,
+  estimateObjectiveMs,
   estimateOccurrenceBytes,
   formatStepName,
   hasBegun,
   isFinal,
   isStepDone,
   isStepReady,
+  USEFUL_LATENESS_FACTOR,
 } from '../jobs/index.js';
 import { addTasks, NO_RESOURCES } from '../model/index.js';
 import type { Resources } from '../model/index.js';
@@ -76,6 +77,7 @@
   readonly now: () => number;
   /** Called when a step needs no further runs: it is done or its job has ended. */
   readonly onStepSettled: (key: string) => void;
+  readonly onAdded?: (entry: JobEntry) => void;
 }
 
 export function createCell(options: CellOptions): Cell {
@@ -126,6 +128,7 @@
       jobs.set(entry.progress.job.id, entry);
       if (entry.progress.job.schedule !== undefined) scheduled.add(entry);
       refresh(entry);
+      options.onAdded?.(entry);
     },
     remove: (job) => {
       const entry = jobs.get(job);
@@ -156,9 +159,6 @@
   };
 }
 
-/** A late result is still useful to callers up to this multiple of the objective. */
-export const USEFUL_LATENESS_FACTOR = 3;
-
 /** Terms of jobs whose queue is not configured and whose records hold none. */
 const DEFAULT_TERMS: QueueTerms = {
   priority: 1,
@@ -185,8 +185,8 @@
   const { progress, queue, beyondShare } = options;
   const { job } = progress;
   const { acceptedAtMs = job.acceptedAtMs } = options;
-  const { stretch, targetLatencyMs } = termsOf(job, queue);
-  const objectiveMs = stretch * estimateCriticalPathMs(job.steps) + targetLatencyMs;
+  const terms = termsOf(job, queue);
+  const objectiveMs = estimateObjectiveMs(job.steps, terms);
   return {
     progress,
     beyondShare,
@@ -194,7 +194,7 @@
     objectiveAtMs: acceptedAtMs + objectiveMs,
     uselessAtMs: acceptedAtMs + USEFUL_LATENESS_FACTOR * objectiveMs,
     criticalPathMs: estimateCriticalPaths(job.steps),
-    stretch,
+    stretch: terms.stretch,
     jobBytes: estimateJobBytes(job),
     occurrenceBytes: estimateOccurrenceBytes(job),
     openBytes: 0,
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -40,6 +40,7 @@
 import { createShareMeter } from './share-meter.js';
 import { awaitStoppingRuns } from './stopping-runs.js';
 import { createTermClock } from './term-clock.js';
+import { createWaitPublisher } from './wait-publisher.js';
 import { createWorkerSession, LEASE_MS } from './worker-session.js';
 import type { WorkerSession } from './worker-session-types.js';
 
@@ -89,6 +90,24 @@
     onStepSettled: (key) => {
       permits.forget(key);
     },
+    onAdded: (entry) => {
+      waits.noteJob(entry);
+    },
+  });
+  const share = createShareMeter({ now });
+  const waits = createWaitPublisher({
+    store,
+    epoch: term.epoch,
+    cell,
+    sessions: () => sessions,
+    share,
+    configuration: () => configuration.current?.configuration,
+    condition: () => condition,
+    active: () => feed.restored && !closed,
+    clock,
+    hosts: () => options.callers().length,
+    events,
+    meters,
   });
   const log = createProgressLog({
     store,
@@ -176,6 +195,9 @@
     fleetAgeMs,
     forecast,
     remoteFactor: options.remoteFactor,
+    onRound: (round) => {
+      waits.noteRound(round);
+    },
   });
 
   function requestPlan() {
@@ -214,6 +236,7 @@
       inheritedLeaseUntil: () =>
         silentWorkers.leaseEndOf(worker.incarnation) ?? startedAt + MAX_INHERITED_LEASE_MS,
       onEnd: (session, run, end, checkpoint) => {
+        waits.noteEnd(run, end);
         if (!closed) return lifecycle.applyEnd(run, end, checkpoint);
         formerLeader?.noteEnd(session, run, end, checkpoint);
         return Promise.resolve(false);
@@ -314,7 +337,7 @@
     lifecycle,
     log,
     clock,
-    share: createShareMeter({ now }),
+    share,
     savedProgress,
     finishedJobs,
     configuration: () => configuration.current?.configuration,
@@ -428,6 +451,7 @@
     forecastReport.close();
     housekeeping.close();
     evacuations.close();
+    waits.close();
     feed.stop();
     log.close();
   }
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -25,6 +25,7 @@
 import type { Run } from './run.js';
 import { createRunForecast } from './run-forecast.js';
 import type { RunForecast } from './run-forecast.js';
+import type { PlannedRound } from './wait-publisher.js';
 import type { WorkerSession } from './worker-session-types.js';
 
 /** Interval of planning rounds without any change, because slack and the validity of tickets depend on time. */
@@ -65,6 +66,8 @@
   readonly forecast?: RunForecast;
   /** How many times as long work takes away from its place; if unset, work does not wait for its place. */
   readonly remoteFactor?: number | undefined;
+  /** Called after each round with its steps, in order, and what kept them from being placed. */
+  readonly onRound?: (round: PlannedRound) => void;
 }
 
 interface Round {
@@ -140,6 +143,7 @@
     // Permits are requested all the same, so that placement can continue as soon as the workers are known again.
     if (options.orderWindow.allowsPlacement) orderPlacements(placements, round);
     requestPermits(steps, round, barriers);
+    options.onRound?.({ steps, barriers });
     const tookMs = performance.now() - startedAt;
     meters.planSeconds.observe(tookMs / 1000);
     effort = { rounds: effort.rounds + 1, tookMs: effort.tookMs + tookMs };
--- a/src/controller/run-forecast.ts
+++ b/src/controller/run-forecast.ts
@@ -4,10 +4,14 @@
  */
 import { createForecast, expectEnd } from '../forecast/index.js';
 import type { ExpectedWork, Forecast, StepWork } from '../forecast/index.js';
-import { estimateCriticalPaths, formatStepName, isStepDone } from '../jobs/index.js';
+import {
+  estimateCriticalPaths,
+  formatStepName,
+  isStepDone,
+  USEFUL_LATENESS_FACTOR,
+} from '../jobs/index.js';
 import type { Job, OccurrenceProgress, StepProgress, WorkerIncarnation } from '../jobs/index.js';
 import type { Release } from '../planner/index.js';
-import { USEFUL_LATENESS_FACTOR } from './cell.js';
 import type { JobEntry, ReadyStep } from './cell.js';
 import { stepNameOf } from './run.js';
 import type { Run } from './run.js';
