Test that a team at its upper limit has jobs refused in a cell with room

Cause: the waits under upper limits were covered by tests without network alone.

Change: a test with one host and a worker of ten times the team's limit.

--- a/test/platform-path/expected-wait.test.ts
+++ b/test/platform-path/expected-wait.test.ts
@@ -131,6 +131,37 @@
   });
 });
 
+describe('a team at its upper limit', function () {
+  this.timeout(60_000);
+
+  it('has jobs refused that would wait too long for its own work, in a cell with room', async () => {
+    const causes = new Set<unknown>();
+    const cell = await startTestCell({
+      workers: 0,
+      events: {
+        ...SILENT_EVENTS,
+        info: (event, fields) => {
+          if (event === 'job-submitted' && fields?.outcome === 'refused') causes.add(fields.cause);
+        },
+      },
+    });
+    try {
+      cell.configure({ version: 2, cpuLimitMillicores: PROCESSORS * 1000 });
+      await cell.addWorker({ processorMillis: 10 * PROCESSORS * 1000, workMs: () => WORK_MS });
+      const host = await cell.leader();
+      await eventually(() => (host.ready ? true : undefined));
+      const startedAt = performance.now();
+      while (causes.size === 0 && performance.now() < startedAt + BURST_MS) {
+        void submit(host, { steps: [{ count: PROCESSORS, 'estimate-ms': WORK_MS }] });
+        await new Promise((resolve) => setTimeout(resolve, 1000 / JOBS_PER_SECOND));
+      }
+      expect([...causes]).to.deep.equal(['too-late-at-limit']);
+    } finally {
+      await cell.close();
+    }
+  });
+});
+
 describe('a calm cell', () => {
   it('never writes the record of expected waits', async () => {
     const cell = await startTestCell({ hosts: 2, workers: 2 });
