Leave room for what a task takes beside its work, and learn nothing from cold workers

Cause: a worker counted as fast enough for an urgent task although the record of the order, the start, the record of the end and the caller's next query take about 150 ms more. Runs on cold workers were learned as slow workers.

Change: the speed that a step needs follows from its slack less 150 ms; runs that begin while their worker is cold are not compared with others.

--- a/src/controller/run-forecast.ts
+++ b/src/controller/run-forecast.ts
@@ -159,11 +159,12 @@
 }
 
 /**
- * Whether the duration of the run shows the work of its task: it did all of it, and was slowed down neither by the
- * distance from its data nor by a spread of its step over racks.
+ * Whether the duration of the run shows the work of its task: it did all of it, and was slowed down neither by a cold
+ * worker, by the distance from its data nor by a spread of its step over racks.
  */
-function isComparable({ step, session, resumed }: Run): boolean {
+function isComparable({ step, session, resumed, startedAt }: Run): boolean {
   const { longRunning, dataRack, rackSensitive, count } = step.step;
+  if (startedAt < (session.worker.coldUntil ?? -Infinity)) return false;
   if (longRunning || resumed || (rackSensitive && count > 1)) return false;
   return dataRack === undefined || dataRack === session.worker.rack;
 }
--- a/src/planner/speed.ts
+++ b/src/planner/speed.ts
@@ -22,12 +22,18 @@
 /** More than the cost of another rack and of packing, so that a place that is on time goes before one that is late. */
 const LATE_COST = 5.1;
 
+/**
+ * Time that a task takes beside its work: the record of its order, its start, the record of its end and the caller's next
+ * query.
+ */
+const OVERHEAD_MS = 150;
+
 /** Speed that a worker needs to end a task of the step on time; infinite if the step is late on any worker. */
 export function neededSpeed(step: WaitingStep, nowMs: number): number {
   // The end of work that is of no use any more does not matter.
   if (nowMs + step.remainingMs > step.uselessAtMs) return 0;
   const restMs = Math.max(0, step.remainingMs - step.workMs);
-  const leftMs = step.objectiveAtMs - nowMs - restMs;
+  const leftMs = step.objectiveAtMs - nowMs - restMs - OVERHEAD_MS;
   return leftMs > 0 ? (ENOUGH_FACTOR * step.workMs) / leftMs : Infinity;
 }
 
