Give up the body that was unfinished for longest when the budget is used up

Cause: unfinished bodies held the whole budget until their time limit of 10 s, and ordinary submissions got 503 for as long: the ordinary request of the entry daemon's test was answered after 10 s.

Change: a body or an unfinished message of a link that needs room takes it from the one that has been unfinished for longest, if that is more than 1 s; complete bodies and the requester itself are never given up.

--- a/src/callers/body.ts
+++ b/src/callers/body.ts
@@ -47,13 +47,10 @@
   { record }: BodyLimits,
   kind: Exclude<CollectedBody['kind'], 'complete' | 'too-large'>,
 ): Response {
-  if (kind === 'aborted') {
+  if (kind !== 'no-room') {
+    if (kind !== 'aborted') record(`body-${kind}`);
     return createAttemptRefusal(refuse('malformed', 'The body is incomplete; send all of it.'));
   }
-  if (kind === 'fragmented') {
-    record('body-fragmented');
-    return createAttemptRefusal(refuse('malformed', 'The body has too many small chunks.'));
-  }
   record('buffer-full');
   const detail = 'This host has no room for another body; try again.';
   return createAttemptRefusal(refuse('no-capacity', detail, RETRY_AFTER_MS));
--- a/src/client-limits/body-collector.ts
+++ b/src/client-limits/body-collector.ts
@@ -1,9 +1,10 @@
 /**
- * Collects the body of a request into one buffer that is charged to the budget of the host. The buffer grows with the
- * body, so a chunk costs its bytes however small it is. A body that arrives in one piece is not copied.
+ * Collects the body of a request into blocks that are charged to the budget of the host, so a chunk costs its bytes however
+ * small it is. A body that arrives in one piece is not copied.
  */
 import type { IncomingMessage } from 'node:http';
-import type { ByteBudget } from './byte-budget.js';
+import { BLOCK_BYTES } from './block-pool.js';
+import type { ByteBudget, UnfinishedItem } from './byte-budget.js';
 
 export interface BodyCollectorOptions {
   readonly maxBytes: number;
@@ -13,12 +14,12 @@
 }
 
 /**
- * `too-large`: over the limit. `no-room`: over the budget. `fragmented`: too many small chunks, the connection is closed.
- * `aborted`: the connection has ended.
+ * `too-large`: over the limit. `no-room`: over the budget. `fragmented`: too many small chunks; `abandoned`: given up for
+ * other bodies after it was unfinished for long; in both cases the connection is closed. `aborted`: the connection has ended.
  */
 export type CollectedBody =
   | { readonly kind: 'complete'; readonly bytes: Uint8Array }
-  | { readonly kind: 'too-large' | 'no-room' | 'fragmented' | 'aborted' };
+  | { readonly kind: 'too-large' | 'no-room' | 'fragmented' | 'abandoned' | 'aborted' };
 
 export interface BodyCollector {
   readonly collected: Promise<CollectedBody>;
@@ -26,7 +27,8 @@
   release(): void;
 }
 
-const FIRST_CAPACITY = 4096;
+/** Most bodies have less; they need no block. */
+const FIRST_BLOCK_BYTES = 4096;
 /**
  * Each chunk takes about 2 us, however small it is: 60 bodies in chunks of one byte kept a host from answering for more
  * than 20 s.
@@ -41,43 +43,84 @@
 ): BodyCollector {
   const header = incoming.headers['content-length'];
   const announced = header === undefined ? undefined : Number(header);
-  let buffer: Uint8Array = EMPTY;
+  const blocks: Uint8Array[] = [];
+  /** Bytes in the last block. */
+  let filled = 0;
+  let whole: Uint8Array | undefined;
   let size = 0;
   let charged = 0;
   let smallChunks = 0;
   let finished = false;
+  let removeUnfinished: (() => void) | undefined;
   let settle: (body: CollectedBody) => void = () => undefined;
   const collected = new Promise<CollectedBody>((resolve) => {
     settle = resolve;
   });
 
-  function ensureCapacity(needed: number): boolean {
-    if (needed <= buffer.byteLength) return true;
-    const grown = Math.max(needed, FIRST_CAPACITY, 2 * buffer.byteLength);
-    const capacity = Math.min(announced ?? grown, maxBytes);
-    // Both buffers exist while the bytes are copied, which no other request can observe.
-    if (!budget.reserve(capacity - charged)) return false;
-    charged = capacity;
-    const larger = Buffer.allocUnsafeSlow(capacity);
-    larger.set(buffer.subarray(0, size));
-    buffer = larger;
+  const item: UnfinishedItem = {
+    abandon: () => {
+      finish({ kind: 'abandoned' });
+      incoming.destroy();
+    },
+  };
+
+  function charge(bytes: number): boolean {
+    if (!budget.reserve(bytes, item)) return false;
+    charged += bytes;
+    removeUnfinished ??= budget.addUnfinished(item);
+    return true;
+  }
+
+  function addBlock(): boolean {
+    const bytes = blocks.length === 0 ? FIRST_BLOCK_BYTES : BLOCK_BYTES;
+    if (!charge(bytes)) return false;
+    blocks.push(blocks.length === 0 ? Buffer.allocUnsafe(bytes) : budget.blocks.take());
+    filled = 0;
+    return true;
+  }
+
+  function append(chunk: Buffer): boolean {
+    let rest: Uint8Array = chunk;
+    while (rest.byteLength > 0) {
+      const last = blocks.at(-1);
+      if (last === undefined || filled === last.byteLength) {
+        if (!addBlock()) return false;
+        continue;
+      }
+      const part = rest.subarray(0, last.byteLength - filled);
+      last.set(part, filled);
+      filled += part.byteLength;
+      rest = rest.subarray(part.byteLength);
+    }
+    size += chunk.byteLength;
     return true;
   }
 
   function keepWhole(chunk: Buffer): boolean {
     if (!budget.reserve(chunk.byteLength)) return false;
     charged = chunk.byteLength;
-    buffer = chunk;
     size = chunk.byteLength;
+    whole = chunk;
     return true;
   }
 
-  function append(chunk: Buffer): boolean {
-    if (size === 0 && chunk.byteLength === announced) return keepWhole(chunk);
-    if (!ensureCapacity(size + chunk.byteLength)) return false;
-    buffer.set(chunk, size);
-    size += chunk.byteLength;
-    return true;
+  function keep(chunk: Buffer): boolean {
+    return size === 0 && chunk.byteLength === announced ? keepWhole(chunk) : append(chunk);
+  }
+
+  /** Joins the blocks, whose charge of at least as many bytes stays for the result. */
+  function join(): Uint8Array {
+    const [first] = blocks;
+    if (whole !== undefined) return whole;
+    if (first === undefined) return EMPTY;
+    if (blocks.length === 1) return first.subarray(0, size);
+    const joined = Buffer.concat(blocks, size);
+    giveBlocks();
+    return joined;
+  }
+
+  function giveBlocks() {
+    for (const block of blocks.splice(0).slice(1)) budget.blocks.give(block);
   }
 
   const onData = (chunk: Buffer) => {
@@ -87,10 +130,10 @@
       // Not discarded like other refused bodies, because reading it is what takes the time.
       incoming.destroy();
     } else if (size + chunk.byteLength > maxBytes) finish({ kind: 'too-large' });
-    else if (!append(chunk)) finish({ kind: 'no-room' });
+    else if (!keep(chunk)) finish({ kind: 'no-room' });
   };
   const onEnd = () => {
-    finish({ kind: 'complete', bytes: buffer.subarray(0, size) });
+    finish({ kind: 'complete', bytes: join() });
   };
   const onAbort = () => {
     finish({ kind: 'aborted' });
@@ -99,12 +142,14 @@
   function refund() {
     budget.release(charged);
     charged = 0;
-    buffer = EMPTY;
+    whole = undefined;
+    giveBlocks();
   }
 
   function finish(body: CollectedBody) {
     if (finished) return;
     finished = true;
+    removeUnfinished?.();
     incoming.off('data', onData);
     incoming.off('end', onEnd);
     incoming.off('close', onAbort);
--- a/src/client-limits/limit-log.ts
+++ b/src/client-limits/limit-log.ts
@@ -8,6 +8,7 @@
   | 'body-too-large'
   | 'buffer-full'
   | 'body-fragmented'
+  | 'body-abandoned'
   | 'body-timeout'
   | 'header-timeout'
   | 'response-timeout'
--- a/src/client-limits/message-guard.ts
+++ b/src/client-limits/message-guard.ts
@@ -4,7 +4,7 @@
  */
 import type { Socket } from 'node:net';
 import type { WebSocket } from 'ws';
-import type { ByteBudget } from './byte-budget.js';
+import type { ByteBudget, UnfinishedItem } from './byte-budget.js';
 import type { ConnectionGuard } from './connection-guard.js';
 import type { LimitCause } from './limit-log.js';
 
@@ -39,11 +39,24 @@
   let pending = 0;
   let pendingSince = 0;
   let charged = 0;
+  let removeUnfinished: (() => void) | undefined;
+
+  const item: UnfinishedItem = {
+    abandon: () => {
+      settle();
+      connections.close(socket, 'buffer-full');
+    },
+  };
 
   function charge(bytes: number): boolean {
-    if (bytes > charged && !budget.reserve(bytes - charged)) return false;
+    if (bytes > charged && !budget.reserve(bytes - charged, item)) return false;
     if (bytes < charged) budget.release(charged - bytes);
     charged = bytes;
+    if (bytes > 0) removeUnfinished ??= budget.addUnfinished(item);
+    else {
+      removeUnfinished?.();
+      removeUnfinished = undefined;
+    }
     return true;
   }
 
