Allow 64 connections for readiness and 32 for metrics

Cause: a trial with 20 ordinary clients at the readiness listener met its default limit of 16.

Change: the defaults, and what they leave of max-fds for callers.

--- a/src/client-limits/limits.ts
+++ b/src/client-limits/limits.ts
@@ -51,9 +51,9 @@
 const OWN_CONNECTIONS = 532;
 /** On hosts with few descriptors callers get at least this part of those for connections. */
 const MIN_CALLER_SHARE = 1 / 4;
-/** Readiness and metrics are read by a few clients, each on one connection. */
-const READINESS_CONNECTIONS = 16;
-const METRICS_CONNECTIONS = 16;
+/** Readiness and metrics are read by a few dozen clients at most, each on one connection. */
+const READINESS_CONNECTIONS = 64;
+const METRICS_CONNECTIONS = 32;
 /** All of 100 hosts connect to a new leader within about a second and identify themselves at once. */
 const UNIDENTIFIED_LINKS = 64;
 /** Up to 100 other hosts, and links that are being replaced. */
