Serve a single body in very small chunks

Cause: a body of more than 8,192 chunks of less than 32 bytes was refused, also on an idle host, although it is within the limits that callers have to keep.

Change: beyond that number, a host reads two such bodies at a time, and the place of each stays taken for 3 s. A crowd is refused as before, a single body is read to its end.

A body of 262,144 chunks at a real host was not sent.

--- a/src/callers/body.ts
+++ b/src/callers/body.ts
@@ -2,7 +2,13 @@
  * Receives the body of a request within its size and the budget of the host.
  */
 import { collectRequestBody } from '../client-limits/index.js';
-import type { BodySource, ByteBudget, CollectedBody, LimitCause } from '../client-limits/index.js';
+import type {
+  BodySource,
+  ByteBudget,
+  CollectedBody,
+  FragmentedBodies,
+  LimitCause,
+} from '../client-limits/index.js';
 import { refuse } from '../model/index.js';
 import { createAttemptRefusal } from './problem.js';
 
@@ -10,6 +16,7 @@
 export interface BodyLimits {
   readonly budget: ByteBudget;
   readonly maxSmallChunks: number;
+  readonly fragmentedBodies?: FragmentedBodies;
   /** Counts a request that a limit has refused. */
   readonly record: (cause: LimitCause) => void;
 }
@@ -29,8 +36,7 @@
   { maxBytes, limits, respondTooLarge }: WithBodyOptions,
   use: (body: Uint8Array) => Promise<Response>,
 ): Promise<Response> {
-  const { budget, maxSmallChunks } = limits;
-  const collector = collectRequestBody(source, { maxBytes, budget, maxSmallChunks });
+  const collector = collectRequestBody(source, { ...limits, maxBytes });
   try {
     const body = await collector.collected;
     if (body.kind === 'complete') return await use(body.bytes);
--- a/src/client-limits/body-collector.ts
+++ b/src/client-limits/body-collector.ts
@@ -5,12 +5,15 @@
 import type { IncomingMessage } from 'node:http';
 import { BLOCK_BYTES } from './block-pool.js';
 import type { ByteBudget, UnfinishedItem } from './byte-budget.js';
+import type { FragmentedBodies } from './fragmented-bodies.js';
 
 export interface BodyCollectorOptions {
   readonly maxBytes: number;
   readonly budget: ByteBudget;
-  /** The most small chunks that a body may have. */
+  /** Small chunks from which on a body needs one of the places for fragmented bodies. */
   readonly maxSmallChunks?: number;
+  /** By default, there are no such places. */
+  readonly fragmentedBodies?: FragmentedBodies;
 }
 
 /**
@@ -39,7 +42,7 @@
 /** Starts to collect the body; the announced length is checked before any byte is kept. */
 export function collectBody(
   incoming: IncomingMessage,
-  { maxBytes, budget, maxSmallChunks = Infinity }: BodyCollectorOptions,
+  { maxBytes, budget, maxSmallChunks = Infinity, fragmentedBodies }: BodyCollectorOptions,
 ): BodyCollector {
   const header = incoming.headers['content-length'];
   const announced = header === undefined ? undefined : Number(header);
@@ -50,6 +53,7 @@
   let size = 0;
   let charged = 0;
   let smallChunks = 0;
+  let releasePlace: (() => void) | undefined;
   let finished = false;
   let removeUnfinished: (() => void) | undefined;
   let settle: (body: CollectedBody) => void = () => undefined;
@@ -125,7 +129,8 @@
 
   const onData = (chunk: Buffer) => {
     if (chunk.byteLength < SMALL_CHUNK_BYTES) smallChunks += 1;
-    if (smallChunks > maxSmallChunks) {
+    if (smallChunks > maxSmallChunks) releasePlace ??= fragmentedBodies?.acquire();
+    if (smallChunks > maxSmallChunks && releasePlace === undefined) {
       finish({ kind: 'fragmented' });
       // Not discarded like other refused bodies, because reading it is what takes the time.
       incoming.destroy();
@@ -150,6 +155,7 @@
     if (finished) return;
     finished = true;
     removeUnfinished?.();
+    releasePlace?.();
     incoming.off('data', onData);
     incoming.off('end', onEnd);
     incoming.off('close', onAbort);
--- a/src/client-limits/client-guard.ts
+++ b/src/client-limits/client-guard.ts
@@ -9,6 +9,8 @@
 import type { ByteBudget } from './byte-budget.js';
 import { createConnectionGuard } from './connection-guard.js';
 import type { ConnectionGuard, ConnectionLimits } from './connection-guard.js';
+import { createFragmentedBodies } from './fragmented-bodies.js';
+import type { FragmentedBodies } from './fragmented-bodies.js';
 import { createLimitLog } from './limit-log.js';
 import type { LimitCause, LimitReport } from './limit-log.js';
 import type { ClientLimits } from './limits.js';
@@ -54,8 +56,9 @@
 
 export interface ClientGuard {
   readonly budget: ByteBudget;
-  /** The most small chunks that a body may have. */
+  /** Small chunks from which on a body needs one of the places for fragmented bodies. */
   readonly maxSmallChunks: number;
+  readonly fragmentedBodies: FragmentedBodies;
   record(listener: string, cause: LimitCause): void;
   /** Limits the connections of a listener for HTTP requests. */
   protect(server: Server, listener: string, maxConnections: number): ConnectionGuard;
@@ -109,6 +112,7 @@
   return {
     budget,
     maxSmallChunks: limits.smallChunks,
+    fragmentedBodies: createFragmentedBodies(),
     record: (listener, cause) => {
       log.record(listener, cause);
     },
--- a/src/client-limits/index.ts
+++ b/src/client-limits/index.ts
@@ -6,6 +6,7 @@
 export * from './byte-budget.js';
 export * from './client-guard.js';
 export * from './connection-guard.js';
+export * from './fragmented-bodies.js';
 export * from './limit-log.js';
 export * from './limits.js';
 export * from './message-guard.js';
--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -97,6 +97,7 @@
   return {
     budget: guard.budget,
     maxSmallChunks: guard.maxSmallChunks,
+    fragmentedBodies: guard.fragmentedBodies,
     record: (cause) => {
       guard.record(CALLERS, cause);
     },
--- a/test/client-limits/body-collector.test.ts
+++ b/test/client-limits/body-collector.test.ts
@@ -7,7 +7,11 @@
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { collectBody, createByteBudget } from '../../src/client-limits/index.js';
+import {
+  collectBody,
+  createByteBudget,
+  createFragmentedBodies,
+} from '../../src/client-limits/index.js';
 
 const LIMIT = 300_000;
 
@@ -66,6 +70,52 @@
     expect((await body.collected).kind).to.equal('complete');
   });
 
+  describe('in chunks of one byte within the size limit', () => {
+    const options = () => ({
+      maxBytes: LIMIT,
+      budget: createByteBudget(2 * LIMIT),
+      maxSmallChunks: 100,
+      fragmentedBodies: createFragmentedBodies({ places: 1, now: () => clock }),
+    });
+    let clock = 0;
+
+    async function send(incoming: IncomingMessage, chunks: number) {
+      for (let sent = 0; sent < chunks; sent += 1) incoming.push(Buffer.from('x'));
+      await nextTurn();
+    }
+
+    it('is read while no other such body is', async () => {
+      const incoming = receive();
+      const body = collectBody(incoming, options());
+      await send(incoming, 5000);
+      incoming.push(null);
+      expect((await body.collected).kind).to.equal('complete');
+    });
+
+    it('ends its connection while another one is read or has just been', async () => {
+      const shared = options();
+      const first = receive();
+      const body = collectBody(first, shared);
+      await send(first, 200);
+      const second = receive();
+      const refused = collectBody(second, shared);
+      await send(second, 200);
+      expect((await refused.collected).kind).to.equal('fragmented');
+      first.push(null);
+      expect((await body.collected).kind).to.equal('complete');
+      const third = receive();
+      const early = collectBody(third, shared);
+      await send(third, 200);
+      expect((await early.collected).kind).to.equal('fragmented');
+      clock += 3001;
+      const fourth = receive();
+      const late = collectBody(fourth, shared);
+      await send(fourth, 200);
+      fourth.push(null);
+      expect((await late.collected).kind).to.equal('complete');
+    });
+  });
+
   it('is refused over the limit, by its announcement before any byte', async () => {
     const budget = createByteBudget(2 * LIMIT);
     const announced = collectBody(receive(LIMIT + 1), { maxBytes: LIMIT, budget });
