Mend what the review of limits, placement, forecast and admission found

- Links between hosts have a budget of bytes of their own: bodies of callers that filled the common one closed them.
- A host that connects again replaces its former link, which a partition can leave open and which counted against the limit.
- The entry daemon serves requests of HTTP/1.0 without a Host header again.
- Work does not wait for room on cold workers or, for a gang, on workers where a member failed: placement does not use it.
- A learned difference of speed is bounded by a factor of 20, and estimates under a millisecond count as none.
- One odd estimate in a queue without known durations counts for 5 s at most in the expected wait; two records of expected waits confirm each other only if they came within 3 s; usefulness of a job follows the usual work of its queue where its estimate is shorter.

--- a/src/admission/rivals.ts
+++ b/src/admission/rivals.ts
@@ -37,6 +37,8 @@
 const HELD_UP_PART = 0.5;
 /** Part of an estimate that counts while the real durations of the queue are not known. Many estimates are too long. */
 const UNKNOWN_QUEUE_PART = 0.5;
+/** Work that a single estimate counts for in such a queue, so that one odd job does not close the cell to all others. */
+const MAX_UNKNOWN_MS = 5000;
 /** A waiting step with the figures that decide which jobs wait for it. */
 export interface Rival {
   readonly rank: number;
@@ -90,7 +92,7 @@
   estimateMs: number,
   usual: { readonly workMs: number } | undefined,
 ): number {
-  if (usual === undefined) return estimateMs * UNKNOWN_QUEUE_PART;
+  if (usual === undefined) return Math.min(MAX_UNKNOWN_MS, estimateMs * UNKNOWN_QUEUE_PART);
   return Math.min(estimateMs, usual.workMs);
 }
 
--- a/src/admission/wait-gate.ts
+++ b/src/admission/wait-gate.ts
@@ -82,6 +82,8 @@
   function isConfirmed(): boolean {
     if (last === undefined || previous === undefined) return false;
     if (last.record.epoch !== previous.record.epoch) return false;
+    // A listing after an outage can show two records of which the first is old.
+    if (last.receivedAt - previous.receivedAt > MAX_AGE_MS) return false;
     return Math.abs(last.record.number - previous.record.number) <= 1;
   }
 
@@ -162,13 +164,22 @@
   within: boolean,
 ): Omit<TooLongWait, 'reason'> | undefined {
   if (queue === undefined) return undefined;
-  const slack = (job.stretch - 1) * estimateCriticalPathMs(job.steps) + job.targetLatencyMs;
+  const likely = { ...job, steps: likelySteps(job, queue) };
+  const slack = (job.stretch - 1) * estimateCriticalPathMs(likely.steps) + job.targetLatencyMs;
   const { onTimeMs, lateMs } = within ? queue.within : queue.beyond;
   const waitMs = onTimeMs > LATE_PART * (slack + LATE_TOLERANCE_MS) ? lateMs : onTimeMs;
-  if (waitMs + ownWorkMs(job, queue) <= USELESS_MARGIN * usefulMsOf(job)) return undefined;
+  if (waitMs + ownWorkMs(job, queue) <= USELESS_MARGIN * usefulMsOf(likely)) return undefined;
   return { waitMs, backlogMs: onTimeMs };
 }
 
+/**
+ * The steps with the usual work of the queue where an estimate is shorter: the objective follows from the real work, and a
+ * job whose estimate is too short is of use for longer than the estimate says.
+ */
+function likelySteps({ steps }: SubmittedJob, { usualMs = 0 }: QueueRecord): readonly Step[] {
+  return steps.map((step) => ({ ...step, estimateMs: Math.max(step.estimateMs, usualMs) }));
+}
+
 /** The job's own critical path, with the usual work of the queue where an estimate is longer; 0 if that is unknown. */
 function ownWorkMs({ steps }: SubmittedJob, { usualMs, factor }: QueueRecord): number {
   if (usualMs === undefined || factor === undefined) return 0;
--- a/src/client-limits/client-guard.ts
+++ b/src/client-limits/client-guard.ts
@@ -70,6 +70,8 @@
 
 /** A time limit is exceeded by this much at most. */
 const SWEEP_INTERVAL_MS = 500;
+/** A busy host is late by less. */
+const MAX_LATENESS_MS = 1000;
 /**
  * Multiple of the configured idle time after which an idle connection is closed, so that callers, which keep connections
  * for the configured time, close first: a request that is sent while the host closes the connection would be lost.
@@ -80,14 +82,21 @@
 export function createClientGuard(options: ClientGuardOptions): ClientGuard {
   const { limits, configured, observer } = options;
   const budget = createByteBudget(limits.bufferBytes);
+  // Of their own, so that bodies of callers never cost the links between hosts.
+  const linkBudget = createByteBudget(limits.bufferBytes);
   const guards = new Map<string, ConnectionGuard>();
   const log = createLimitLog(observer);
+  let sweptAt = performance.now();
   const timer = setInterval(() => {
+    const lateMs = performance.now() - sweptAt - SWEEP_INTERVAL_MS;
+    sweptAt = performance.now();
+    // After a pause of the process, what clients have sent meanwhile is read before the next sweep.
+    if (lateMs > MAX_LATENESS_MS) return;
     for (const [listener, guard] of guards) {
       guard.sweep();
       observer.recordConnections(listener, guard.connections);
     }
-    observer.recordBufferBytes(budget.used);
+    observer.recordBufferBytes(budget.used + linkBudget.used);
     log.flush();
   }, SWEEP_INTERVAL_MS);
   timer.unref();
@@ -138,7 +147,8 @@
       });
       const { messageTimeoutMs } = limits;
       return {
-        watch: (link) => guardMessages({ ...link, connections, budget, messageTimeoutMs }),
+        watch: (link) =>
+          guardMessages({ ...link, connections, budget: linkBudget, messageTimeoutMs }),
         establish: (socket) => connections.establish(socket),
       };
     },
--- a/src/client-limits/limits.ts
+++ b/src/client-limits/limits.ts
@@ -54,8 +54,8 @@
 /** Readiness and metrics are read by a few dozen clients at most, each on one connection. */
 const READINESS_CONNECTIONS = 64;
 const METRICS_CONNECTIONS = 32;
-/** All of 100 hosts connect to a new leader within about a second and identify themselves at once. */
-const UNIDENTIFIED_LINKS = 64;
+/** All of 100 hosts connect to a new leader at the same moment, and some connect again. */
+const UNIDENTIFIED_LINKS = 128;
 /** Up to 100 other hosts, and links that are being replaced. */
 const PEER_LINKS = 128;
 /** Callers send one request at a time. */
--- a/src/controller/run-forecast.ts
+++ b/src/controller/run-forecast.ts
@@ -178,13 +178,19 @@
 function describeRun(run: Run): StepWork {
   const { count, estimateMs } = run.step.step;
   const { queue, service } = run.progress.job;
-  return { key: stepNameOf(run), service, queue, count, estimateMs };
+  return { key: stepNameOf(run), service, queue, count, estimateMs: usableEstimate(estimateMs) };
 }
 
 function describeStep(job: Job, occurrence: number, number: number): StepWork {
   const key = formatStepName({ job: job.id, occurrence, step: number });
   const { count = 1, estimateMs = 0 } = job.steps[number] ?? {};
-  return { key, service: job.service, queue: job.queue, count, estimateMs };
+  const { service, queue } = job;
+  return { key, service, queue, count, estimateMs: usableEstimate(estimateMs) };
+}
+
+/** Estimates under a millisecond say nothing, and their logarithms would dominate what is learned. */
+function usableEstimate(estimateMs: number): number {
+  return estimateMs < 1 ? 0 : estimateMs;
 }
 
 function longestOf(values: readonly number[]): number {
--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -109,8 +109,10 @@
   guard: ClientGuard,
   fetch: (request: Request, bindings: HttpBindings) => Response | Promise<Response>,
 ): Promise<Server> {
-  const handle = getRequestListener((request, bindings) =>
-    fetch(request, bindings as HttpBindings),
+  // The host name serves requests of HTTP/1.0, which have none.
+  const handle = getRequestListener(
+    (request, bindings) => fetch(request, bindings as HttpBindings),
+    { hostname: address },
   );
   const server = createServer((request, response) => {
     if (connections.admit(request, response)) void handle(request, response);
--- a/src/forecast/worker-speeds.ts
+++ b/src/forecast/worker-speeds.ts
@@ -20,6 +20,8 @@
 const DRIFT_VARIANCE = 0.01 ** 2;
 /** A difference beyond this many standard deviations is bounded, unless the next one of the worker confirms it. */
 const SURPRISE = 3;
+/** Largest difference that is learned from at once: a factor of 20. */
+const MAX_DIFFERENCE = Math.log(20);
 /** Ends of a step that are compared with the next one; bounds the cost of an end. */
 const MAX_COMPARED_ENDS = 32;
 
@@ -110,7 +112,7 @@
   worker.surprise = confirmed ? 0 : direction;
   if (confirmed) {
     worker.variance = INITIAL_DEVIATION ** 2;
-    return difference;
+    return Math.max(-MAX_DIFFERENCE, Math.min(MAX_DIFFERENCE, difference));
   }
   return direction === 0 ? difference : direction * bound;
 }
--- a/src/peers/hub.ts
+++ b/src/peers/hub.ts
@@ -109,6 +109,7 @@
 
     function receive(message: PeerMessage) {
       if (message.kind === 'hello') {
+        endFormerLinks(message.host, socket);
         if (messages?.identify() === false) return;
         name = message.host;
         callers.set(socket, { name, advise });
@@ -159,6 +160,13 @@
     });
   }
 
+  /** A link that a partition has cut stays open at this end until TCP gives up, and would count against the limit. */
+  function endFormerLinks(host: string, present: WebSocket) {
+    for (const [socket, { name }] of callers) {
+      if (name === host && socket !== present) socket.terminate();
+    }
+  }
+
   function announce(message: PeerMessage) {
     const packed = packr.pack(message);
     for (const socket of callers.keys()) socket.send(packed);
--- a/src/planner/room-forecast.ts
+++ b/src/planner/room-forecast.ts
@@ -5,7 +5,7 @@
 import { addResources, addTasks, NO_RESOURCES, subtractResources } from '../model/index.js';
 import type { Resources } from '../model/index.js';
 import type { CandidateWorker, Release, WaitingStep } from './candidates.js';
-import { couldHold, isAllowed, slotsFreeFor } from './pool.js';
+import { couldHold, isAllowed, slotsFreeFor, withoutFailed } from './pool.js';
 
 /** Room that is expected to become free. */
 export interface Opening {
@@ -113,7 +113,7 @@
     findForGang: (step, racks, horizonMs) => {
       let best: Opening | undefined;
       for (const rack of racks) {
-        const usable = rack.filter((worker) => isTakeable(step, worker));
+        const usable = withoutFailed(step, rack).filter((worker) => isTakeable(step, worker));
         if (!couldHold(step, usable)) continue;
         best = sooner(best, openingOnRack(step, usable, horizonMs));
       }
@@ -128,7 +128,9 @@
 }
 
 function isTakeable(step: WaitingStep, worker: CandidateWorker): boolean {
-  return worker.healthStatus === 'trusted' && isAllowed(step, worker, new Map());
+  // A placement leaves out cold workers while others have room, so their room is not worth a wait.
+  if (worker.healthStatus !== 'trusted' || worker.cold === true) return false;
+  return isAllowed(step, worker, new Map());
 }
 
 function sooner(left: Opening | undefined, right: Opening | undefined): Opening | undefined {
