Compare the progress of a run with its expectation twice a second at most

Cause: the leader compared the progress of every run of a worker at each of its reports, a thousand reports a second.

Change: a run is compared after 300 ms and then every 500 ms of its worker's clock.

--- a/src/controller/run-forecast.ts
+++ b/src/controller/run-forecast.ts
@@ -54,6 +54,11 @@
   readonly slowestSpeed: number | undefined;
 }
 
+/**
+ * Least time between two comparisons of a run's progress. A leader gets a thousand reports a second, each with all runs of
+ * a worker.
+ */
+const PROGRESS_INTERVAL_MS = 500;
 /** A worker takes up to 0.9 s to stop a run. */
 const STOP_MS = 900;
 
@@ -80,7 +85,10 @@
       const { percent, startedClockMs, progressedClockMs } = run;
       if (percent === 0 || run.slow || run.step.step.gang || !isComparable(run)) continue;
       if (startedClockMs === undefined || progressedClockMs === undefined) continue;
-      const progress = { percent, elapsedMs: progressedClockMs - startedClockMs };
+      const elapsedMs = progressedClockMs - startedClockMs;
+      if (elapsedMs < run.progressDueMs) continue;
+      run.progressDueMs = elapsedMs + PROGRESS_INTERVAL_MS;
+      const progress = { percent, elapsedMs };
       run.slow = forecast.learnProgress(describeRun(run), incarnation, progress);
     }
   }
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -58,6 +58,8 @@
   readonly resumed: boolean;
   /** Whether its progress has shown that it takes much longer than expected. */
   slow: boolean;
+  /** Milliseconds from its start, on the worker's clock, from which its progress is compared with the expectation again. */
+  progressDueMs: number;
   /** Age of what the leader knew of the workers when it sent the order; undefined if it has not sent one. */
   fleetAgeMs: number | undefined;
   /** Milliseconds from the placement until the order was sent. */
@@ -83,6 +85,9 @@
   readonly inherited: boolean;
 }
 
+/** Progress in less time says little. */
+const FIRST_PROGRESS_MS = 300;
+
 /** Name of the step that the run's task belongs to. */
 export function stepNameOf({ name }: Run): string {
   return name.slice(0, name.lastIndexOf('.'));
@@ -115,6 +120,7 @@
     endedClockMs: undefined,
     resumed: task.checkpoint !== '',
     slow: false,
+    progressDueMs: FIRST_PROGRESS_MS,
     fleetAgeMs: undefined,
     orderedMs: undefined,
     answeredMs: undefined,
