--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -38,6 +38,7 @@
 import type { SilentWorker } from './silent-workers.js';
 import { createSilentWorkers } from './silent-workers.js';
 import { createShareMeter } from './share-meter.js';
+import { createSpareTime } from './spare-time.js';
 import { awaitStoppingRuns } from './stopping-runs.js';
 import { createTermClock } from './term-clock.js';
 import { createWaitPublisher } from './wait-publisher.js';
@@ -84,7 +85,8 @@
       });
     },
   });
-  const forecast = createRunForecast({ now });
+  const spareTime = createSpareTime();
+  const forecast = createRunForecast({ now, hasSpareTime: () => spareTime.isLeft });
   const cell = createCell({
     now,
     onStepSettled: (key) => {
@@ -449,6 +451,7 @@
     dispatcher.stop();
     clearInterval(silentWorkersTimer);
     forecastReport.close();
+    spareTime.close();
     housekeeping.close();
     evacuations.close();
     waits.close();
--- a/src/controller/run-forecast.ts
+++ b/src/controller/run-forecast.ts
@@ -46,6 +46,8 @@
   readonly forecast?: Forecast;
   /** Monotonic milliseconds. */
   readonly now?: () => number;
+  /** Whether the leader has time to learn and to place by speed; by default, always. */
+  readonly hasSpareTime?: () => boolean;
 }
 
 interface StepForecast extends ExpectedWork {
@@ -64,12 +66,14 @@
 
 export function createRunForecast(options: RunForecastOptions = {}): RunForecast {
   const { now = () => performance.now(), forecast = createForecast({ now }) } = options;
+  const { hasSpareTime = () => true } = options;
   /** What is expected of the runs of a step. Thousands of runs may be asked for at a time. */
   const stepForecasts = new WeakMap<StepProgress, StepForecast>();
   /** Outlooks with the revision of the forecast from which they were computed. */
   const outlooks = new WeakMap<OccurrenceProgress, { revision: number; outlook: JobOutlook }>();
 
   function learnEnd(run: Run): number | undefined {
+    if (!hasSpareTime()) return undefined;
     if (!isComparable(run) || run.startedClockMs === undefined || run.endedClockMs === undefined)
       return undefined;
     const tookMs = run.endedClockMs - run.startedClockMs;
@@ -81,6 +85,7 @@
   }
 
   function learnProgress({ runs, incarnation }: WorkerSession) {
+    if (!hasSpareTime()) return;
     for (const run of runs.values()) {
       const { percent, startedClockMs, progressedClockMs } = run;
       if (percent === 0 || run.slow || run.step.step.gang || !isComparable(run)) continue;
@@ -150,7 +155,7 @@
   return {
     learnEnd,
     learnProgress,
-    speedOf: ({ incarnation }) => forecast.speedOf(incarnation),
+    speedOf: ({ incarnation }) => (hasSpareTime() ? forecast.speedOf(incarnation) : 1),
     outlookOf,
     expectRestMs: (run) => expectRestMs(run),
     releasesOf: ({ runs }, nowMs) => {
