--- a/src/admission/expected-wait.ts
+++ b/src/admission/expected-wait.ts
@@ -60,9 +60,9 @@
   readonly beyond: Waits;
 }
 
-/** A leader that has measured for a shorter time knows neither rates nor durations and reports no waits. */
+/** A leader in a shorter term knows neither rates nor durations and reports no waits. */
 const MIN_MEASURED_MS = 3000;
-/** The measured arrivals are taken to go on for this long. Bursts last for tens of seconds, but their end is unknown. */
+/** The present rate of arrivals is taken to go on for this long. Bursts last for tens of seconds, but their end is unknown. */
 const ARRIVALS_GO_ON_MS = 5000;
 /** Wait that stands for all longer ones. */
 export const MAX_WAIT_MS = 60_000;
--- a/src/admission/rivals.ts
+++ b/src/admission/rivals.ts
@@ -98,7 +98,7 @@
 
 /**
  * Whether late work of the class has waited for long. Only then is a job taken to be overtaken by what arrives: the
- * measured arrivals alone come close to the rate in any busy cell, and would make a short backlog a long wait.
+ * arrivals alone come close to the rate in any busy cell, and would make a short backlog a long wait.
  */
 export function isLateHeldUp(rivals: readonly Rival[], urgency: number, best: number): boolean {
   let onTime = 0;
--- a/src/admission/wait-gate.ts
+++ b/src/admission/wait-gate.ts
@@ -19,8 +19,8 @@
 const USELESS_MARGIN = 1.25;
 /**
  * A job counts as one that becomes late if it waits for longer than this part of its slack. Room that becomes free in
- * pieces too small for a task is part of the measured rate, so that real waits are longer. In simulated bursts of 2.3
- * times the usual urgent work, half as many again of the accepted jobs ended too late at 0.8.
+ * pieces too small for a task is part of the rate, so that real waits are longer. At 0.8, half as many
+ * again of the jobs that a burst of urgent work brings are accepted and end too late.
  */
 const LATE_PART = 0.6;
 
--- a/src/controller/spare-time.ts
+++ b/src/controller/spare-time.ts
@@ -1,6 +1,6 @@
 /**
- * Tells whether the leader has time to spare. Learning speeds and placing by them cost it about a tenth of its time, which a
- * leader at its limit needs for starts: it then learns nothing and takes all workers to be alike, until it has time again.
+ * Tells whether the leader has time to spare. Learning speeds and placing by them take time that a leader at
+ * its limit needs for starts: it then learns nothing and takes all workers to be alike, until it has time again.
  */
 
 export interface SpareTime {
--- a/src/forecast/worker-speeds.ts
+++ b/src/forecast/worker-speeds.ts
@@ -12,7 +12,7 @@
 
 /** Standard deviation of the work of tasks of a step: uniform within 15 % has 0.087; leaves room for skewed work. */
 const TASK_DEVIATION = 0.12;
-/** Error of a measured duration. The end of a run is known within about 20 ms. */
+/** Error of the duration of a run. The end of a run is known within about 20 ms. */
 const MEASUREMENT_MS = 15;
 /** Standard deviation of speeds before anything is known; workers at 0.7 and 1.7 are 0.89 apart. */
 const INITIAL_DEVIATION = 0.5;
