Log which incarnation answers an order, and what was known of a run when it ended

Cause: an answer whose clock has begun anew left no line, and run-ended named neither whether a report had listed the run nor how long its worker had been silent. Nothing decides differently.

--- a/src/controller/lease-clock.ts
+++ b/src/controller/lease-clock.ts
@@ -14,11 +14,19 @@
 /** Where the settings name no longest lease. */
 const MAX_LEASE_MS = 10_000;
 
+/** Which incarnation has given an answer, as far as the clock in it tells. */
+export type AnswerOrigin = 'later' | 'uncertain';
+
 export interface LeaseClock {
   /** Current estimate of the worker's clock in milliseconds; 0 before the first answer. */
   now(): number;
   /** Records the worker's clock from an answer that has just arrived. */
   note(workerMs: number | undefined): void;
+  /**
+   * Called when a call is sent. The result tells which incarnation has answered it, by the clock in the answer: the
+   * clock of an incarnation never runs backwards, and that of a later one has begun anew.
+   */
+  trackCall(): (workerMs: number | undefined) => AnswerOrigin;
   /**
    * Records that a call with a later fencing token than all those of other sessions was answered at this time of the
    * worker's clock.
@@ -70,6 +78,13 @@
       if (reading !== undefined && workerMs <= reading.workerMs) return;
       reading = { workerMs, at: monotonicNow() };
     },
+    trackCall: () => {
+      const known = reading;
+      return (workerMs) => {
+        const isBehind = known !== undefined && workerMs !== undefined && workerMs < known.workerMs;
+        return isBehind ? 'later' : 'uncertain';
+      };
+    },
     reach: (workerMs) => {
       leaseUntilMs = Math.max(leaseUntilMs, workerMs + maxLeaseMs);
       foreignLeaseUntil = -Infinity;
--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -7,7 +7,7 @@
 import { createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
 import { pause } from '../records/index.js';
-import type { LeaseClock } from './lease-clock.js';
+import type { AnswerOrigin, LeaseClock } from './lease-clock.js';
 import { LATE_ORDER_MS } from './run.js';
 import type { Run, RunStatus } from './run.js';
 
@@ -126,8 +126,10 @@
     order: StartOrder,
     fields: Readonly<Record<string, unknown>>,
   ): Promise<OrderOutcome> {
+    const originOf = clock.trackCall();
     const outcome = await options.connection().start(order);
     logOrder('start', run, countOutcome('start', outcome), fields);
+    noteOrigin('start', run, outcome, originOf);
     if (outcome.kind === 'unknown') {
       run.lateStartUntil = performance.now() + LATE_ORDER_MS;
       options.onUnansweredStart(run.lateStartUntil);
@@ -179,9 +181,11 @@
     let logged: OutcomeName | undefined;
     while (options.isOpen() && runs.get(run.name) === run && run.stopAnsweredAt === undefined) {
       const fencingToken = options.fencingToken();
+      const originOf = clock.trackCall();
       const outcome = await options
         .connection()
         .stop({ task: run.name, run: run.number, fencingToken });
+      noteOrigin('stop', run, outcome, originOf);
       // A stop is repeated up to five times a second, for as long as the lease of a silent worker lasts.
       const result = countOutcome('stop', outcome);
       if (result !== logged) logOrder('stop', run, result, { reason: run.stopReason });
@@ -200,6 +204,30 @@
     }
   }
 
+  /** Logs an answer whose clock shows that an incarnation has given it that the leader does not know. */
+  function noteOrigin(
+    order: 'start' | 'stop',
+    run: Run,
+    outcome: OrderOutcome,
+    originOf: (workerMs: number | undefined) => AnswerOrigin,
+  ) {
+    if (outcome.kind !== 'accepted' && outcome.kind !== 'refused') return;
+    const { clockMs } = outcome;
+    if (originOf(clockMs) !== 'later') return;
+    events.warn('answered-by-later-incarnation', {
+      job: run.progress.job.id,
+      task: run.name,
+      run: run.number,
+      worker: worker.id,
+      born: worker.born,
+      epoch,
+      order,
+      outcome: outcome.kind,
+      clockMs,
+      expectedClockMs: Math.round(clock.now()),
+    });
+  }
+
   /** Changes the status unless a stop, for instance, has changed it in the meantime; returns whether it did. */
   function transition(run: Run, from: RunStatus, to: RunStatus): boolean {
     if (run.status !== from) return false;
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -257,6 +257,9 @@
       answeredMs: run.answeredMs === undefined ? undefined : Math.round(run.answeredMs),
       tookMs: Math.round(performance.now() - run.startedAt),
       percent: run.percent,
+      listed: run.listed,
+      silentMs: Math.round(performance.now() - Math.max(answeredAt, openedAt)),
+      workerClockMs: Math.round(clock.now()),
       workMs: workMs === undefined ? undefined : Math.round(workMs),
     });
     return options.onEnd(session, run, end, checkpoint);
