Tell a later incarnation of a worker by a clock that is ahead, too

Such an answer counted as a proof that the known incarnation had taken the start, and as a reading of its clock.

An answer now proves that only if its clock lies between the earliest and the latest that the known incarnation can have.

--- a/src/controller/lease-clock.ts
+++ b/src/controller/lease-clock.ts
@@ -19,6 +19,13 @@
 /** Error of a clock that is given in whole milliseconds. */
 const CLOCK_ROUNDING_MS = 1;
 
+/** A reading of the worker's clock. */
+interface Reading {
+  readonly workerMs: number;
+  /** Monotonic time at which the answer arrived. */
+  readonly at: number;
+}
+
 /** Which incarnation has given an answer, as far as the clock in it tells. */
 export type AnswerOrigin = 'own' | 'later' | 'uncertain';
 
@@ -31,7 +38,7 @@
   noteReport(workerMs: number, requestedAt: number): void;
   /**
    * Called when a call is sent. The result tells which incarnation has answered it, by the clock in the answer: the
-   * clock of an incarnation never runs backwards, and that of a later one has begun anew.
+   * clock of an incarnation runs on steadily, and that of a later one has begun anew, not always at 0.
    */
   trackCall(): (workerMs: number) => AnswerOrigin;
   /**
@@ -68,10 +75,10 @@
   const { monotonicNow = () => performance.now() } = options;
   /** Monotonic time until which a lease may last that a call for an earlier incarnation has extended. */
   let foreignLeaseUntil = -Infinity;
-  let reading: { workerMs: number; at: number } | undefined;
+  let reading: Reading | undefined;
   let leaseUntilMs = 0;
-  /** When the last report of this incarnation was requested; it has certainly been alive since. */
-  let reportRequestedAt = -Infinity;
+  /** The clock in the last report of this incarnation, which was alive when the report was requested. */
+  let reported: { readonly workerMs: number; readonly requestedAt: number } | undefined;
 
   function note(workerMs: number | undefined) {
     if (workerMs === undefined) return;
@@ -83,13 +90,14 @@
     const known = reading;
     const sentAt = monotonicNow();
     return (workerMs: number): AnswerOrigin => {
-      if (known === undefined) return 'uncertain';
-      if (workerMs < known.workerMs) return 'later';
+      if (known === undefined || reported === undefined) return 'uncertain';
+      const sinceReportMs = monotonicNow() - reported.requestedAt;
+      const latestMs = reported.workerMs + sinceReportMs * (1 + CLOCK_DRIFT);
+      if (workerMs < known.workerMs || workerMs > latestMs + CLOCK_ROUNDING_MS) return 'later';
       const earliestMs = known.workerMs + (sentAt - known.at) * (1 - CLOCK_DRIFT);
-      // An incarnation that has started since the last report of this one cannot have been up for longer.
-      const longestLaterMs = monotonicNow() - reportRequestedAt;
+      // The clock of an incarnation that has started at 0 since the report may be as far while this one is young.
       const isOwn =
-        workerMs >= earliestMs - CLOCK_ROUNDING_MS && workerMs > longestLaterMs + CLOCK_ROUNDING_MS;
+        workerMs >= earliestMs - CLOCK_ROUNDING_MS && workerMs > sinceReportMs + CLOCK_ROUNDING_MS;
       return isOwn ? 'own' : 'uncertain';
     };
   }
@@ -109,7 +117,7 @@
     now: () => (reading === undefined ? 0 : reading.workerMs + (monotonicNow() - reading.at)),
     note,
     noteReport: (workerMs, requestedAt) => {
-      reportRequestedAt = Math.max(reportRequestedAt, requestedAt);
+      reported = { workerMs, requestedAt };
       note(workerMs);
     },
     trackCall,
--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -108,7 +108,6 @@
     if (runs.get(run.name) !== run) return;
     if (outcome.kind === 'accepted') {
       run.answeredMs = performance.now() - run.startedAt;
-      clock.note(outcome.clockMs);
       if (run.lateStartUntil === -Infinity) run.startedClockMs = outcome.clockMs;
       run.progressedClockMs ??= outcome.clockMs;
       transition(run, 'starting', 'running');
@@ -120,7 +119,6 @@
       return;
     }
     if (outcome.kind === 'unknown') return;
-    clock.note(outcome.clockMs);
     // A refused start has extended the lease, too.
     if (outcome.reason === 'fenced') options.onFenced(order.fencingToken);
     if (outcome.reason === 'no-permit') options.onTicketRefused(run);
@@ -135,7 +133,7 @@
     const originOf = clock.trackCall();
     const outcome = await options.connection().start(order);
     logOrder('start', run, countOutcome('start', outcome), fields);
-    const origin = noteOrigin('start', run, outcome, originOf);
+    const origin = noteClock('start', run, outcome, originOf);
     if (origin === 'own') run.answeredByOwn ||= runs.get(run.name) === run;
     else if (origin !== undefined) options.onUncertainAnswer();
     if (outcome.kind === 'unknown') {
@@ -153,7 +151,6 @@
   async function repeatStart(run: Run, order: StartOrder): Promise<OrderOutcome> {
     const outcome = await sendStart(run, order, { repeated: true });
     if (outcome.kind !== 'refused') return outcome;
-    clock.note(outcome.clockMs);
     if (outcome.reason === 'fenced') options.onFenced(order.fencingToken);
     return { kind: 'unknown', detail: `then refused: ${outcome.reason}` };
   }
@@ -193,13 +190,12 @@
       const outcome = await options
         .connection()
         .stop({ task: run.name, run: run.number, fencingToken });
-      noteOrigin('stop', run, outcome, originOf);
+      noteClock('stop', run, outcome, originOf);
       // A stop is repeated up to five times a second, for as long as the lease of a silent worker lasts.
       const result = countOutcome('stop', outcome);
       if (result !== logged) logOrder('stop', run, result, { reason: run.stopReason });
       logged = result;
       if (outcome.kind === 'accepted') {
-        clock.note(outcome.clockMs);
         run.stopAnsweredAt = performance.now();
         return;
       }
@@ -212,8 +208,8 @@
     }
   }
 
-  /** Returns which incarnation has given the answer; undefined if there is none with a clock. */
-  function noteOrigin(
+  /** Applies the clock in an answer and returns which incarnation has given it; undefined if there is no clock. */
+  function noteClock(
     order: 'start' | 'stop',
     run: Run,
     outcome: OrderOutcome,
@@ -223,7 +219,10 @@
     const { clockMs } = outcome;
     if (clockMs === undefined) return undefined;
     const origin = originOf(clockMs);
-    if (origin !== 'later') return origin;
+    if (origin !== 'later') {
+      clock.note(clockMs);
+      return origin;
+    }
     events.warn('answered-by-later-incarnation', {
       job: run.progress.job.id,
       task: run.name,
--- a/test/controller/lease-clock.test.ts
+++ b/test/controller/lease-clock.test.ts
@@ -73,6 +73,14 @@
       expect(originOf(99_999)).to.equal('later');
     });
 
+    it('as a later one if the clock is further than its own can be', () => {
+      const clock = createReported();
+      now = 2500;
+      const originOf = clock.trackCall();
+      now = 2504;
+      expect(originOf(101_600)).to.equal('later');
+    });
+
     it('as its own if the clock is further than that of any later one can be', () => {
       const clock = createReported();
       now = 2500;
