Let a successor count with the longest lease after the last order that may be under way

A successor without a record of the silent workers waited 18.8 s from its election: what a former leader may extend without the store, and a lease of 8 s by the worker's former clock. An order of the former leader can be carried out 10 s after it was sent, by an incarnation that has started since and keeps it for its longest lease, 10.2 s on a slow clock, so the task could be at work twice (TWICE).

Only workers that a new leader cannot reach, and that the former one has not recorded as silent, wait longer than before, by 1.9 s.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -26,6 +26,7 @@
 import type { FormerLeader } from './former-leader.js';
 import { createHousekeeping } from './housekeeping.js';
 import type { FinishedJob } from './housekeeping.js';
+import { EXTEND_WITHOUT_STORE_MS, maxInheritedLeaseMs } from './inherited-leases.js';
 import { createJobIntake } from './job-intake.js';
 import { createJobLifecycle, stopStalledRuns, stopUnfinishableRuns } from './job-lifecycle.js';
 import { createOrderWindow, latestOrderAt } from './order-window.js';
@@ -42,29 +43,24 @@
 import { awaitStoppingRuns } from './stopping-runs.js';
 import { createTermClock } from './term-clock.js';
 import { createWaitPublisher } from './wait-publisher.js';
-import { createWorkerSession, LEASE_MS } from './worker-session.js';
+import { createWorkerSession } from './worker-session.js';
 import type { WorkerSession } from './worker-session-types.js';
 
-/**
- * A leader that cannot reach the store goes on extending leases for this long. A successor that cannot reach a worker
- * declares its runs lost only after this time and the duration of a lease have passed.
- */
-const EXTEND_WITHOUT_STORE_MS = 10_000;
 /** A worker that answers again is given no work before the record is written. */
 const SILENT_WORKERS_INTERVAL_MS = 200;
 /** Drain time of the platform where its settings do not give another. */
 const DEFAULT_DRAIN_MS = 2000;
 /** Likewise for cancellations. */
 const DEFAULT_CANCEL_MS = 3000;
-/** Margin on the upper bound of inherited leases for the drift of workers' clocks. */
-const INHERITED_SLACK_MS = 800;
-const MAX_INHERITED_LEASE_MS = EXTEND_WITHOUT_STORE_MS + LEASE_MS + INHERITED_SLACK_MS;
 
 export function createController(options: ControllerOptions): Controller {
   const { store, reachability, term, configuration, events, meters } = options;
   const { drainMs = DEFAULT_DRAIN_MS, cancelMs = DEFAULT_CANCEL_MS } = options;
   const now = () => performance.now();
   const startedAt = now();
+  const inheritedLeaseMs = maxInheritedLeaseMs(
+    options.maxLeaseMs === undefined ? {} : { maxLeaseMs: options.maxLeaseMs },
+  );
   const clock = createTermClock();
   /** Whether the term has ended. */
   let closed = false;
@@ -236,7 +232,7 @@
       isRecordedSilent: () => !silentWorkers.mayExtend(worker.incarnation),
       openSuccessor: (former, born) => sessions.openSuccessor(former, born),
       inheritedLeaseUntil: () =>
-        silentWorkers.leaseEndOf(worker.incarnation) ?? startedAt + MAX_INHERITED_LEASE_MS,
+        silentWorkers.leaseEndOf(worker.incarnation) ?? startedAt + inheritedLeaseMs,
       onEnd: (session, run, end, checkpoint) => {
         waits.noteEnd(run, end);
         if (!closed) return lifecycle.applyEnd(run, end, checkpoint);
@@ -431,7 +427,7 @@
       formerLeader = createFormerLeader({
         sessions,
         report,
-        observeMs: MAX_INHERITED_LEASE_MS,
+        observeMs: inheritedLeaseMs,
         events,
       });
     },
--- a/src/controller/lease-clock.ts
+++ b/src/controller/lease-clock.ts
@@ -19,6 +19,11 @@
 /** Error of a clock that is given in whole milliseconds. */
 const CLOCK_ROUNDING_MS = 1;
 
+/** Milliseconds within which a lease that begins now has certainly expired, unless it is extended. */
+export function longestLeaseMs(maxLeaseMs = MAX_LEASE_MS): number {
+  return maxLeaseMs / (1 - CLOCK_DRIFT) + EXPIRY_MARGIN_MS;
+}
+
 /** A reading of the worker's clock. */
 interface Reading {
   readonly workerMs: number;
@@ -102,8 +107,7 @@
     };
   }
 
-  const longestLeaseAfter = (takenUntil: number) =>
-    takenUntil + maxLeaseMs / (1 - CLOCK_DRIFT) + EXPIRY_MARGIN_MS;
+  const longestLeaseAfter = (takenUntil: number) => takenUntil + longestLeaseMs(maxLeaseMs);
 
   function expiresAt(): number {
     if (!isConfirmed() || reading === undefined) {
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -25,7 +25,7 @@
  * Long enough, with a renewal every second, for the usual network partition of 5 to 6 s and for the election of a new
  * leader. The runs of a dead worker restart elsewhere only after the lease has expired.
  */
-export const LEASE_MS = 8000;
+const LEASE_MS = 8000;
 /** Time without an answer after which a successor is told of a silent worker; lost answers alone seldom last so long. */
 const SILENCE_MS = 1500;
 /** Consecutive unanswered renewals after which a worker is given no new work. */
