Withdraw orders to a worker that has fallen silent while their record was being written

A placement is made durable before its order is sent, which takes from 10 ms to seconds at a slow store. An order to a worker that had fallen silent, or was recorded as silent, meanwhile was sent all the same.

The order is withdrawn now, with those of its gang, and the tasks are placed again. 'are not sent to a worker that has fallen silent meanwhile' and 'of a gang are withdrawn together' failed before.

--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -338,7 +338,8 @@
         ? permits.ticket(stepNameOf(run), run.session.incarnation.id, run.session.incarnation.born)
         : undefined;
       tickets.set(run, ticket);
-      const accepted = maySend && sessions.acceptsWork(run.session);
+      // While the record was being written, the worker may have fallen silent, and a successor may have been told so.
+      const accepted = maySend && sessions.acceptsWork(run.session) && run.session.reachable;
       const isAllowed = accepted && (!permitRequired || ticket !== undefined);
       if (run.status !== 'logging' || !isAllowed) withdrawn.add(run);
     }
@@ -358,6 +359,7 @@
           leadershipFresh,
           viewsFresh,
           acceptsWork: sessions.acceptsWork(run.session),
+          reachable: run.session.reachable,
           fleetAgeMs: options.fleetAgeMs(),
           entryRevision: run.session.worker.revision,
         });
