Stop waiting for late starts of a run once its worker has reported after them

A report shows that its incarnation was alive when the report was requested. A start that could be carried out only before that cannot have reached a later one. 'ends with the lease of the incarnation that has reported since a start was under way' failed before.

--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -141,11 +141,13 @@
 }
 
 /**
- * Whether a later incarnation than the session's may have the run, so that the end of the lease of the session's
- * incarnation is not the end of the run. Unlike a run that is handed over, it is not settled by a report.
+ * Whether a later incarnation than the session's may have the run, if that one was certainly alive at the given monotonic
+ * time. The end of its lease is then not the end of the run. Unlike a run that is handed over, it is not settled by a report.
  */
-export function mayBeAtLaterIncarnation(run: Run): boolean {
-  return mayReachLaterIncarnation(run) && !(run.answeredByOwn && run.lateStartUntil === -Infinity);
+export function mayBeAtLaterIncarnation(run: Run, aliveAt: number): boolean {
+  if (run.status === 'logging') return false;
+  const isStartUnderWay = run.lateStartUntil > aliveAt;
+  return isStartUnderWay || !(run.listed || run.answeredByOwn);
 }
 
 /** Fraction of the estimate. A healthy worker reports 15 % progress in it, a worker that is 7 times slower 2 %. */
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -43,6 +43,8 @@
   let uncertainAnswerAt = -Infinity;
   /** Monotonic time at which an answer has shown a later incarnation; undefined unless one is expected to report. */
   let replacedAt: number | undefined;
+  /** Monotonic time at which the last report of this incarnation was requested. */
+  let reportRequestedAt = -Infinity;
   const faults = createFaultContainment({ events, meters });
   const runs = new Map<string, Run>();
   let worker = options.worker;
@@ -227,7 +229,7 @@
   /** Monotonic time from which the run has certainly ended at each incarnation that may have it. */
   function lapsesAt(run: Run): number {
     const ownLeaseEnd = clock.expiresAt();
-    if (!confirmed || !mayBeAtLaterIncarnation(run)) return ownLeaseEnd;
+    if (!confirmed || !mayBeAtLaterIncarnation(run, reportRequestedAt)) return ownLeaseEnd;
     const takenUntil = Math.max(run.lateStartUntil, callsUnderWayUntil, uncertainAnswerAt);
     return Math.max(ownLeaseEnd, clock.longestLeaseAfter(takenUntil));
   }
@@ -398,6 +400,7 @@
       confirmed = true;
       silentRenewals = 0;
       if (replacedAt !== undefined && requestedAt > replacedAt) replacedAt = undefined;
+      reportRequestedAt = requestedAt;
       clock.noteReport(outcome.report.clockMs, requestedAt);
       await reports.apply(outcome.report, requestedAt);
       if (changed) options.onChange();
--- a/test/controller/unlisted-incarnations.test.ts
+++ b/test/controller/unlisted-incarnations.test.ts
@@ -133,4 +133,15 @@
     expect(run.listed).to.equal(false);
     expect(await harness.endOf(run)).to.include({ end: 'lapsed', atWork: false });
   });
+
+  // A start whose answer was lost once kept the run waiting for a later incarnation for as long as it lived.
+  it('ends with the lease of the incarnation that has reported since a start was under way', async () => {
+    const run = await harness.startRun();
+    await eventually(() => run.listed || undefined, 'a report that lists the run');
+    run.lateStartUntil = performance.now();
+    await awaitRenewal(harness);
+    await awaitRenewal(harness);
+    harness.worker.cut = true;
+    expect(await harness.endOf(run)).to.include({ end: 'lapsed', atWork: false });
+  });
 });
