Write the record of silent workers again when a lease ends later than it says

The end of a lease becomes later when the answer to an order shows a later incarnation. The record was only written again for other workers or after 2 s, so a successor elected in between could start the task elsewhere too early (TWICE). Found in review; 'is written again when a lease ends later than it says' failed before.

--- a/src/controller/silent-workers.ts
+++ b/src/controller/silent-workers.ts
@@ -37,7 +37,7 @@
   leaseEndOf(incarnation: WorkerIncarnation): number | undefined;
   /** Whether the lease may be extended: a successor would take the worker for one that has none if it were. */
   mayExtend(incarnation: WorkerIncarnation): boolean;
-  /** Writes the record if the silent workers have changed, or if less is left of their leases than it says. */
+  /** Writes the record if the silent workers or the ends of their leases have changed, or if it has become old. */
   publish(silent: readonly SilentWorker[]): Promise<void>;
 }
 
@@ -55,6 +55,8 @@
 
 /** Time after which the record is written again with what is left by then. */
 const REFRESH_MS = 2000;
+/** Two readings of the same end of a lease differ by less, and its margin is several times as long. */
+const LATER_END_MS = 50;
 
 const recordSchema = z.object({
   /** Epoch of the leader that has written the record. */
@@ -74,6 +76,8 @@
   let isRestored = false;
   /** Workers that the record may name, also after a write whose outcome is unknown. */
   let recorded: ReadonlySet<string> = new Set();
+  /** Monotonic times at which the leases end by the last record that was written. */
+  let recordedEnds: ReadonlyMap<string, number> = new Map();
   let writtenAt = -Infinity;
   let isPublishing = false;
 
@@ -85,21 +89,31 @@
     for (const [id, born, leaseLeftMs] of isKept ? found.workers : []) {
       leaseEnds.set(keyOf({ id, born }), readAt + leaseLeftMs);
     }
-    recorded = new Set(leaseEnds.keys());
+    noteRecorded(leaseEnds.keys());
     isRestored = true;
   }
 
-  function isOutdated(keys: ReadonlySet<string>): boolean {
-    if (keys.size !== recorded.size || [...keys].some((key) => !recorded.has(key))) return true;
-    return keys.size > 0 && now() - writtenAt >= REFRESH_MS;
+  function noteRecorded(keys: Iterable<string>) {
+    recorded = new Set(keys);
+  }
+
+  function isOutdated(ends: ReadonlyMap<string, number>): boolean {
+    if (ends.size !== recorded.size) return true;
+    // The end of a lease becomes later when an answer shows that a later incarnation has taken an order.
+    const isLater = ([key, end]: [string, number]) =>
+      end > (recordedEnds.get(key) ?? -Infinity) + LATER_END_MS;
+    if ([...ends].some(isLater)) return true;
+    return ends.size > 0 && now() - writtenAt >= REFRESH_MS;
   }
 
   async function publish(silent: readonly SilentWorker[]) {
-    const keys = new Set(silent.map(({ incarnation }) => keyOf(incarnation)));
-    if (!isRestored || isPublishing || !isOutdated(keys)) return;
-    isPublishing = true;
-    recorded = new Set([...recorded, ...keys]);
     const startedAt = now();
+    const ends = new Map(
+      silent.map(({ incarnation, leaseLeftMs }) => [keyOf(incarnation), startedAt + leaseLeftMs]),
+    );
+    if (!isRestored || isPublishing || !isOutdated(ends)) return;
+    isPublishing = true;
+    noteRecorded([...recorded, ...ends.keys()]);
     const workers = silent.map(({ incarnation, leaseLeftMs }): [string, number, number] => [
       incarnation.id,
       incarnation.born,
@@ -108,7 +122,8 @@
     const next: SilentWorkersRecord = { epoch, workers };
     try {
       if (!(await record.write(JSON.stringify(next)))) return;
-      recorded = keys;
+      noteRecorded(ends.keys());
+      recordedEnds = ends;
       writtenAt = startedAt;
     } finally {
       isPublishing = false;
--- a/test/controller/silent-workers.test.ts
+++ b/test/controller/silent-workers.test.ts
@@ -256,5 +256,23 @@
       );
       expect(next.silentWorkers.leaseEndOf(WORKER)).to.equal(undefined);
     });
+
+    // The record named the former end for up to 2 s after an answer had shown that a later incarnation has an order.
+    it('is written again when a lease ends later than it says', async () => {
+      let nowMs = 0;
+      const { silentWorkers, writes } = createTerm(
+        TOKENS_PER_TERM,
+        () => undefined,
+        () => nowMs,
+      );
+      await silentWorkers.publish([{ incarnation: WORKER, leaseLeftMs: 6800 }]);
+      nowMs = 200;
+      await silentWorkers.publish([{ incarnation: WORKER, leaseLeftMs: 6600 }]);
+      expect(writes).to.have.length(1);
+      nowMs = 400;
+      await silentWorkers.publish([{ incarnation: WORKER, leaseLeftMs: 10_700 }]);
+      expect(writes).to.have.length(2);
+      expect(writes.at(-1)).to.include('10700');
+    });
   });
 });
