Extend no lease of a later incarnation while the record names its former one

A run of a recorded worker is handed over to a later incarnation when the leader reaches that one, whose lease was then extended at once. The store still has the run at the former incarnation. A successor that reads the record before it is written again takes the run for lapsed while it is at work (TWICE).

The record's promise now holds for all incarnations of a worker's id. Found in review; 'keeps the lease of its later incarnations from being extended' failed before.

--- a/src/controller/silent-workers.ts
+++ b/src/controller/silent-workers.ts
@@ -35,7 +35,10 @@
   readonly restore: (entry: StoreEntry | undefined) => void;
   /** Monotonic time after which the lease has certainly expired, if the former leader recorded the worker. */
   leaseEndOf(incarnation: WorkerIncarnation): number | undefined;
-  /** Whether the lease may be extended: a successor would take the worker for one that has none if it were. */
+  /**
+   * Whether the lease may be extended: a successor would take the worker for one that has none if it were. Runs of a
+   * recorded incarnation may have been handed over to a later one, which the store does not know yet.
+   */
   mayExtend(incarnation: WorkerIncarnation): boolean;
   /** Writes the record if the silent workers or the ends of their leases have changed, or if it has become old. */
   publish(silent: readonly SilentWorker[]): Promise<void>;
@@ -76,6 +79,7 @@
   let isRestored = false;
   /** Workers that the record may name, also after a write whose outcome is unknown. */
   let recorded: ReadonlySet<string> = new Set();
+  let recordedIds: ReadonlySet<string> = new Set();
   /** Monotonic times at which the leases end by the last record that was written. */
   let recordedEnds: ReadonlyMap<string, number> = new Map();
   let writtenAt = -Infinity;
@@ -95,6 +99,7 @@
 
   function noteRecorded(keys: Iterable<string>) {
     recorded = new Set(keys);
+    recordedIds = new Set([...recorded].map((key) => key.slice(0, key.lastIndexOf('@'))));
   }
 
   function isOutdated(ends: ReadonlyMap<string, number>): boolean {
@@ -133,7 +138,7 @@
   return {
     restore,
     leaseEndOf: (incarnation) => leaseEnds.get(keyOf(incarnation)),
-    mayExtend: (incarnation) => isRestored && !recorded.has(keyOf(incarnation)),
+    mayExtend: ({ id }) => isRestored && !recordedIds.has(id),
     publish,
   };
 }
--- a/test/controller/silent-workers.test.ts
+++ b/test/controller/silent-workers.test.ts
@@ -274,5 +274,21 @@
       expect(writes).to.have.length(2);
       expect(writes.at(-1)).to.include('10700');
     });
+
+    // A run of the recorded incarnation that has been handed over to a later one was at work there when a successor, which
+    // found it at the former one, took it for lapsed.
+    it('keeps the lease of its later incarnations from being extended', async () => {
+      const { silentWorkers } = createTerm(
+        TOKENS_PER_TERM,
+        () => undefined,
+        () => 0,
+      );
+      const later = { ...WORKER, born: WORKER.born + 1 };
+      expect(silentWorkers.mayExtend(later)).to.equal(true);
+      await silentWorkers.publish([{ incarnation: WORKER, leaseLeftMs: 6800 }]);
+      expect(silentWorkers.mayExtend(later)).to.equal(false);
+      await silentWorkers.publish([]);
+      expect(silentWorkers.mayExtend(later)).to.equal(true);
+    });
   });
 });
