--- a/stand-ins/platform/worker.ts
+++ b/stand-ins/platform/worker.ts
@@ -27,6 +27,12 @@
   readonly processorMillis?: number;
   readonly memoryMb?: number;
   readonly born?: number;
+  /** Age at the start, which the worker's clock and its time of start show. */
+  readonly uptimeMs?: number;
+  /** Milliseconds of the worker's clock per millisecond. */
+  readonly clockRate?: number;
+  /** Whether the worker writes its registry entry at its start. */
+  readonly listed?: boolean;
   readonly labels?: readonly string[];
   /** Returns the run time of a task from its spec. */
   readonly workMs?: (spec: string) => number;
@@ -74,6 +80,8 @@
   dropStartResponses(count: number): void;
   /** Number of starts, stops and renewals that were refused because of a stale epoch. */
   readonly staleEpochRejections: number;
+  /** Writes the registry entry. */
+  list(): void;
   /** Marks the worker as draining in its registry entry. */
   leave(): void;
   /** Terminates without notice. Running tasks and unacknowledged ends are lost, and the registry entry is removed. */
@@ -98,7 +106,8 @@
 const DEFAULT_STOP_MS = 20;
 
 export async function startWorker(options: WorkerStandInOptions): Promise<WorkerStandIn> {
-  const { store, id, born = Date.now(), workMs = () => 50, outcome = () => 'done' } = options;
+  const { store, id, uptimeMs = 0, clockRate = 1, listed = true } = options;
+  const { born = Date.now() - uptimeMs, workMs = () => 50, outcome = () => 'done' } = options;
   const bootedAt = performance.now();
   const running = new Map<string, RunningTask>();
   const latestClosedRuns = new Map<string, number>();
@@ -115,7 +124,7 @@
   let waiters: (() => void)[] = [];
   const state = { silent: false, hanging: false };
 
-  const clockMs = () => Math.round(performance.now() - bootedAt);
+  const clockMs = () => Math.round(uptimeMs + (performance.now() - bootedAt) * clockRate);
 
   function finish(task: RunningTask, how: RunEndKind) {
     if (running.get(task.task) !== task) return;
@@ -261,7 +270,10 @@
     const value = Buffer.from(JSON.stringify(entry)).toString('base64');
     store.items.apply([{ key: `servers/${id}`, value, lease: 0 }], []);
   }
-  register('ready');
+  const list = () => {
+    register('ready');
+  };
+  if (listed) list();
 
   async function close() {
     clearInterval(leaseExpiryCheck);
@@ -300,6 +312,7 @@
     dropStartResponses: (count) => {
       startResponsesToDrop = count;
     },
+    list,
     leave: () => {
       register('draining');
     },
