Test workers that are cut off before they have told which incarnation they are

Cause: with answers within a few milliseconds, the leader learns the later incarnation about 10 ms after its first answer, so the tests with the daemons did not reach the runs that no report settles. Change: the answers of the later incarnation may take time to arrive, so that the worker is cut off after the answers to starts, or before any.

--- a/stand-ins/platform/restarting-worker.ts
+++ b/stand-ins/platform/restarting-worker.ts
@@ -4,17 +4,23 @@
  * id only, and a call without an answer may be executed later.
  */
 import { Agent, request } from 'undici';
+import { pause } from '../../src/records/index.js';
 import { HANDLED, listen } from '../http.js';
 import type { Call, HandlerResult, Listener } from '../http.js';
 import { startWorker } from './worker.js';
 import type { WorkerStandIn, WorkerStandInOptions } from './worker.js';
 
+export interface RestartOptions {
+  /** Time that the answers of the later incarnation take to arrive. */
+  readonly answerDelayMs?: number;
+}
+
 export interface RestartingWorker extends Listener {
   readonly former: WorkerStandIn;
   /** Ends the former incarnation and its tasks without notice. Calls are kept, and the registry entry stays. */
   crash(): Promise<void>;
   /** Starts the later incarnation, which does not write its registry entry. */
-  restart(): Promise<WorkerStandIn>;
+  restart(options?: RestartOptions): Promise<WorkerStandIn>;
   /** From now on no call arrives and no answer leaves, but tasks continue. */
   cut(): void;
 }
@@ -26,6 +32,7 @@
 ): Promise<RestartingWorker> {
   const agent = new Agent();
   let isCut = false;
+  let delayMs = 0;
   let current: WorkerStandIn | undefined;
   let later: WorkerStandIn | undefined;
   const isReachable = () => !isCut;
@@ -51,6 +58,7 @@
         continue;
       }
       const result = await forward(call, incarnation);
+      if (delayMs > 0) await pause(delayMs);
       // The later incarnation carries out what the former has left unanswered.
       if (result === undefined && incarnation === current) return HANDLED;
       if (result !== undefined && isReachable()) return result;
@@ -73,7 +81,8 @@
       current = undefined;
       await former.close();
     },
-    restart: async () => {
+    restart: async ({ answerDelayMs = 0 } = {}) => {
+      delayMs = answerDelayMs;
       later = await startWorker({ ...options, uptimeMs: 0, listed: false, advertise });
       current = later;
       for (const resume of waiting.splice(0)) resume();
--- a/test/platform-path/reborn-workers.test.ts
+++ b/test/platform-path/reborn-workers.test.ts
@@ -57,6 +57,8 @@
 interface ScenarioOptions {
   readonly darkMs: number;
   readonly cutAfterMs: number;
+  /** Time that the answers of the later incarnation take to arrive. */
+  readonly answerDelayMs?: number;
   /** Time from the cut to the kill of the leader; by default, it is not killed. */
   readonly killLeaderAfterMs?: number;
   /** Time from the restart to the rewrite of the registry entry; by default, it is not rewritten. */
@@ -147,7 +149,7 @@
 
   /** Fails if a task is at work twice, or if one that the later incarnation took is not started again elsewhere. */
   async function runScenario(options: ScenarioOptions): Promise<void> {
-    const { darkMs, cutAfterMs, killLeaderAfterMs, listAfterMs } = options;
+    const { darkMs, cutAfterMs, answerDelayMs = 0, killLeaderAfterMs, listAfterMs } = options;
     const leader = expectDefined(findLeader());
     const follower = expectDefined(daemons.find((daemon) => daemon !== leader));
     const endSubmissions = submitSteadily(follower);
@@ -155,7 +157,7 @@
     const crashedAt = Date.now();
     await worker.crash();
     await pause(darkMs);
-    const later = await worker.restart();
+    const later = await worker.restart({ answerDelayMs });
     if (listAfterMs !== undefined) {
       setTimeout(() => {
         later.list();
@@ -250,4 +252,27 @@
       await runScenario({ darkMs: 600, cutAfterMs: 300 });
     });
   });
+
+  // With answers within a few milliseconds, the leader asks which incarnation answers and learns it before the cut.
+  describe('before it has told the leader which incarnation it is', () => {
+    // The answers to the starts show a clock that has begun anew, and the leader dropped them as outdated.
+    it('runs no task beside another worker after it has answered starts', async () => {
+      await runScenario({ darkMs: 300, cutAfterMs: 60, answerDelayMs: 40 });
+    });
+
+    // The leader told its successor of the end of the former incarnation's lease only.
+    it('runs no task beside another worker when the leader is killed', async () => {
+      await runScenario({
+        darkMs: 300,
+        cutAfterMs: 60,
+        answerDelayMs: 40,
+        killLeaderAfterMs: 4000,
+      });
+    });
+
+    // No answer tells which incarnation has the runs, and the lease was counted on the former clock.
+    it('runs no task beside another worker after starts without an answer', async () => {
+      await runScenario({ darkMs: 300, cutAfterMs: 60, answerDelayMs: 100 });
+    });
+  });
 });
