End a link whose call has no content, instead of the process

What clients saw: all connections are reset, and the restarted host meets the same messages again.

Cause: the handler of a call is asynchronous and nothing awaited it, so its TypeError was an unhandled rejection, and after 50 of them in 10 s the process ends on purpose. A rejection now ends the link that sent the message, like an error of a handler that is not asynchronous does.

--- a/src/peers/hub.ts
+++ b/src/peers/hub.ts
@@ -124,7 +124,7 @@
         for (const listener of connectionListeners) listener();
       }
       if (message.kind === 'advice-response') resolveAdvice(message);
-      if (message.kind === 'call-request') void answer(message);
+      if (message.kind === 'call-request') void answer(message).catch(rejectMessage);
       if (message.kind === 'job-accepted') {
         for (const listener of acceptanceListeners) listener(message.job, message.ageMs);
       }
@@ -138,10 +138,17 @@
 
     async function answer({ id, call }: CallRequest) {
       const result = await callHandler?.(call);
-      if (result === undefined || socket.readyState !== WebSocket.OPEN) return;
+      if (result === undefined || !isOpen(socket)) return;
       socket.send(packr.pack({ kind: 'call-response', id, answer: result }));
     }
 
+    /** The content of a message is first looked at by its handlers, which fail on one that is malformed. */
+    function rejectMessage(error: unknown) {
+      if (!isOpen(socket)) return;
+      events.warn('peer-message-malformed', { peer: name, error: String(error) });
+      socket.terminate();
+    }
+
     function resolveAdvice(response: AdviceResponse) {
       const { permits, validMs, failure } = response;
       pending.get(response.id)?.(failure === '' ? { permits, validMs } : undefined);
@@ -151,8 +158,7 @@
       try {
         receive(packr.unpack(data as Buffer) as PeerMessage);
       } catch (error) {
-        events.warn('peer-message-malformed', { peer: name, error: String(error) });
-        socket.terminate();
+        rejectMessage(error);
       }
     });
     socket.on('error', (error) => {
@@ -221,3 +227,7 @@
     },
   };
 }
+
+function isOpen(socket: WebSocket): boolean {
+  return socket.readyState === WebSocket.OPEN;
+}
--- a/test/uncontrolled-clients/platform-links.test.ts
+++ b/test/uncontrolled-clients/platform-links.test.ts
@@ -127,6 +127,11 @@
       await withstand(LINKS, () => ({ pieces }), gatherCrowd);
     });
 
+    it('calls without their content', async () => {
+      const piece = fill(message({ kind: 'call-request', id: 1 }), 1000);
+      await withstand(10, () => ({ pieces: [piece] }));
+    });
+
     it('messages of each kind without their content', async () => {
       const kinds = ['advice-response', 'job-accepted', 'leader-changed', 'run-ended', 'none'];
       await withstand(50, (index) => ({
