Queue the calls that hosts forward, so that they can't end the leader

What clients saw: all connections are reset.

Cause: each call was worked on at once, with a request to the store of its own, so what was read of a link in one turn became some thousand requests; and answers of 40 bytes were queued without bound for links that do not read, at several hundred bytes each.

A queue now works on 512 calls at a time. Links take turns, calls of a link whose socket has no room for answers wait packed, and a link of which more than 64 wait is not read. No call is refused for that, so hosts within the limits see no difference; the time in the queue counts towards the deadline of the call.

--- a/src/peers/hub.ts
+++ b/src/peers/hub.ts
@@ -13,6 +13,7 @@
 import type { Job, JobState, ReportedEnd } from '../jobs/index.js';
 import type { Leader } from '../leadership/index.js';
 import type { EventLog } from '../observability/index.js';
+import { createCallQueue } from './call-queue.js';
 import type { AdviceResponse, CallRequest, PeerMessage } from './messages.js';
 
 export interface PeerHub {
@@ -61,6 +62,7 @@
 export function createPeerHub(options: PeerHubOptions): PeerHub {
   const { events, callTimeoutMs = CALL_TIMEOUT_MS } = options;
   const packr = new Packr({ useRecords: false });
+  const calls = createCallQueue();
   const callers = new Map<WebSocket, AdviceCaller>();
   const processors = new Map<WebSocket, number>();
   const connectionListeners: (() => void)[] = [];
@@ -113,7 +115,8 @@
       });
     }
 
-    function receive(message: PeerMessage) {
+    function receive(data: Buffer) {
+      const message = packr.unpack(data) as PeerMessage;
       if (message.kind === 'hello') {
         endFormerLinks(message.host, socket);
         if (messages?.identify() === false) return;
@@ -124,7 +127,7 @@
         for (const listener of connectionListeners) listener();
       }
       if (message.kind === 'advice-response') resolveAdvice(message);
-      if (message.kind === 'call-request') void answer(message).catch(rejectMessage);
+      if (message.kind === 'call-request') line.add(data);
       if (message.kind === 'job-accepted') {
         for (const listener of acceptanceListeners) listener(message.job, message.ageMs);
       }
@@ -136,8 +139,22 @@
       }
     }
 
-    async function answer({ id, call }: CallRequest) {
-      const result = await callHandler?.(call);
+    const line = calls.open({
+      run: (data, waitedMs) =>
+        answer(packr.unpack(data) as CallRequest, waitedMs).catch(rejectMessage),
+      // Unread answers take far more memory than their bytes, because they are short.
+      isReading: () => !request.socket.writableNeedDrain,
+      pause: () => {
+        socket.pause();
+      },
+      resume: () => {
+        if (socket.isPaused) socket.resume();
+      },
+    });
+
+    async function answer({ id, call }: CallRequest, waitedMs: number) {
+      if (!isOpen(socket)) return;
+      const result = await callHandler?.(subtractWait(call, waitedMs));
       if (result === undefined || !isOpen(socket)) return;
       socket.send(packr.pack({ kind: 'call-response', id, answer: result }));
     }
@@ -154,9 +171,10 @@
       pending.get(response.id)?.(failure === '' ? { permits, validMs } : undefined);
     }
 
+    request.socket.on('drain', line.advance);
     socket.on('message', (data) => {
       try {
-        receive(packr.unpack(data as Buffer) as PeerMessage);
+        receive(data as Buffer);
       } catch (error) {
         rejectMessage(error);
       }
@@ -165,6 +183,7 @@
       events.warn('peer-link-failed', { peer: name, error: error.message });
     });
     socket.on('close', () => {
+      line.close();
       for (const resolve of pending.values()) resolve(undefined);
       processors.delete(socket);
       if (!callers.delete(socket)) return;
@@ -228,6 +247,11 @@
   };
 }
 
+/** The time that a call has waited here counts towards its deadline. */
+function subtractWait(call: RelayedCall, waitedMs: number): RelayedCall {
+  return 'remainingMs' in call ? { ...call, remainingMs: call.remainingMs - waitedMs } : call;
+}
+
 function isOpen(socket: WebSocket): boolean {
   return socket.readyState === WebSocket.OPEN;
 }
--- a/test/uncontrolled-clients/platform-links.test.ts
+++ b/test/uncontrolled-clients/platform-links.test.ts
@@ -95,6 +95,11 @@
       await flood(fill(frame(PING), PIECE_BYTES), 60);
     });
 
+    it('the answers to calls', async () => {
+      const call = { kind: 'call-request', id: 1, call: { operation: 'state', job: 'x' } };
+      await flood(fill(message(call), PIECE_BYTES), 30);
+    });
+
     it('the answer to a close frame', async () => {
       await flood(fill(frame(CLOSE), PIECE_BYTES), 4);
     });
