Count connections to the port for links from before their TLS handshake

What clients saw: once the descriptors of the process are used up, ordinary callers can't connect.

Cause: a TLS server announces a connection after its handshake, so the limits did not know of it before; only the timeout of the handshake (5 s) ended it. Connections are now counted from their start, by the plain socket until the handshake is done, and then by the socket that requests name, so the number, the eviction and the time limit apply to both.

--- a/src/client-limits/connection-guard.ts
+++ b/src/client-limits/connection-guard.ts
@@ -5,10 +5,10 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { Server as TlsServer } from 'node:tls';
 import type { ByteBudget } from './byte-budget.js';
 import type { LimitCause } from './limit-log.js';
 import { paceAccepts } from './paced-accepts.js';
+import { onConnection } from './tls-handshakes.js';
 
 export interface ConnectionLimits {
   /** Connections without those that are established links. */
@@ -82,15 +82,31 @@
   const pace = paceAccepts();
   let established = 0;
 
-  // A TLS server reports the socket that its requests name after the TLS handshake, which has a timeout of its own.
-  server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', (socket: Socket) => {
-    const connection = openConnection(socket, now());
-    connections.set(socket, connection);
-    socket.once('close', () => {
-      forget(connection);
-    });
-    if (connections.size - established > limits.maxConnections) makeRoom(connection);
-    if (!socket.destroyed) pace(socket);
+  onConnection(server, {
+    add: (socket) => {
+      const connection = openConnection(socket, now());
+      connections.set(socket, connection);
+      socket.once('close', () => {
+        forget(connection);
+      });
+      if (connections.size - established > limits.maxConnections) makeRoom(connection);
+    },
+    replace: (former, socket) => {
+      const handshake = connections.get(former);
+      if (handshake === undefined) {
+        socket.destroy();
+        return;
+      }
+      forget(handshake);
+      const connection = openConnection(socket, now());
+      connections.set(socket, connection);
+      socket.once('close', () => {
+        forget(connection);
+      });
+    },
+    start: (socket) => {
+      if (!socket.destroyed) pace(socket);
+    },
   });
 
   function forget(connection: Connection) {
