--- a/src/peers/hub.ts
+++ b/src/peers/hub.ts
@@ -13,6 +13,7 @@
 import type { Job, JobState, ReportedEnd } from '../jobs/index.js';
 import type { Leader } from '../leadership/index.js';
 import type { EventLog } from '../observability/index.js';
+import { createCallQueue } from './call-queue.js';
 import type { AdviceResponse, CallRequest, PeerMessage } from './messages.js';
 
 export interface PeerHub {
@@ -52,10 +53,16 @@
 /** The slowest decision, for a call that names all workers, takes 1 s. A dead link is detected after this. */
 const CALL_TIMEOUT_MS = 3000;
 export const MAX_MESSAGE_BYTES = 1024 * 1024;
+/**
+ * Hosts send each message as one frame. In fragments of one byte, 100 unfinished messages took 300 MB, because each fragment
+ * is kept with about 180 bytes of its own.
+ */
+const MAX_FRAGMENTS = 64;
 
 export function createPeerHub(options: PeerHubOptions): PeerHub {
   const { events, callTimeoutMs = CALL_TIMEOUT_MS } = options;
   const packr = new Packr({ useRecords: false });
+  const calls = createCallQueue();
   const callers = new Map<WebSocket, AdviceCaller>();
   const processors = new Map<WebSocket, number>();
   const connectionListeners: (() => void)[] = [];
@@ -70,6 +77,7 @@
   const server = new WebSocketServer({
     server: listener,
     maxPayload: MAX_MESSAGE_BYTES,
+    maxFragments: MAX_FRAGMENTS,
     perMessageDeflate: false,
   });
   server.on('error', (error) => {
@@ -107,7 +115,8 @@
       });
     }
 
-    function receive(message: PeerMessage) {
+    function receive(data: Buffer) {
+      const message = packr.unpack(data) as PeerMessage;
       if (message.kind === 'hello') {
         endFormerLinks(message.host, socket);
         if (messages?.identify() === false) return;
@@ -118,7 +127,7 @@
         for (const listener of connectionListeners) listener();
       }
       if (message.kind === 'advice-response') resolveAdvice(message);
-      if (message.kind === 'call-request') void answer(message);
+      if (message.kind === 'call-request') line.add(data);
       if (message.kind === 'job-accepted') {
         for (const listener of acceptanceListeners) listener(message.job, message.ageMs);
       }
@@ -130,29 +139,51 @@
       }
     }
 
-    async function answer({ id, call }: CallRequest) {
-      const result = await callHandler?.(call);
-      if (result === undefined || socket.readyState !== WebSocket.OPEN) return;
+    const line = calls.open({
+      run: (data, waitedMs) =>
+        answer(packr.unpack(data) as CallRequest, waitedMs).catch(rejectMessage),
+      // Unread answers take far more memory than their bytes, because they are short.
+      isReading: () => !request.socket.writableNeedDrain,
+      pause: () => {
+        socket.pause();
+      },
+      resume: () => {
+        if (socket.isPaused) socket.resume();
+      },
+    });
+
+    async function answer({ id, call }: CallRequest, waitedMs: number) {
+      if (!isOpen(socket)) return;
+      const result = await callHandler?.(subtractWait(call, waitedMs));
+      if (result === undefined || !isOpen(socket)) return;
       socket.send(packr.pack({ kind: 'call-response', id, answer: result }));
     }
 
+    /** The content of a message is first looked at by its handlers, which fail on one that is malformed. */
+    function rejectMessage(error: unknown) {
+      if (!isOpen(socket)) return;
+      events.warn('peer-message-malformed', { peer: name, error: String(error) });
+      socket.terminate();
+    }
+
     function resolveAdvice(response: AdviceResponse) {
       const { permits, validMs, failure } = response;
       pending.get(response.id)?.(failure === '' ? { permits, validMs } : undefined);
     }
 
+    request.socket.on('drain', line.advance);
     socket.on('message', (data) => {
       try {
-        receive(packr.unpack(data as Buffer) as PeerMessage);
+        receive(data as Buffer);
       } catch (error) {
-        events.warn('peer-message-malformed', { peer: name, error: String(error) });
-        socket.terminate();
+        rejectMessage(error);
       }
     });
     socket.on('error', (error) => {
       events.warn('peer-link-failed', { peer: name, error: error.message });
     });
     socket.on('close', () => {
+      line.close();
       for (const resolve of pending.values()) resolve(undefined);
       processors.delete(socket);
       if (!callers.delete(socket)) return;
@@ -215,3 +246,12 @@
     },
   };
 }
+
+/** The time that a call has waited here counts towards its deadline. */
+function subtractWait(call: RelayedCall, waitedMs: number): RelayedCall {
+  return 'remainingMs' in call ? { ...call, remainingMs: call.remainingMs - waitedMs } : call;
+}
+
+function isOpen(socket: WebSocket): boolean {
+  return socket.readyState === WebSocket.OPEN;
+}
