Spread connections with too many requests over turns of the event loop

Clients saw resets, and nothing answered after the end.

Cause: the parser builds all requests of the 64 KB that it was given, up to 1,700 of about 5 KB each, also after the connection was closed for its ninth, and they stay in memory until the turn of the event loop ends. Connections that become readable in one turn add up.

After two such connections, or bodies refused for their small chunks, the other connections of the host are paused until the next turn, when the memory of the closed ones can be collected.

--- a/src/client-limits/client-guard.ts
+++ b/src/client-limits/client-guard.ts
@@ -14,6 +14,7 @@
 import { createLimitLog } from './limit-log.js';
 import type { LimitCause, LimitReport } from './limit-log.js';
 import type { ClientLimits } from './limits.js';
+import { createTurnGate } from './turn-gate.js';
 import { guardMessages } from './message-guard.js';
 import type { MessageGuard } from './message-guard.js';
 
@@ -84,6 +85,7 @@
   const budget = createByteBudget(limits.bufferBytes);
   // Of their own, so that bodies of callers never cost the links between hosts.
   const linkBudget = createByteBudget(limits.bufferBytes);
+  const turn = createTurnGate();
   const guards = new Map<string, ConnectionGuard>();
   const log = createLimitLog(observer);
   let sweptAt = performance.now();
@@ -105,6 +107,7 @@
     const guard = createConnectionGuard(server, {
       limits: connectionLimits,
       budget,
+      turn,
       record: (cause) => {
         log.record(listener, cause);
       },
@@ -121,7 +124,11 @@
   return {
     budget,
     maxSmallChunks: limits.smallChunks,
-    fragmentedBodies: createFragmentedBodies(),
+    fragmentedBodies: createFragmentedBodies({
+      onRefused: () => {
+        turn.record();
+      },
+    }),
     record: (listener, cause) => {
       log.record(listener, cause);
     },
--- a/src/client-limits/connection-guard.ts
+++ b/src/client-limits/connection-guard.ts
@@ -9,6 +9,8 @@
 import type { ByteBudget } from './byte-budget.js';
 import type { LimitCause } from './limit-log.js';
 import { paceAccepts } from './paced-accepts.js';
+import { createTurnGate } from './turn-gate.js';
+import type { TurnGate } from './turn-gate.js';
 
 export interface ConnectionLimits {
   /** Connections without those that are established links. */
@@ -29,6 +31,8 @@
   readonly limits: ConnectionLimits;
   readonly budget: ByteBudget;
   readonly record: (cause: LimitCause) => void;
+  /** Shared by the listeners of a host. */
+  readonly turn?: TurnGate;
   readonly now?: () => number;
 }
 
@@ -78,6 +82,7 @@
   options: ConnectionGuardOptions,
 ): ConnectionGuard {
   const { limits, budget, record, now = () => performance.now() } = options;
+  const { turn = createTurnGate() } = options;
   const connections = new Map<Socket, Connection>();
   const pace = paceAccepts();
   let established = 0;
@@ -86,6 +91,7 @@
   server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', (socket: Socket) => {
     const connection = openConnection(socket, now());
     connections.set(socket, connection);
+    turn.add(socket);
     socket.once('close', () => {
       forget(connection);
     });
@@ -95,6 +101,7 @@
 
   function forget(connection: Connection) {
     if (!connections.delete(connection.socket)) return;
+    turn.remove(connection.socket);
     if (connection.established) established -= 1;
     budget.release(connection.charged);
     connection.charged = 0;
@@ -107,6 +114,13 @@
     connection.socket.destroy();
   }
 
+  /** Closes a connection while one of its requests is reported. */
+  function refuse(connection: Connection, cause: LimitCause): false {
+    close(connection, cause);
+    turn.record();
+    return false;
+  }
+
   function makeRoom(latest: Connection) {
     const at = now();
     let longest: Connection | undefined;
@@ -136,12 +150,10 @@
     if (connection === undefined) return false;
     connection.outstanding += 1;
     if (connection.outstanding > limits.pipelinedRequests) {
-      close(connection, 'pipelined-requests');
-      return false;
+      return refuse(connection, 'pipelined-requests');
     }
     if (connection.socket.writableLength > 0 && !chargeUnread(connection)) {
-      close(connection, 'buffer-full');
-      return false;
+      return refuse(connection, 'buffer-full');
     }
     connection.request = request;
     connection.requestedAt = now();
@@ -174,6 +186,7 @@
         return false;
       }
       connection.established = true;
+      turn.remove(socket);
       established += 1;
       return true;
     },
--- a/src/client-limits/fragmented-bodies.ts
+++ b/src/client-limits/fragmented-bodies.ts
@@ -12,6 +12,8 @@
   readonly places?: number;
   /** Milliseconds for which a place stays taken after its body. */
   readonly restMs?: number;
+  /** Called when a body gets no place, after its chunks up to the limit were parsed. */
+  readonly onRefused?: () => void;
   /** Monotonic milliseconds. */
   readonly now?: () => number;
 }
@@ -23,13 +25,17 @@
 
 export function createFragmentedBodies(options: FragmentedBodiesOptions = {}): FragmentedBodies {
   const { places = PLACES, restMs = REST_MS, now = () => performance.now() } = options;
+  const { onRefused = () => undefined } = options;
   let reading = 0;
   let restingUntil: number[] = [];
 
   return {
     acquire: () => {
       restingUntil = restingUntil.filter((until) => until > now());
-      if (reading + restingUntil.length >= places) return undefined;
+      if (reading + restingUntil.length >= places) {
+        onRefused();
+        return undefined;
+      }
       reading += 1;
       let isHeld = true;
       return () => {
--- a/src/client-limits/index.ts
+++ b/src/client-limits/index.ts
@@ -11,3 +11,4 @@
 export * from './limits.js';
 export * from './message-guard.js';
 export * from './request-body.js';
+export * from './turn-gate.js';
--- a/test/uncontrolled-clients/guarded-host.ts
+++ b/test/uncontrolled-clients/guarded-host.ts
@@ -15,6 +15,7 @@
   eventually,
   expectDefined,
   newJobId,
+  type ConfigurationOptions,
 } from '../platform-path/support.js';
 import { readPeakMemoryMb, samplePeakDescriptors } from './process-usage.js';
 
@@ -26,6 +27,11 @@
   readonly maxDescriptors: number;
   /** Lines of the table `client-limits` of the settings file. */
   readonly clientLimits: readonly string[];
+  /** Store of several hosts; by default, the host has one of its own. */
+  readonly store?: StoreStandIn;
+  /** Loopback network of several hosts, and the number of this one in it. */
+  readonly network?: string;
+  readonly number?: number;
 }
 
 export interface GuardedHost {
@@ -36,6 +42,8 @@
   /** The most descriptors that were open so far. */
   readonly peakDescriptors: number;
   readonly output: string;
+  /** Ends the process at once. */
+  kill(): void;
   /** Submits a job as an ordinary caller, again and again until it is accepted or a timeout. */
   awaitOrdinaryAnswer(): Promise<true>;
   /** Asks for readiness and metrics until both are answered or a timeout. */
@@ -45,9 +53,10 @@
 
 export async function startGuardedHost(options: GuardedHostOptions): Promise<GuardedHost> {
   const folder = await mkdtemp(join(tmpdir(), 'sapphirewing-clients-'));
-  const store = await startStoreWithQueue();
-  const ip = `127.${String(1 + Math.floor(Math.random() * 250))}.${String(process.pid % 250)}.1`;
-  const settings = join(folder, 'host-1.toml');
+  const store = options.store ?? (await startStoreWithQueue());
+  const { network = drawNetwork(), number = 1 } = options;
+  const ip = `${network}.${String(number)}`;
+  const settings = join(folder, 'host.toml');
   await writeFile(settings, formatSettings(ip, store.address, options));
   const child = spawn(process.execPath, ['--max-old-space-size=220', DAEMON], {
     env: { ...process.env, [SETTINGS_VARIABLE]: settings },
@@ -88,6 +97,9 @@
     get output() {
       return output;
     },
+    kill: () => {
+      child.kill('SIGKILL');
+    },
     awaitOrdinaryAnswer: () =>
       eventually(
         async () => ((await submit()) === 200 ? true : undefined),
@@ -103,7 +115,7 @@
       descriptors.stop();
       child.kill('SIGKILL');
       await agent.destroy();
-      await store.close();
+      if (options.store === undefined) await store.close();
       await rm(folder, { recursive: true });
     },
   };
@@ -112,16 +124,28 @@
   return host;
 }
 
-async function startStoreWithQueue(): Promise<StoreStandIn> {
+/** Returns a loopback network of its own: all hosts serve metrics on the same port. */
+export function drawNetwork(): string {
+  return `127.${String(1 + Math.floor(Math.random() * 250))}.${String(process.pid % 250)}`;
+}
+
+export async function startStoreWithQueue(
+  configuration: ConfigurationOptions = {},
+): Promise<StoreStandIn> {
   const store = await startStore();
-  const value = Buffer.from(createConfigurationJson()).toString('base64');
+  const value = Buffer.from(createConfigurationJson(configuration)).toString('base64');
   store.items.apply([{ key: 'op/config', value, lease: 0 }], []);
   return store;
 }
 
 function formatSettings(ip: string, storeAddress: string, options: GuardedHostOptions): string {
   return [
-    formatHostSettings({ name: 'host-1', ip, dataCentre: 'centro', storeAddress }),
+    formatHostSettings({
+      name: `host-${String(options.number ?? 1)}`,
+      ip,
+      dataCentre: 'centro',
+      storeAddress,
+    }),
     '[limits]',
     `memory-mb = ${String(options.memoryMb)}`,
     `max-fds = ${String(options.maxDescriptors)}`,
