Apply the limits to requests with an unknown expectation

The new test failed on the code as it stood: 300 clients that pipeline requests with "Expect: x" kept a host, at either port, from answering any ordinary request until the test's time-out, in 3 of 3 runs each (123 to 138 MB).

Cause: without a handler the server answers such requests with 417 by itself, so they passed no limit on outstanding requests. Now they are admitted like others, answered with 417, and their connection is closed. After: ordinary requests are answered; 142 to 151 MB in three runs of each port.

--- a/src/client-limits/connection-guard.ts
+++ b/src/client-limits/connection-guard.ts
@@ -164,6 +164,11 @@
     return true;
   }
 
+  // Without a listener the server answers such requests by itself, and no limit would apply to them.
+  server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+    if (admit(request, response)) response.writeHead(417, { connection: 'close' }).end();
+  });
+
   function checkConnection(connection: Connection, at: number): LimitCause | undefined {
     const cause = connection.check?.(at);
     if (cause !== undefined || connection.established) return cause;
--- a/test/uncontrolled-clients/platform-pipelines.test.ts
+++ b/test/uncontrolled-clients/platform-pipelines.test.ts
@@ -66,4 +66,16 @@
       gather(PEER_PORT, 200, () => ({ pieces: [UPGRADE] })),
     ]);
   });
+
+  for (const [name, port] of [
+    ['callers', CALLER_PORT],
+    ['readiness', READINESS_PORT],
+  ] as const) {
+    it(`to the port for ${name}, with expectations that are not known, and no response read`, async () => {
+      const piece = Buffer.from('GET / HTTP/1.1\r\nHost: a\r\nExpect: x\r\n\r\n'.repeat(1700));
+      await withstand(host, BOUNDS, [
+        gather(port, 300, () => ({ pieces: repeat(piece, 20), reads: false })),
+      ]);
+    });
+  }
 });
