List at most ten findings about a job that is not valid

Clients got answers of megabytes.

Cause: the decoder collected every finding, and the answer listed them all.

--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -138,6 +138,15 @@
       ]);
     });
 
+    it('lists a bounded number of findings, however many values are wrong', () => {
+      const wrongSteps = { steps: Array.from({ length: 5000 }, () => ({ after: ['a'], cpu: -1 })) };
+      expect(decodeJob(JSON.stringify(wrongSteps))._unsafeUnwrapErr()).to.have.length(10);
+      const wrongNumbers = { steps: [{ count: 1, after: Array.from({ length: 5000 }, () => -1) }] };
+      expect(decodeJob(JSON.stringify(wrongNumbers))._unsafeUnwrapErr()).to.deep.equal([
+        'steps.0.after: expected a list of numbers of steps',
+      ]);
+    });
+
     it('refuses a step that depends on itself', () => {
       const body = { steps: [{ count: 1, after: [0] }] };
       expect(decodeJob(JSON.stringify(body)).isErr()).to.equal(true);
