--- a/test/uncontrolled-clients/withstanding.ts
+++ b/test/uncontrolled-clients/withstanding.ts
@@ -44,6 +44,7 @@
   }
 }
 
+/** Checks the process and its bounds; prints the figures if the variable SHOW_FIGURES is 1. */
 export async function checkProcess(host: GuardedHost, { memoryMb, maxDescriptors }: Bounds) {
   expect(host.isAlive(), 'the process is alive').to.equal(true);
   const peakMb = await host.peakMemoryMb();
