Charge responses when they are written, and render metrics once a turn

Cause: each request had its own text, and what is unread was charged to the budget up to 500 ms later, without the responses that wait for an earlier one on their connection. Now requests of one turn of the event loop share the text, a response is charged with all that wait as soon as it is written, and connections closed for it count for the turn gate, because their responses stay in memory until the turn ends.

--- a/src/client-limits/connection-guard.ts
+++ b/src/client-limits/connection-guard.ts
@@ -43,6 +43,8 @@
   readonly connections: number;
   /** Whether the request may be handled; otherwise its connection is closed. */
   admit(request: IncomingMessage, response: ServerResponse): boolean;
+  /** Charges a response that was written; closes its connection if there is no room for what the client has not read. */
+  charge(request: IncomingMessage): void;
   /** Counts the connection as a link that has identified itself; returns false if there are too many. */
   establish(socket: Socket): boolean;
   /** Adds a check of the connection to the sweep. */
@@ -62,7 +64,8 @@
   /** The last request, while its body or its response is outstanding. */
   request: IncomingMessage | undefined;
   requestedAt: number;
-  outstanding: number;
+  /** Responses that the client does not have yet. */
+  readonly responses: Set<ServerResponse>;
   unreadSince: number | undefined;
   /** Unread bytes that are charged to the budget. */
   charged: number;
@@ -114,7 +117,7 @@
     connection.socket.destroy();
   }
 
-  /** Closes a connection while one of its requests is reported. */
+  /** Closes a connection whose requests or responses stay in memory until the turn of the event loop ends. */
   function refuse(connection: Connection, cause: LimitCause): false {
     close(connection, cause);
     turn.record();
@@ -137,7 +140,7 @@
   }
 
   function chargeUnread(connection: Connection): boolean {
-    const unread = connection.socket.writableLength;
+    const unread = countUnread(connection);
     if (unread > connection.charged && !budget.reserve(unread - connection.charged)) return false;
     if (unread < connection.charged) budget.release(connection.charged - unread);
     connection.charged = unread;
@@ -148,18 +151,18 @@
     const connection = connections.get(request.socket);
     // The parser still reports the requests that it has read when their connection is closed.
     if (connection === undefined) return false;
-    connection.outstanding += 1;
-    if (connection.outstanding > limits.pipelinedRequests) {
+    connection.responses.add(response);
+    if (connection.responses.size > limits.pipelinedRequests) {
       return refuse(connection, 'pipelined-requests');
     }
-    if (connection.socket.writableLength > 0 && !chargeUnread(connection)) {
+    if (!chargeUnread(connection)) {
       return refuse(connection, 'buffer-full');
     }
     connection.request = request;
     connection.requestedAt = now();
     response.once('close', () => {
-      connection.outstanding -= 1;
-      if (connection.outstanding === 0) beginIdle(connection, now());
+      connection.responses.delete(response);
+      if (connection.responses.size === 0) beginIdle(connection, now());
     });
     return true;
   }
@@ -182,6 +185,10 @@
       return connections.size;
     },
     admit,
+    charge: ({ socket }) => {
+      const connection = connections.get(socket);
+      if (connection !== undefined && !chargeUnread(connection)) refuse(connection, 'buffer-full');
+    },
     establish: (socket) => {
       const connection = connections.get(socket);
       if (connection === undefined) return false;
@@ -221,7 +228,7 @@
     headerSince: undefined,
     request: undefined,
     requestedAt: at,
-    outstanding: 0,
+    responses: new Set(),
     unreadSince: undefined,
     charged: 0,
     established: false,
@@ -229,6 +236,15 @@
   };
 }
 
+/** Responses that wait for an earlier one are not on the socket yet. */
+function countUnread({ socket, responses }: Connection): number {
+  let bytes = socket.writableLength;
+  for (const response of responses) {
+    if (response.socket === null) bytes += response.writableLength;
+  }
+  return bytes;
+}
+
 function beginIdle(connection: Connection, at: number) {
   connection.idleSince = at;
   connection.bytesWhenIdle = connection.socket.bytesRead;
@@ -251,7 +267,7 @@
       timeoutMs: limits.bodyTimeoutMs,
     };
   }
-  if (connection.outstanding > 0) return describeUnread(connection, limits, at);
+  if (connection.responses.size > 0) return describeUnread(connection, limits, at);
   // The rest of a refused body came after its response.
   if (request !== undefined) beginIdle(connection, at);
   if (socket.bytesRead > connection.bytesWhenIdle) {
--- a/src/observability/meters.ts
+++ b/src/observability/meters.ts
@@ -53,6 +53,7 @@
   readonly connections: Gauge<'listener'>;
   /** Bytes of unfinished bodies and messages, bodies in progress and unread responses. */
   readonly clientBufferBytes: Gauge;
+  /** Requests of one turn of the event loop share the text, because a cell with many queues has megabytes of it. */
   render(): Promise<string>;
 }
 
@@ -60,6 +61,7 @@
   const registry = new Registry();
   const registers = [registry];
   const buckets = LATENCY_BUCKETS_S;
+  let rendering: Promise<string> | undefined;
   return {
     answers: new Counter({
       name: 'sapphirewing_answers_total',
@@ -227,6 +229,14 @@
       help: 'Bytes held for unfinished bodies and messages, bodies in progress and unread responses',
       registers,
     }),
-    render: () => registry.metrics(),
+    render: () => {
+      if (rendering === undefined) {
+        rendering = registry.metrics();
+        setImmediate(() => {
+          rendering = undefined;
+        });
+      }
+      return rendering;
+    },
   };
 }
--- a/test/client-limits/connection-guard.test.ts
+++ b/test/client-limits/connection-guard.test.ts
@@ -109,6 +109,20 @@
     });
   });
 
+  it('have the bytes of responses charged that wait for an earlier one', async () => {
+    const client = await open(REQUEST.repeat(2));
+    await eventually(() => (responses.length === 2 ? true : undefined));
+    const request = responses[1]?.req;
+    responses[1]?.end(Buffer.alloc(BUDGET / 2));
+    if (request !== undefined) guard.charge(request);
+    expect(budget.used).to.be.at.least(BUDGET / 2);
+    responses[0]?.end(Buffer.alloc(20_000_000));
+    if (request !== undefined) guard.charge(request);
+    expect(causes).to.deep.equal(['buffer-full']);
+    expect(budget.used).to.equal(0);
+    await expectClosed(client);
+  });
+
   it('stay open for as long as the host works on a request', async () => {
     const client = await open(REQUEST);
     for (const ms of [0, 1000, 10_000]) sweepAt(ms);
