Keep blocks of bodies that were given up for up to half of the budget

Bodies that are given up for others return up to the whole budget in blocks at once. The pool kept 8 MB of them, and the rest stayed resident beside the blocks of the new bodies until the next garbage collection.

--- a/src/client-limits/block-pool.ts
+++ b/src/client-limits/block-pool.ts
@@ -4,7 +4,7 @@
  */
 
 export const BLOCK_BYTES = 65_536;
-/** 8 MB; blocks beyond it are left to the garbage collection. */
+/** 8 MB, where no limit is known; blocks beyond it are left to the garbage collection. */
 const MAX_KEPT_BLOCKS = 128;
 
 export interface BlockPool {
--- a/src/client-limits/byte-budget.ts
+++ b/src/client-limits/byte-budget.ts
@@ -3,7 +3,7 @@
  * responses. When it is used up, what has been unfinished for longest is given up for new clients.
  */
 
-import { createBlockPool } from './block-pool.js';
+import { BLOCK_BYTES, createBlockPool } from './block-pool.js';
 import type { BlockPool } from './block-pool.js';
 
 /** Something unfinished whose bytes are charged to the budget. */
@@ -33,6 +33,11 @@
   readonly protectedMs?: number;
 }
 
+/**
+ * Part of the limit that is kept in unused blocks. Bodies that are given up for others return all their blocks at once, and
+ * those that are not kept stay resident beside the new bodies' blocks until the next garbage collection.
+ */
+const KEPT_SHARE = 1 / 2;
 /** A body of the largest usual size arrives in less on a network that is of use to callers, which wait up to 3 s. */
 const PROTECTED_MS = 1000;
 
@@ -55,7 +60,9 @@
 
   return {
     limit,
-    blocks: createBlockPool(),
+    blocks: createBlockPool(
+      Number.isFinite(limit) ? Math.ceil((limit * KEPT_SHARE) / BLOCK_BYTES) : undefined,
+    ),
     get used() {
       return used;
     },
