--- a/src/client-limits/connection-guard.ts
+++ b/src/client-limits/connection-guard.ts
@@ -9,6 +9,8 @@
 import type { LimitCause } from './limit-log.js';
 import { paceAccepts } from './paced-accepts.js';
 import { onConnection } from './tls-handshakes.js';
+import { createTurnGate } from './turn-gate.js';
+import type { TurnGate } from './turn-gate.js';
 
 export interface ConnectionLimits {
   /** Connections without those that are established links. */
@@ -29,6 +31,8 @@
   readonly limits: ConnectionLimits;
   readonly budget: ByteBudget;
   readonly record: (cause: LimitCause) => void;
+  /** Shared by the listeners of a host. */
+  readonly turn?: TurnGate;
   readonly now?: () => number;
 }
 
@@ -39,6 +43,8 @@
   readonly connections: number;
   /** Whether the request may be handled; otherwise its connection is closed. */
   admit(request: IncomingMessage, response: ServerResponse): boolean;
+  /** Charges a response that was written; closes its connection if there is no room for what the client has not read. */
+  charge(request: IncomingMessage): void;
   /** Counts the connection as a link that has identified itself; returns false if there are too many. */
   establish(socket: Socket): boolean;
   /** Adds a check of the connection to the sweep. */
@@ -58,7 +64,8 @@
   /** The last request, while its body or its response is outstanding. */
   request: IncomingMessage | undefined;
   requestedAt: number;
-  outstanding: number;
+  /** Responses that the client does not have yet. */
+  readonly responses: Set<ServerResponse>;
   unreadSince: number | undefined;
   /** Unread bytes that are charged to the budget. */
   charged: number;
@@ -78,17 +85,14 @@
   options: ConnectionGuardOptions,
 ): ConnectionGuard {
   const { limits, budget, record, now = () => performance.now() } = options;
+  const { turn = createTurnGate() } = options;
   const connections = new Map<Socket, Connection>();
   const pace = paceAccepts();
   let established = 0;
 
   onConnection(server, {
     add: (socket) => {
-      const connection = openConnection(socket, now());
-      connections.set(socket, connection);
-      socket.once('close', () => {
-        forget(connection);
-      });
+      const connection = open(socket);
       if (connections.size - established > limits.maxConnections) makeRoom(connection);
     },
     replace: (former, socket) => {
@@ -98,19 +102,27 @@
         return;
       }
       forget(handshake);
-      const connection = openConnection(socket, now());
-      connections.set(socket, connection);
-      socket.once('close', () => {
-        forget(connection);
-      });
+      open(socket);
     },
     start: (socket) => {
-      if (!socket.destroyed) pace(socket);
+      if (socket.destroyed) return;
+      turn.add(socket);
+      pace(socket);
     },
   });
 
+  function open(socket: Socket): Connection {
+    const connection = openConnection(socket, now());
+    connections.set(socket, connection);
+    socket.once('close', () => {
+      forget(connection);
+    });
+    return connection;
+  }
+
   function forget(connection: Connection) {
     if (!connections.delete(connection.socket)) return;
+    turn.remove(connection.socket);
     if (connection.established) established -= 1;
     budget.release(connection.charged);
     connection.charged = 0;
@@ -123,6 +135,13 @@
     connection.socket.destroy();
   }
 
+  /** Closes a connection whose requests or responses stay in memory until the turn of the event loop ends. */
+  function refuse(connection: Connection, cause: LimitCause): false {
+    close(connection, cause);
+    turn.record();
+    return false;
+  }
+
   function makeRoom(latest: Connection) {
     const at = now();
     let longest: Connection | undefined;
@@ -139,7 +158,7 @@
   }
 
   function chargeUnread(connection: Connection): boolean {
-    const unread = connection.socket.writableLength;
+    const unread = countUnread(connection);
     if (unread > connection.charged && !budget.reserve(unread - connection.charged)) return false;
     if (unread < connection.charged) budget.release(connection.charged - unread);
     connection.charged = unread;
@@ -150,24 +169,27 @@
     const connection = connections.get(request.socket);
     // The parser still reports the requests that it has read when their connection is closed.
     if (connection === undefined) return false;
-    connection.outstanding += 1;
-    if (connection.outstanding > limits.pipelinedRequests) {
-      close(connection, 'pipelined-requests');
-      return false;
+    connection.responses.add(response);
+    if (connection.responses.size > limits.pipelinedRequests) {
+      return refuse(connection, 'pipelined-requests');
     }
-    if (connection.socket.writableLength > 0 && !chargeUnread(connection)) {
-      close(connection, 'buffer-full');
-      return false;
+    if (!chargeUnread(connection)) {
+      return refuse(connection, 'buffer-full');
     }
     connection.request = request;
     connection.requestedAt = now();
     response.once('close', () => {
-      connection.outstanding -= 1;
-      if (connection.outstanding === 0) beginIdle(connection, now());
+      connection.responses.delete(response);
+      if (connection.responses.size === 0) beginIdle(connection, now());
     });
     return true;
   }
 
+  // Without a listener the server answers such requests by itself, and no limit would apply to them.
+  server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+    if (admit(request, response)) response.writeHead(417, { connection: 'close' }).end();
+  });
+
   function checkConnection(connection: Connection, at: number): LimitCause | undefined {
     const cause = connection.check?.(at);
     if (cause !== undefined || connection.established) return cause;
@@ -181,6 +203,10 @@
       return connections.size;
     },
     admit,
+    charge: ({ socket }) => {
+      const connection = connections.get(socket);
+      if (connection !== undefined && !chargeUnread(connection)) refuse(connection, 'buffer-full');
+    },
     establish: (socket) => {
       const connection = connections.get(socket);
       if (connection === undefined) return false;
@@ -190,6 +216,7 @@
         return false;
       }
       connection.established = true;
+      turn.remove(socket);
       established += 1;
       return true;
     },
@@ -219,7 +246,7 @@
     headerSince: undefined,
     request: undefined,
     requestedAt: at,
-    outstanding: 0,
+    responses: new Set(),
     unreadSince: undefined,
     charged: 0,
     established: false,
@@ -227,6 +254,15 @@
   };
 }
 
+/** Responses that wait for an earlier one are not on the socket yet. */
+function countUnread({ socket, responses }: Connection): number {
+  let bytes = socket.writableLength;
+  for (const response of responses) {
+    if (response.socket === null) bytes += response.writableLength;
+  }
+  return bytes;
+}
+
 function beginIdle(connection: Connection, at: number) {
   connection.idleSince = at;
   connection.bytesWhenIdle = connection.socket.bytesRead;
@@ -249,7 +285,7 @@
       timeoutMs: limits.bodyTimeoutMs,
     };
   }
-  if (connection.outstanding > 0) return describeUnread(connection, limits, at);
+  if (connection.responses.size > 0) return describeUnread(connection, limits, at);
   // The rest of a refused body came after its response.
   if (request !== undefined) beginIdle(connection, at);
   if (socket.bytesRead > connection.bytesWhenIdle) {
--- a/src/peers/hub.ts
+++ b/src/peers/hub.ts
@@ -54,8 +54,8 @@
 const CALL_TIMEOUT_MS = 3000;
 export const MAX_MESSAGE_BYTES = 1024 * 1024;
 /**
- * Hosts send each message as one frame. In fragments of one byte, 100 unfinished messages took 300 MB, because each fragment
- * is kept with about 180 bytes of its own.
+ * Each fragment is kept with about 180 bytes of its own, so a message in tiny ones takes far more memory than its size
+ * says. Hosts send each message as one frame.
  */
 const MAX_FRAGMENTS = 64;
 
