--- a/src/observability/meters.ts
+++ b/src/observability/meters.ts
@@ -53,7 +53,6 @@
   readonly connections: Gauge<'listener'>;
   /** Bytes of unfinished bodies and messages, bodies in progress and unread responses. */
   readonly clientBufferBytes: Gauge;
-  /** Requests of one turn of the event loop share the text, because a cell with many queues has megabytes of it. */
   render(): Promise<string>;
 }
 
@@ -61,7 +60,6 @@
   const registry = new Registry();
   const registers = [registry];
   const buckets = LATENCY_BUCKETS_S;
-  let rendering: Promise<string> | undefined;
   return {
     answers: new Counter({
       name: 'sapphirewing_answers_total',
@@ -229,14 +227,6 @@
       help: 'Bytes held for unfinished bodies and messages, bodies in progress and unread responses',
       registers,
     }),
-    render: () => {
-      if (rendering === undefined) {
-        rendering = registry.metrics();
-        setImmediate(() => {
-          rendering = undefined;
-        });
-      }
-      return rendering;
-    },
+    render: () => registry.metrics(),
   };
 }
