--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -13,8 +13,9 @@
 import { pause } from '../records/index.js';
 import { createLeaseClock } from './lease-clock.js';
 import { choosePauseMs, chooseWaitMs } from './renewal-pace.js';
-import { LATE_ORDER_MS, mayBeAtLaterIncarnation, mayReachLaterIncarnation } from './run.js';
+import { LATE_ORDER_MS, mayReachLaterIncarnation } from './run.js';
 import type { Run } from './run.js';
+import { createRunExpiry } from './run-expiry.js';
 import { createSessionToken } from './session-token.js';
 import { UNREACHABLE_CONNECTION } from './unreachable-connection.js';
 import { createWorkerOrders } from './worker-orders.js';
@@ -36,15 +37,9 @@
   const { lateOrderMs = LATE_ORDER_MS } = options;
   const incarnation = options.worker.incarnation;
   const token = createSessionToken(options.tokens, incarnation.id);
-  /** Monotonic time until which a call without an answer may still be carried out. */
-  let callsUnderWayUntil = -Infinity;
   let isRenewing = false;
-  /** Monotonic time of the last answer to a start that a later incarnation may have given. */
-  let uncertainAnswerAt = -Infinity;
   /** Monotonic time at which an answer has shown a later incarnation; undefined unless one is expected to report. */
   let replacedAt: number | undefined;
-  /** Monotonic time at which the last report of this incarnation was requested. */
-  let reportRequestedAt = -Infinity;
   const faults = createFaultContainment({ events, meters });
   const runs = new Map<string, Run>();
   let worker = options.worker;
@@ -65,6 +60,7 @@
     ...(maxLeaseMs === undefined ? {} : { maxLeaseMs }),
     isConfirmed: () => confirmed,
   });
+  const expiry = createRunExpiry({ clock, isConfirmed: () => confirmed });
   let wake: () => void = () => undefined;
   const orders = createWorkerOrders({
     worker: incarnation,
@@ -76,16 +72,12 @@
     onStart: () => {
       wake();
     },
-    onUnansweredStart: (underWayUntil) => {
-      callsUnderWayUntil = underWayUntil;
-    },
+    onUnansweredStart: expiry.noteUnanswered,
     endRun,
     onOtherIncarnation: () => {
       endIncarnation('another incarnation answers at its address');
     },
-    onUncertainAnswer: () => {
-      uncertainAnswerAt = performance.now();
-    },
+    onUncertainAnswer: expiry.noteUncertainAnswer,
     onLaterIncarnation: () => {
       if (replacedAt === undefined) faults.keepRunning('identify incarnations', identify);
       replacedAt = performance.now();
@@ -147,7 +139,7 @@
       if (now - Math.max(answeredAt, openedAt) < SILENCE_MS) return undefined;
       // The answer to a start decides how long its run may last.
       if (orders.isStarting) return undefined;
-      return Math.max(0, ...[...runs.values()].map((run) => lapsesAt(run) - now));
+      return Math.max(0, ...[...runs.values()].map((run) => expiry.expiresAt(run) - now));
     },
     get reachable() {
       if (!confirmed || ended || replacedAt !== undefined || reports.foreignRuns > 0) return false;
@@ -223,20 +215,12 @@
   /** Monotonic time until which calls of this session may be carried out. */
   function callsMayArriveUntil(): number {
     const isCalling = isRenewing || orders.isStarting;
-    return isCalling ? performance.now() + lateOrderMs : callsUnderWayUntil;
-  }
-
-  /** Monotonic time from which the run has certainly ended at each incarnation that may have it. */
-  function lapsesAt(run: Run): number {
-    const ownLeaseEnd = clock.expiresAt();
-    if (!confirmed || !mayBeAtLaterIncarnation(run, reportRequestedAt)) return ownLeaseEnd;
-    const takenUntil = Math.max(run.lateStartUntil, callsUnderWayUntil, uncertainAnswerAt);
-    return Math.max(ownLeaseEnd, clock.longestLeaseAfter(takenUntil));
+    return isCalling ? performance.now() + lateOrderMs : expiry.callsUnderWayUntil;
   }
 
   function endLapsedRuns() {
     const now = performance.now();
-    const lapsed = [...runs.values()].filter((run) => now > lapsesAt(run));
+    const lapsed = [...runs.values()].filter((run) => now > expiry.expiresAt(run));
     if (lapsed.length === 0) return;
     events.warn('worker-lease-lapsed', { worker: incarnation.id, runs: lapsed.length });
     for (const run of lapsed) endWithCheckpoint(run, 'lapsed', 'the lease has expired');
@@ -375,7 +359,7 @@
     });
     isRenewing = false;
     if (extend && outcome.kind === 'unknown') {
-      callsUnderWayUntil = performance.now() + lateOrderMs;
+      expiry.noteUnanswered(performance.now() + lateOrderMs);
     }
     if (closed || ended) return true;
     if (outcome.kind === 'report') {
@@ -400,7 +384,7 @@
       confirmed = true;
       silentRenewals = 0;
       if (replacedAt !== undefined && requestedAt > replacedAt) replacedAt = undefined;
-      reportRequestedAt = requestedAt;
+      expiry.noteReport(requestedAt);
       clock.noteReport(outcome.report.clockMs, requestedAt);
       await reports.apply(outcome.report, requestedAt);
       if (changed) options.onChange();
