--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -31,7 +31,7 @@
   /** Whether a report of the session's incarnation has listed the run. */
   listed: boolean;
   /** Whether the clock in the answer to its start was that of the session's incarnation. */
-  answeredByOwn: boolean;
+  confirmedByClock: boolean;
   /** Monotonic time until which a start whose answer was lost may still be carried out; minus infinity if none was. */
   lateStartUntil: number;
   /**
@@ -110,7 +110,7 @@
     inherited,
     status: inherited ? 'in-doubt' : 'logging',
     listed: false,
-    answeredByOwn: false,
+    confirmedByClock: false,
     lateStartUntil: inherited ? now + LATE_ORDER_MS : -Infinity,
     fencedAt: inherited ? -Infinity : Infinity,
     since: inherited ? -Infinity : now,
@@ -147,7 +147,7 @@
 export function mayBeAtLaterIncarnation(run: Run, aliveAt: number): boolean {
   if (run.status === 'logging') return false;
   const isStartUnderWay = run.lateStartUntil > aliveAt;
-  return isStartUnderWay || !(run.listed || run.answeredByOwn);
+  return isStartUnderWay || !(run.listed || run.confirmedByClock);
 }
 
 /** Fraction of the estimate. A healthy worker reports 15 % progress in it, a worker that is 7 times slower 2 %. */
--- a/src/controller/worker-orders.ts
+++ b/src/controller/worker-orders.ts
@@ -134,7 +134,7 @@
     const outcome = await options.connection().start(order);
     logOrder('start', run, countOutcome('start', outcome), fields);
     const origin = noteClock('start', run, outcome, originOf);
-    if (origin === 'own') run.answeredByOwn ||= runs.get(run.name) === run;
+    if (origin === 'own') run.confirmedByClock ||= runs.get(run.name) === run;
     else if (origin !== undefined) options.onUncertainAnswer();
     if (outcome.kind === 'unknown') {
       run.lateStartUntil = performance.now() + lateOrderMs;
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -239,7 +239,7 @@
     run.session = session;
     run.task.worker = incarnation;
     run.listed = false;
-    run.answeredByOwn = false;
+    run.confirmedByClock = false;
     run.percent = 0;
     run.progressedClockMs = undefined;
     run.startedClockMs = undefined;
--- a/test/uncontrolled-clients/guarded-cell.ts
+++ b/test/uncontrolled-clients/guarded-cell.ts
@@ -82,7 +82,7 @@
   async function checkProcess() {
     const memoryMb = await readPeakMemoryMb(host.pid);
     const observed = `${memoryMb.toFixed(0)} MB, ${String(descriptors.peak)} descriptors`;
-    if (process.env.SHOW_USAGE !== undefined) console.log(`      ${observed}`);
+    if (process.env.SHOW_FIGURES === '1') process.stdout.write(`        ${observed}\n`);
     expect(memoryMb, observed).to.be.lessThan(options.memoryMb);
     expect(descriptors.peak, observed).to.be.lessThan(options.maxDescriptors);
   }
--- a/test/uncontrolled-clients/platform-links.test.ts
+++ b/test/uncontrolled-clients/platform-links.test.ts
@@ -6,15 +6,13 @@
  *
  * The crowds and bounds were fixed before the limits for such links; they are not to be changed.
  */
-import { expect } from 'chai';
 import { frameHead, gatherCrowd, repeat, UPGRADE, type Crowd, type CrowdMember } from './crowd.js';
 import { BINARY, CLOSE, CONTINUATION, fill, frame, hello, message, PING } from './frames.js';
 import { startGuardedHost, type GuardedHost } from './guarded-host.js';
 import { gatherLinks } from './link-crowd.js';
+import { checkProcess, PEER_PORT } from './withstanding.js';
 
-const MEMORY_MB = 210;
-const MAX_DESCRIPTORS = 400;
-const PEER_PORT = 7420;
+const BOUNDS = { memoryMb: 210, maxDescriptors: 400 };
 const LINKS = 100;
 const PIECE_BYTES = 65_536;
 /** Short time limits, so that a crowd is closed within the time of a test. */
@@ -28,11 +26,7 @@
   let crowd: Crowd | undefined;
 
   beforeEach(async () => {
-    host = await startGuardedHost({
-      memoryMb: MEMORY_MB,
-      maxDescriptors: MAX_DESCRIPTORS,
-      clientLimits: CLIENT_LIMITS,
-    });
+    host = await startGuardedHost({ ...BOUNDS, clientLimits: CLIENT_LIMITS });
   });
 
   afterEach(async () => {
@@ -47,19 +41,10 @@
     gather = gatherLinks,
   ) {
     crowd = await gather({ ip: host.ip, port: PEER_PORT }, count, member);
-    await checkProcess();
+    await checkProcess(host, BOUNDS);
     await host.awaitOrdinaryAnswer();
     await host.awaitOperatorAnswers();
-    await checkProcess();
-  }
-
-  async function checkProcess() {
-    expect(host.isAlive(), 'the process is alive').to.equal(true);
-    const memoryMb = await host.peakMemoryMb();
-    const observed = `${memoryMb.toFixed(0)} MB, ${String(host.peakDescriptors)} descriptors`;
-    if (process.env.SHOW_USAGE !== undefined) console.log(`      ${observed}`);
-    expect(memoryMb, observed).to.be.lessThan(MEMORY_MB);
-    expect(host.peakDescriptors, observed).to.be.lessThan(MAX_DESCRIPTORS);
+    await checkProcess(host, BOUNDS);
   }
 
   /** Identifies each link falsely and sends the piece again and again. */
