Keep requests in their data centre while the queued ones leave slots free

Callers of the older daemon got 504 after 5 s for requests whose own data centre was idle.

Cause: a request that starts at once is still queued until the turn of the event loop ends. The router took any queued request as a lack of room, here and in the heartbeats of peers. The second request of a turn therefore went to another data centre, over a link whose messages were lost and whose peer was not suspected yet.

Change: queued interactive requests claim one slot each; the request stays as long as a slot is left. Queued work of other classes waits for room and still claims all slots.

--- a/src/entry/routing.ts
+++ b/src/entry/routing.ts
@@ -2,8 +2,8 @@
  * Chooses the entry host whose workers run a request. A host prefers its own workers, then a peer of
  * its data centre with free capacity, then one of another data centre, then the shortest wait.
  */
-import type { Heartbeat, Membership } from '../hosts/index.js';
-import { fitsWithin, type Host, type WorkRequest } from '../model/index.js';
+import type { Heartbeat, LoadSummary, Membership } from '../hosts/index.js';
+import { fitsWithin, type Host, type WorkClass, type WorkRequest } from '../model/index.js';
 import type { Scheduler } from '../scheduling/index.js';
 
 /** Placement hops after which a request is queued at the host that it has reached. */
@@ -61,7 +61,7 @@
 
   function hasRoomHere(request: WorkRequest): boolean {
     const ownLoad = scheduler.load();
-    if (ownLoad.queued[request.class] > 0 || ownLoad.freeSlots < 1) return false;
+    if (unclaimedSlots(ownLoad, request.class) < 1) return false;
     return fitsWithin(request.size, ownLoad.largestFree) && options.spare(request.team) > 0;
   }
 
@@ -75,22 +75,19 @@
       .filter((heartbeat) => heartbeat.state === 'live' && heartbeat.load.capacity.processors > 0);
   }
 
-  function freeSlotsOf(heartbeat: Heartbeat): number {
-    return heartbeat.load.freeSlots - (outstanding.get(heartbeat.host) ?? 0);
-  }
-
   function findMostFree(
     heartbeats: readonly Heartbeat[],
     request: WorkRequest,
   ): Heartbeat | undefined {
+    const slotsOf = ({ host: peer, load }: Heartbeat) =>
+      unclaimedSlots(load, request.class) - (outstanding.get(peer) ?? 0);
     const fitting = heartbeats.filter(
       (heartbeat) =>
-        freeSlotsOf(heartbeat) > 0 &&
-        heartbeat.load.queued[request.class] === 0 &&
+        slotsOf(heartbeat) > 0 &&
         fitsWithin(request.size, heartbeat.load.largestFree) &&
         (heartbeat.load.teams[request.team]?.spare ?? 0) > 0,
     );
-    return maxBy(fitting, freeSlotsOf);
+    return maxBy(fitting, slotsOf);
   }
 
   return {
@@ -100,6 +97,15 @@
   };
 }
 
+/**
+ * Free slots that no queued request will take. Interactive requests are queued until the end of the turn even if they
+ * start at once, so they claim one slot each. Queued requests of other classes wait for room and claim all slots.
+ */
+function unclaimedSlots({ freeSlots, queued }: LoadSummary, workClass: WorkClass): number {
+  if (workClass === 'interactive') return freeSlots - queued.interactive;
+  return queued[workClass] > 0 ? 0 : freeSlots;
+}
+
 function shortestQueue(heartbeats: readonly Heartbeat[]): Heartbeat | undefined {
   return maxBy(
     heartbeats,
--- a/test/entry/routing.test.ts
+++ b/test/entry/routing.test.ts
@@ -61,6 +61,8 @@
   const near = { host: 'near' };
   const far = { host: 'far', dataCentre: 'dc2' };
   const exhausted = loadOf({ teams: { lawns: { running: 5, used: ROOM, spare: 0 } } });
+  const queued = { interactive: 1, batch: 0, gang: 0, service: 0 };
+  const withOneQueued = loadOf({ queued, waitMs: 1 });
   const cases: readonly [string, LoadSummary, readonly Peer[], boolean, string][] = [
     ['stays here while there is free capacity', loadOf(), [near], false, 'local'],
     ['goes to a peer with free capacity', FULL, [far, near], false, 'near'],
@@ -79,6 +81,28 @@
       false,
       'local',
     ],
+    // Guards against crossing data centres, perhaps over a broken link, only because two requests arrive in one turn.
+    [
+      'stays here if the queued requests leave a slot free',
+      withOneQueued,
+      [near, far],
+      false,
+      'local',
+    ],
+    [
+      'goes to a near peer whose queued requests leave a slot free before it crosses data centres',
+      FULL,
+      [far, { ...near, load: withOneQueued }],
+      false,
+      'near',
+    ],
+    [
+      'goes to a peer if the queued requests take all slots here',
+      loadOf({ freeSlots: 1, queued }),
+      [near],
+      false,
+      'near',
+    ],
     ['never goes to a leaving peer', FULL, [{ ...near, state: 'leaving' }], false, 'local'],
     ['never goes to a peer without a link', FULL, [{ ...near, linked: false }], false, 'local'],
     [
@@ -97,6 +121,12 @@
     });
   }
 
+  it('of a job goes to a peer if jobs are queued here, because they wait for room', () => {
+    const own = loadOf({ queued: { interactive: 0, batch: 1, gang: 0, service: 0 } });
+    const route = createTestRouter(own, [near]).route({ ...REQUEST, class: 'batch' });
+    expect(route.kind).to.equal('peer');
+  });
+
   it('counts forwarded requests, so that a burst does not overload one peer between heartbeats', () => {
     const one = { ...loadOf({ freeSlots: 1 }) };
     const router = createTestRouter(FULL, [{ host: 'near', load: one }]);
