Limit requests at the ports for links that open none

Cause: both ports for links answered such requests without asking the guard of the listener. Up to 1,700 requests of one read were built and answered for each of 60 connections, however many answers were outstanding, and the connections stayed open.

Change: the guard admits them like requests at the other ports. The answer, 426, closes its connection.

The two new tests of the hub fail without the change (1,000 answers to 1,000 requests sent ahead).

--- a/src/client-limits/client-guard.ts
+++ b/src/client-limits/client-guard.ts
@@ -2,7 +2,7 @@
  * The limits of one host: the budget that all listeners share, a guard for each listener, one sweep for all of them, and
  * the count of what was refused or closed.
  */
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { WebSocket } from 'ws';
 import { createByteBudget } from './byte-budget.js';
@@ -50,6 +50,8 @@
 
 /** Guard of the listener for links between hosts. */
 export interface LinkListenerGuard {
+  /** Whether a request without an upgrade may be answered; otherwise its connection is closed. */
+  admit(request: IncomingMessage, response: ServerResponse): boolean;
   watch(link: LinkGuardOptions): MessageGuard;
   /** Counts the connection as a link that has identified itself; returns false if there are too many. */
   establish(socket: Socket): boolean;
@@ -154,6 +156,7 @@
       });
       const { messageTimeoutMs } = limits;
       return {
+        admit: (request, response) => connections.admit(request, response),
         watch: (link) =>
           guardMessages({ ...link, connections, budget: linkBudget, messageTimeoutMs }),
         establish: (socket) => connections.establish(socket),
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -51,6 +51,12 @@
 export async function createListener(options: ListenerOptions): Promise<Listener> {
   const server = createHttpServer(options.tls, options.handshakeTimeoutMs);
   const guard = options.protect?.(server);
+  server.on('request', (request, response) => {
+    if (guard?.admit(request, response) === false) return;
+    response
+      .writeHead(426, { connection: 'close' })
+      .end('This port serves links between entry hosts only.\n');
+  });
   const handshakeRequests = new WeakMap<IncomingMessage, HandshakeRequest>();
   const upgrades = new WebSocketServer({
     noServer: true,
@@ -97,13 +103,9 @@
     connectionsCheckingInterval: handshakeTimeoutMs,
     handshakeTimeout: handshakeTimeoutMs,
   };
-  const server = tls
+  return tls
     ? createSecureServer({ ...limits, ...tls, requestCert: true, rejectUnauthorized: true })
     : createServer(limits);
-  server.on('request', (_, response) => {
-    response.writeHead(426).end('This port serves links between entry hosts only.\n');
-  });
-  return server;
 }
 
 function listen(server: Server, { address, port }: ListenerOptions): Promise<void> {
--- a/src/peers/hub.ts
+++ b/src/peers/hub.ts
@@ -70,10 +70,14 @@
   const acceptanceListeners: ((job: Job, ageMs: number | undefined) => void)[] = [];
   const successionListeners: ((leader: Leader) => void)[] = [];
   const endListeners: ((end: ReportedEnd) => void)[] = [];
-  const listener = createServer((_request, response) => {
-    response.writeHead(426).end('This port serves links between hosts only.\n');
-  });
+  const listener = createServer();
   const guard = options.protect?.(listener);
+  listener.on('request', (request, response) => {
+    if (guard?.admit(request, response) === false) return;
+    response
+      .writeHead(426, { connection: 'close' })
+      .end('This port serves links between hosts only.\n');
+  });
   const server = new WebSocketServer({
     server: listener,
     maxPayload: MAX_MESSAGE_BYTES,
--- a/test/peers/hub.test.ts
+++ b/test/peers/hub.test.ts
@@ -3,7 +3,7 @@
  * ones that send much before they do, and links with unfinished messages; and against links that are cut by mistake.
  */
 import { once } from 'node:events';
-import { createServer } from 'node:net';
+import { connect, createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
 import { Packr } from 'msgpackr';
@@ -151,6 +151,33 @@
     expect(causes).to.deep.equal(['connections-exhausted']);
     expect(hub.callers()).to.have.length(2);
   });
+
+  describe('with requests that open no link', () => {
+    const REQUEST = 'GET / HTTP/1.1\r\nHost: host-1\r\n\r\n';
+
+    /** Returns all that the listener sends until it closes the connection. */
+    async function send(requests: string): Promise<string> {
+      const socket = connect(port, '127.0.0.1').setEncoding('utf8');
+      socket.on('error', () => undefined);
+      let received = '';
+      socket.on('data', (data) => (received += String(data)));
+      socket.write(requests);
+      await once(socket, 'close');
+      return received;
+    }
+
+    it('says what the port is for and closes the connection', async () => {
+      expect(await send(REQUEST)).to.match(/^HTTP\/1\.1 426 .*\r\nconnection: close\r\n/su);
+      expect(causes).to.deep.equal([]);
+    });
+
+    // Guards against requests and responses that stay in memory because their client sends ahead and reads nothing.
+    it('closes a connection that sends many requests ahead', async () => {
+      const received = await send(REQUEST.repeat(1000));
+      expect(received.match(/HTTP\/1\.1/gu) ?? []).to.have.length.at.most(1);
+      expect(causes).to.deep.equal(['pipelined-requests']);
+    });
+  });
 });
 
 async function findFreePort(): Promise<number> {
