Show the age of the configuration, failed reads of it and how each version arrived

Change: the age of the configuration is a gauge and, at each decision about access, a histogram by decision; failed reads are counted, and each series of them is logged once; adopted versions name their source; jobs record the revision of the configuration that allowed them.

--- a/src/controller/job-intake.ts
+++ b/src/controller/job-intake.ts
@@ -121,6 +121,7 @@
       state: progress.state,
       beyondShare: entry.beyondShare,
       restored: decoded !== undefined,
+      configurationRevision: job.configurationRevision,
     });
     if (cancelled || cancelledJobs.has(job.id)) lifecycle.cancel(entry);
     if (progress.job.schedule !== undefined) options.beginDueOccurrences(entry);
--- a/src/intake/caller-service.ts
+++ b/src/intake/caller-service.ts
@@ -88,7 +88,7 @@
   readonly waits: WaitGate;
   readonly reader: JobReader;
   readonly events: EventLog;
-  readonly meters: Pick<Meters, 'admissionRefusals'>;
+  readonly meters: Pick<Meters, 'admissionRefusals' | 'accessAgeSeconds'>;
 }
 
 /** A refusal at admission; `label` names its reason in the metrics, and `fields` are those of its log line. */
@@ -123,6 +123,14 @@
   }
 
   async function authorize(caller: Caller): Promise<Result<Access, DenialReason>> {
+    const access = await decideAccess(caller);
+    const ageMs = performance.now() - options.confirmedAt();
+    const decision = access.isOk() ? 'granted' : access.error;
+    options.meters.accessAgeSeconds.observe({ decision }, ageMs / 1000);
+    return access;
+  }
+
+  async function decideAccess(caller: Caller): Promise<Result<Access, DenialReason>> {
     const first = checkAccess(caller);
     if (first.isOk()) return first;
     if (performance.now() - options.confirmedAt() > DENIAL_FRESHNESS_MS)
@@ -134,6 +142,7 @@
         host: caller.host,
         path: caller.path,
         version: configuration.current?.configuration.version,
+        revision: configuration.current?.revision,
         ageMs: Math.round(performance.now() - options.confirmedAt()),
       });
     }
@@ -169,6 +178,7 @@
         terms: termsOf(queue),
         acceptedAtMs: Date.now(),
         acceptedBy: options.host,
+        configurationRevision: inForce.revision,
       };
       const condition = { key: options.configurationKey, revision: inForce.revision };
       const outcome = await submissions.submit(job, condition, deadlineAt);
--- a/src/intake/configuration-feed.ts
+++ b/src/intake/configuration-feed.ts
@@ -4,8 +4,12 @@
  */
 import { createEntryReader, createFaultContainment } from '../observability/index.js';
 import type { EventLog, Meters } from '../observability/index.js';
-import type { CellConfiguration, ConfigurationHolder } from '../queues/index.js';
-import type { StoreEntry, Reachability, KeyValueStore } from '../records/index.js';
+import type {
+  CellConfiguration,
+  ConfigurationHolder,
+  ConfigurationSource,
+} from '../queues/index.js';
+import type { StoreEntry, Reachability, KeyValueStore, StoreFailure } from '../records/index.js';
 import { followPrefix, pause } from '../records/index.js';
 
 /** Well below the 2 s within which a change must be in force. Polls also detect an outage of the store. */
@@ -29,7 +33,7 @@
   readonly confirmedAt: number;
   /** Whether the store has been unreachable for so long that callers should try another host. */
   readonly isStoreLost: boolean;
-  adopt(entry: StoreEntry): void;
+  adopt(entry: StoreEntry, source: ConfigurationSource): void;
   /** Records that a write conditioned on this revision, sent at `sentAt` (monotonic), has committed. */
   recordConfirmation(revision: number, sentAt: number): void;
   /** Reads the configuration; concurrent calls share one read. */
@@ -60,23 +64,41 @@
   let confirmedAt = -Infinity;
   let stopped = false;
   let pendingRead: Promise<void> | undefined;
+  /** Whether the last read has failed, so that a series of failures is logged once. */
+  let isFailing = false;
 
-  function adopt(entry: StoreEntry) {
+  function adopt(entry: StoreEntry, source: ConfigurationSource) {
     if (entry.key !== key) return;
     faults.contain('configuration', { revision: entry.revision }, () => {
       const configuration = configurations.read(entry, decode);
       if (configuration === undefined) return;
-      holder.adoptIfNewer({ configuration, revision: entry.revision });
+      holder.adoptIfNewer({ configuration, revision: entry.revision }, source);
+    });
+  }
+
+  function reportFailure({ kind, detail }: StoreFailure) {
+    meters?.configurationReadFailures.inc({ failure: kind });
+    if (isFailing) return;
+    isFailing = true;
+    events.warn('configuration-read-failed', {
+      failure: kind,
+      detail,
+      revision: holder.current?.revision,
+      ageMs: Math.round(performance.now() - latestConfirmation()),
     });
   }
 
   async function read() {
     const sentAt = performance.now();
     const found = await store.get(key, { timeoutMs: CALL_TIMEOUT_MS });
-    if (found.isErr()) return;
+    if (found.isErr()) {
+      reportFailure(found.error);
+      return;
+    }
+    isFailing = false;
     confirmedAt = Math.max(confirmedAt, sentAt);
     reachability.recordAnswer();
-    if (found.value !== undefined) adopt(found.value);
+    if (found.value !== undefined) adopt(found.value, 'read');
   }
 
   function refresh(): Promise<void> {
@@ -95,10 +117,10 @@
     meters,
     reachability,
     onListing: (entries) => {
-      for (const entry of entries) adopt(entry);
+      for (const entry of entries) adopt(entry, 'listing');
     },
     onChange: ({ key: changed, value, revision }) => {
-      if (value !== undefined) adopt({ key: changed, value, revision });
+      if (value !== undefined) adopt({ key: changed, value, revision }, 'watch');
     },
   });
 
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -70,6 +70,8 @@
   readonly acceptedAtMs: number;
   /** Name of that host, which is notified when the job ends; empty if unknown. */
   readonly acceptedBy: string;
+  /** Store revision of the configuration that allowed the job; earlier versions do not record it. */
+  readonly configurationRevision?: number;
 }
 
 /** State of a job as reported to callers. */
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -89,6 +89,7 @@
   terms: termsSchema.exactOptional(),
   acceptedAtMs: z.number(),
   acceptedBy: z.string().default(''),
+  configurationRevision: z.number().exactOptional(),
 });
 
 export function encodeJob(job: Job): string {
--- a/src/observability/meters.ts
+++ b/src/observability/meters.ts
@@ -38,6 +38,11 @@
   readonly expectedWaitSeconds: Gauge<'queue' | 'share'>;
   /** Jobs that were refused although access was granted, by reason. */
   readonly admissionRefusals: Counter<'queue' | 'reason'>;
+  /** Time since the configuration was last confirmed as current, at present and at each decision about access. */
+  readonly configurationAgeSeconds: Gauge;
+  readonly accessAgeSeconds: Histogram<'decision'>;
+  /** Reads of the configuration that the store has not answered, or has rejected. */
+  readonly configurationReadFailures: Counter<'failure'>;
   readonly adviceCalls: Counter<'outcome'>;
   /** Errors that nothing handled. */
   readonly unexpectedErrors: Counter<'origin'>;
@@ -180,6 +185,24 @@
       labelNames: ['queue', 'reason'],
       registers,
     }),
+    configurationAgeSeconds: new Gauge({
+      name: 'sapphirewing_configuration_age_seconds',
+      help: 'Time since the configuration was last confirmed as current',
+      registers,
+    }),
+    accessAgeSeconds: new Histogram({
+      name: 'sapphirewing_access_configuration_age_seconds',
+      help: 'Age of the configuration by which access was granted or denied',
+      labelNames: ['decision'],
+      buckets,
+      registers,
+    }),
+    configurationReadFailures: new Counter({
+      name: 'sapphirewing_configuration_read_failures_total',
+      help: 'Reads of the configuration that failed',
+      labelNames: ['failure'],
+      registers,
+    }),
     adviceCalls: new Counter({
       name: 'sapphirewing_advice_calls_total',
       help: 'Calls to the advice service',
--- a/src/queues/configuration-holder.ts
+++ b/src/queues/configuration-holder.ts
@@ -11,10 +11,13 @@
   readonly revision: number;
 }
 
+/** How a host has learned of a configuration. `conflict`: from a write that a change has prevented. */
+export type ConfigurationSource = 'read' | 'listing' | 'watch' | 'conflict';
+
 export interface ConfigurationHolder {
   readonly current: ActiveConfiguration | undefined;
   /** Activates the candidate if its revision is higher than that of the active configuration. */
-  adoptIfNewer(candidate: ActiveConfiguration): void;
+  adoptIfNewer(candidate: ActiveConfiguration, source: ConfigurationSource): void;
   onChange(listener: (current: ActiveConfiguration) => void): void;
 }
 
@@ -25,11 +28,12 @@
     get current() {
       return current;
     },
-    adoptIfNewer: (candidate) => {
+    adoptIfNewer: (candidate, source) => {
       if (current !== undefined && candidate.revision <= current.revision) return;
       options.events.info('configuration-adopted', {
         version: candidate.configuration.version,
         revision: candidate.revision,
+        source,
         previousVersion: current?.configuration.version,
         queues: candidate.configuration.queues.length,
         teams: candidate.configuration.teams.length,
