Confirm the configuration before it decides about a caller, and deny nothing that is not confirmed

Cause: before a denial the configuration was read again, but if that read failed, or had been sent before the caller arrived, the denial was given by the old one all the same. Granted queries and cancellations were not checked for its age at all, so a host whose event loop was late answered by what it had.

Change: a denial needs a confirmation from at most 250 ms before the caller arrived, a grant one within three quarters of config-apply-ms. Otherwise the configuration is read, twice at most, because callers share reads. A host that is cut off from the store asks for nothing and goes on granting what it knows.

That this is what the users saw is suspected, not shown.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -83,6 +83,8 @@
   readonly drainMs?: number;
   /** Time after an acknowledged cancellation from which no task of the job may be started. */
   readonly cancelMs?: number;
+  /** Time in milliseconds after which each change of the operators' configuration must be in force. */
+  readonly configurationApplyMs?: number | undefined;
   /** By default, no data centres are evacuated. */
   readonly evacuations?: EvacuationSource;
   /** The longest lease that a worker keeps, in milliseconds. */
@@ -133,6 +135,8 @@
     },
     confirmedAt: () => feed.confirmedAt,
     isStoreLost: () => feed.isStoreLost,
+    canRefresh: () => feed.canRefresh,
+    configurationApplyMs: options.configurationApplyMs,
     refreshConfiguration: () => feed.refresh(),
     submissions: createSubmissionBatcher({
       store,
--- a/src/intake/caller-service.ts
+++ b/src/intake/caller-service.ts
@@ -1,7 +1,8 @@
 /**
  * Operations for callers at any host: submit, query, cancel and count jobs. Access is checked against
- * the configuration in force. Before access is denied, the configuration is read again, because a new key
- * or queue may not have reached this host yet.
+ * the configuration in force, which is read again if it was confirmed too long ago: a new key or queue, or the removal
+ * of one, may not have reached this host yet. A host that cannot confirm its configuration denies nothing by it. One that
+ * is cut off from the store goes on granting what it knows.
  */
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -19,8 +20,14 @@
 
 /** Team of jobs that were submitted without a known key to an open queue. */
 const ANONYMOUS_TEAM = '';
-/** Maximum age of the last confirmation of the configuration when access is denied. */
+/** Maximum age of the last confirmation of the configuration when a caller arrives that is denied access. */
 const DENIAL_FRESHNESS_MS = 250;
+/** The same for a caller that is granted access, as a part of the time in which changes must be in force. */
+const GRANT_FRESHNESS_PART = 0.75;
+/** Time in which changes must be in force where the settings do not say. */
+const DEFAULT_APPLY_MS = 2000;
+/** Concurrent callers share reads, so that the first one may have been sent before a caller arrived. */
+const MAX_CONFIRMING_READS = 2;
 /** Maximum attempts to submit while the configuration keeps changing. */
 const MAX_AUTHORIZATION_ATTEMPTS = 4;
 /** Open work ends job by job, so room for another one comes within seconds. */
@@ -44,7 +51,8 @@
 /** The part of a job that its caller specifies. */
 export type JobSubmission = Pick<Job, 'id' | 'spec' | 'steps' | 'schedule'>;
 
-export type DenialReason = 'no-configuration' | 'no-queue' | 'unknown-key';
+/** `unconfirmed`: the configuration that this host has denies access, but a later one may grant it. */
+export type DenialReason = 'no-configuration' | 'no-queue' | 'unknown-key' | 'unconfirmed';
 
 export type SubmitAnswer =
   | { readonly kind: 'accepted' }
@@ -80,6 +88,10 @@
   readonly confirmedAt: () => number;
   /** Whether the store has been unreachable for so long that callers should try another host. */
   readonly isStoreLost: () => boolean;
+  /** Whether a read of the configuration can be expected to succeed. */
+  readonly canRefresh: () => boolean;
+  /** Time in milliseconds after which each change of the configuration must be in force. */
+  readonly configurationApplyMs?: number | undefined;
   /** Reads the configuration from the store. */
   readonly refreshConfiguration: () => Promise<void>;
   readonly submissions: SubmissionBatcher;
@@ -106,7 +118,7 @@
 
 export function createCallerService(options: CallerServiceOptions): CallerService {
   const { store, configuration, submissions, admission, waits, reader, events } = options;
-  const { isStoreLost } = options;
+  const { isStoreLost, configurationApplyMs = DEFAULT_APPLY_MS } = options;
 
   function checkAccess(caller: Caller): Result<Access, DenialReason> {
     const inForce = configuration.current;
@@ -127,26 +139,39 @@
     const ageMs = performance.now() - options.confirmedAt();
     const decision = access.isOk() ? 'granted' : access.error;
     options.meters.accessAgeSeconds.observe({ decision }, ageMs / 1000);
-    return access;
-  }
-
-  async function decideAccess(caller: Caller): Promise<Result<Access, DenialReason>> {
-    const first = checkAccess(caller);
-    if (first.isOk()) return first;
-    if (performance.now() - options.confirmedAt() > DENIAL_FRESHNESS_MS)
-      await options.refreshConfiguration();
-    const second = checkAccess(caller);
-    if (second.isErr()) {
+    if (access.isErr()) {
       events.info('access-denied', {
-        denial: second.error,
+        denial: access.error,
         host: caller.host,
         path: caller.path,
         version: configuration.current?.configuration.version,
         revision: configuration.current?.revision,
-        ageMs: Math.round(performance.now() - options.confirmedAt()),
+        ageMs: Math.round(ageMs),
       });
     }
-    return second;
+    return access;
+  }
+
+  async function decideAccess(caller: Caller): Promise<Result<Access, DenialReason>> {
+    const arrivedAt = performance.now();
+    const isConfirmed = ({ maxAgeMs }: { readonly maxAgeMs: number }) =>
+      options.confirmedAt() >= arrivedAt - maxAgeMs;
+    for (let reads = 0; ; reads += 1) {
+      const access = checkAccess(caller);
+      const maxAgeMs = access.isOk()
+        ? configurationApplyMs * GRANT_FRESHNESS_PART
+        : DENIAL_FRESHNESS_MS;
+      if (isConfirmed({ maxAgeMs })) return access;
+      if (reads === MAX_CONFIRMING_READS || !options.canRefresh())
+        return withoutConfirmation(access);
+      await options.refreshConfiguration();
+    }
+  }
+
+  function withoutConfirmation(access: Result<Access, DenialReason>): Result<Access, DenialReason> {
+    return access.orElse((denial) =>
+      err(denial === 'no-configuration' ? denial : ('unconfirmed' as const)),
+    );
   }
 
   async function submit(
--- a/src/intake/configuration-feed.ts
+++ b/src/intake/configuration-feed.ts
@@ -33,6 +33,8 @@
   readonly confirmedAt: number;
   /** Whether the store has been unreachable for so long that callers should try another host. */
   readonly isStoreLost: boolean;
+  /** Whether a read can be expected to succeed: the store is not lost, or the last read has not failed. */
+  readonly canRefresh: boolean;
   adopt(entry: StoreEntry, source: ConfigurationSource): void;
   /** Records that a write conditioned on this revision, sent at `sentAt` (monotonic), has committed. */
   recordConfirmation(revision: number, sentAt: number): void;
@@ -141,12 +143,20 @@
     return Math.max(confirmedAt, follower.revision > 0 ? follower.confirmedAt : -Infinity);
   }
 
+  function isStoreLost(): boolean {
+    return performance.now() - latestConfirmation() > STORE_LOST_MS;
+  }
+
   return {
     get confirmedAt() {
       return latestConfirmation();
     },
     get isStoreLost() {
-      return performance.now() - latestConfirmation() > STORE_LOST_MS;
+      return isStoreLost();
+    },
+    get canRefresh() {
+      // A delayed event loop alone makes the last confirmation as old as the loss of the store does.
+      return !isFailing || !isStoreLost();
     },
     adopt,
     recordConfirmation: (revision, sentAt) => {
--- a/src/intake/relay.ts
+++ b/src/intake/relay.ts
@@ -98,7 +98,8 @@
     pending: (queue) => local.pending(queue),
     submit: async (caller, work, deadlineAt) => {
       const answer = await local.submit(caller, work, deadlineAt);
-      if (answer.kind === 'accepted' || answer.kind === 'denied') return answer;
+      if (answer.kind === 'accepted') return answer;
+      if (answer.kind === 'denied' && answer.denial !== 'unconfirmed') return answer;
       // The leader decides by the same records.
       if (answer.kind === 'refused' && answer.retryAfterS !== undefined) return answer;
       return relaySubmission(caller, work, deadlineAt, answer);
--- a/test/intake/refusals.test.ts
+++ b/test/intake/refusals.test.ts
@@ -52,6 +52,7 @@
     },
     confirmedAt: () => performance.now(),
     isStoreLost: () => false,
+    canRefresh: () => true,
     submissions: {
       submit: () => {
         counts.submitted += 1;
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -35,6 +35,7 @@
 grace-s = 6
 drain-ms = 3000
 cancel_ms = 4000
+config-apply-ms = 2500
 [platform]
 address = "10.200.1.7:8182"
 form = "kv"
@@ -163,6 +164,7 @@
         graceMs: 6000,
         drainMs: 3000,
         cancelMs: 4000,
+        configurationApplyMs: 2500,
         processors: 1.35,
         minLeaseMs: 1500,
       });
