Take no configuration for confirmed while a later one cannot be read

Cause: each answered read counted as a confirmation, also one whose content could not be decoded.

Change: a host that knows of a later revision than its own has confirmed nothing until it has adopted that one. The loss of the store is told from answers alone, as before. An age that is not finite is not observed, which the histogram rejects.

Result: the new test of the feed fails with the change taken out (a confirmation although version 2 is unread).

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -318,9 +318,7 @@
     const now = performance.now();
     const sample = { delayMs: Math.max(0, now - expected), ...measureLoad() };
     meters.eventLoopDelaySeconds.observe(sample.delayMs / 1000);
-    if (configuration.current !== undefined) {
-      meters.configurationAgeSeconds.set((now - feed.confirmedAt) / 1000);
-    }
+    meters.configurationAgeSeconds.set((now - feed.confirmedAt) / 1000);
     expected = now + EVENT_LOOP_CHECK_MS;
     if (controller === undefined) return;
     const leading = controller;
--- a/src/intake/caller-service.ts
+++ b/src/intake/caller-service.ts
@@ -138,7 +138,9 @@
     const access = await decideAccess(caller);
     const ageMs = performance.now() - options.confirmedAt();
     const decision = access.isOk() ? 'granted' : access.error;
-    options.meters.accessAgeSeconds.observe({ decision }, ageMs / 1000);
+    if (Number.isFinite(ageMs)) {
+      options.meters.accessAgeSeconds.observe({ decision }, ageMs / 1000);
+    }
     if (access.isErr()) {
       events.info('access-denied', {
         denial: access.error,
--- a/src/intake/configuration-feed.ts
+++ b/src/intake/configuration-feed.ts
@@ -29,7 +29,10 @@
 const MAX_CREDITED_AGE_MS = 400;
 
 export interface ConfigurationFeed {
-  /** When the configuration was last confirmed as current, in monotonic milliseconds. */
+  /**
+   * When the configuration was last confirmed as current, in monotonic milliseconds; minus infinity while a later one is
+   * known to exist, which has not been read or cannot be read.
+   */
   readonly confirmedAt: number;
   /** Whether the store has been unreachable for so long that callers should try another host. */
   readonly isStoreLost: boolean;
@@ -63,7 +66,9 @@
     events,
     meters,
   });
-  let confirmedAt = -Infinity;
+  /** When the last call was sent whose answer tells the revision in force. */
+  let answeredAt = -Infinity;
+  let latestRevision = 0;
   let stopped = false;
   let pendingRead: Promise<void> | undefined;
   /** Whether the last read has failed, so that a series of failures is logged once. */
@@ -71,6 +76,7 @@
 
   function adopt(entry: StoreEntry, source: ConfigurationSource) {
     if (entry.key !== key) return;
+    latestRevision = Math.max(latestRevision, entry.revision);
     faults.contain('configuration', { revision: entry.revision }, () => {
       const configuration = configurations.read(entry, decode);
       if (configuration === undefined) return;
@@ -86,7 +92,7 @@
       failure: kind,
       detail,
       revision: holder.current?.revision,
-      ageMs: Math.round(performance.now() - latestConfirmation()),
+      ageMs: Math.round(performance.now() - latestAnswer()),
     });
   }
 
@@ -98,7 +104,7 @@
       return;
     }
     isFailing = false;
-    confirmedAt = Math.max(confirmedAt, sentAt);
+    answeredAt = Math.max(answeredAt, sentAt);
     reachability.recordAnswer();
     if (found.value !== undefined) adopt(found.value, 'read');
   }
@@ -128,28 +134,32 @@
 
   async function poll() {
     while (!stopped) {
-      const ageMs = performance.now() - confirmedAt;
+      const ageMs = performance.now() - answeredAt;
       const overdue = ageMs > READ_OVERDUE_MS;
       await pause(
         overdue ? PROBE_INTERVAL_MS : POLL_INTERVAL_MS - Math.min(ageMs, MAX_CREDITED_AGE_MS),
       );
       if (overdue) void read();
-      else if (performance.now() - confirmedAt >= POLL_INTERVAL_MS) await refresh();
+      else if (performance.now() - answeredAt >= POLL_INTERVAL_MS) await refresh();
     }
   }
   faults.keepRunning('poll the configuration', poll);
 
-  function latestConfirmation(): number {
-    return Math.max(confirmedAt, follower.revision > 0 ? follower.confirmedAt : -Infinity);
+  function latestAnswer(): number {
+    return Math.max(answeredAt, follower.revision > 0 ? follower.confirmedAt : -Infinity);
   }
 
   function isStoreLost(): boolean {
-    return performance.now() - latestConfirmation() > STORE_LOST_MS;
+    return performance.now() - latestAnswer() > STORE_LOST_MS;
+  }
+
+  function isBehind(): boolean {
+    return latestRevision > (holder.current?.revision ?? 0);
   }
 
   return {
     get confirmedAt() {
-      return latestConfirmation();
+      return isBehind() ? -Infinity : latestAnswer();
     },
     get isStoreLost() {
       return isStoreLost();
@@ -162,7 +172,7 @@
     recordConfirmation: (revision, sentAt) => {
       // Another revision is in force by now, so the write says nothing about it.
       if (holder.current?.revision !== revision) return;
-      confirmedAt = Math.max(confirmedAt, sentAt);
+      answeredAt = Math.max(answeredAt, sentAt);
       reachability.recordAnswer();
     },
     refresh,
--- a/test/intake/configuration-feed.test.ts
+++ b/test/intake/configuration-feed.test.ts
@@ -78,4 +78,30 @@
     // The polls have to go on; the follower lists only every 15 s.
     expect(performance.now() - writtenAt).to.be.lessThan(2000);
   });
+
+  // A read whose content the host could not use counted as a confirmation of what it had before.
+  it('confirms no configuration while a later version cannot be read', async () => {
+    const { store, state } = createStore();
+    const feed = createConfigurationFeed({
+      store,
+      key: KEY,
+      decode: (text) =>
+        text === 'odd'
+          ? undefined
+          : ({ version: Number(text), queues: [], teams: [] } as unknown as CellConfiguration),
+      holder: createConfigurationHolder({ events: SILENT_EVENTS }),
+      reachability: createReachability({ events: SILENT_EVENTS }),
+      events: SILENT_EVENTS,
+    });
+    await feed.refresh();
+    expect(feed.confirmedAt).to.be.greaterThan(0);
+    state.entry = { key: KEY, value: 'odd', revision: 2 };
+    await feed.refresh();
+    expect(feed.confirmedAt).to.equal(-Infinity);
+    expect(feed.isStoreLost).to.equal(false);
+    state.entry = { key: KEY, value: '3', revision: 3 };
+    await feed.refresh();
+    feed.stop();
+    expect(feed.confirmedAt).to.be.greaterThan(0);
+  });
 });
