Let a leader know the configuration under which each job was accepted

Cause: a leader learns of jobs that other hosts have accepted by a link or by its watch, and of configurations by a watch and a poll of their own. It could start tasks of a job of version N and answer callers by N - 1 for half a second after that, which is longer than rollback-slack-ms (CONFIG: came back older).

Change: jobs record the revision of the configuration that allowed them. A leader that learns of a later one than its own has confirmed nothing, reads it at once, and decides about callers only after that.

--- a/src/cell-host/cell-host.ts
+++ b/src/cell-host/cell-host.ts
@@ -246,6 +246,9 @@
         connect: options.connect,
         callers: () => [localAdvice, ...hub.callers()],
         renewedAt: () => election.renewedAt,
+        onConfigurationRevision: (revision) => {
+          feed.noteRevision(revision);
+        },
         onLeadershipLost: (reason) => {
           election.stepDown(reason);
         },
--- a/src/controller/controller-types.ts
+++ b/src/controller/controller-types.ts
@@ -76,6 +76,8 @@
   readonly renewedAt: () => number | undefined;
   readonly onLeadershipLost: (reason: string) => void;
   readonly onLeaderKeyMissing: () => void;
+  /** Called with the revision of the configuration under which a host has accepted a job. */
+  readonly onConfigurationRevision?: (revision: number) => void;
   /** Announces the final state, whose record is durable, to the host that accepted the job. */
   readonly announceEnd: (job: Job, state: JobState) => void;
   readonly events: EventLog;
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -343,6 +343,7 @@
       housekeeping.beginDueOccurrences(entry);
     },
     onChange: requestPlan,
+    onConfigurationRevision: options.onConfigurationRevision,
     contain: faults.contain,
     events,
     meters,
--- a/src/controller/job-intake.ts
+++ b/src/controller/job-intake.ts
@@ -52,6 +52,8 @@
   readonly clock?: () => number;
   readonly beginDueOccurrences: (entry: JobEntry) => void;
   readonly onChange: () => void;
+  /** Called with the revision of the configuration that allowed a job, before any of its tasks can start. */
+  readonly onConfigurationRevision?: ((revision: number) => void) | undefined;
   /** Keeps an error that one job of a listing causes away from the others. */
   readonly contain: FaultContainment['contain'];
   readonly events: EventLog;
@@ -93,6 +95,10 @@
 
   function addJob(job: Job, { cancelled, ageMs }: JobNews) {
     if (cell.jobs.has(job.id) || withheld.has(job.id)) return;
+    // The host that has accepted the job may know a later configuration than this leader.
+    if (job.configurationRevision !== undefined) {
+      options.onConfigurationRevision?.(job.configurationRevision);
+    }
     const progress = createProgress(job);
     const entry = createJobEntry({
       progress,
--- a/src/intake/configuration-feed.ts
+++ b/src/intake/configuration-feed.ts
@@ -39,6 +39,8 @@
   /** Whether a read can be expected to succeed: the store is not lost, or the last read has not failed. */
   readonly canRefresh: boolean;
   adopt(entry: StoreEntry, source: ConfigurationSource): void;
+  /** Records that a configuration of this revision exists, and reads it if it is later than the present one. */
+  noteRevision(revision: number): void;
   /** Records that a write conditioned on this revision, sent at `sentAt` (monotonic), has committed. */
   recordConfirmation(revision: number, sentAt: number): void;
   /** Reads the configuration; concurrent calls share one read. */
@@ -169,6 +171,11 @@
       return !isFailing || !isStoreLost();
     },
     adopt,
+    noteRevision: (revision) => {
+      if (revision <= latestRevision) return;
+      latestRevision = revision;
+      void refresh();
+    },
     recordConfirmation: (revision, sentAt) => {
       // Another revision is in force by now, so the write says nothing about it.
       if (holder.current?.revision !== revision) return;
--- a/test/controller/job-intake.test.ts
+++ b/test/controller/job-intake.test.ts
@@ -14,6 +14,7 @@
 
 const JOB_IDS = ['00000000000000a1', '00000000000000a2'] as const;
 const [SOUND, ODD] = JOB_IDS;
+const REVISION = 41;
 
 function listJobs(): StoreEntry[] {
   return JOB_IDS.map((id) => ({
@@ -27,6 +28,7 @@
       steps: [STEP],
       acceptedAtMs: Date.now(),
       acceptedBy: 'h1',
+      configurationRevision: REVISION,
     }),
     revision: 1,
   }));
@@ -35,9 +37,14 @@
 interface TestIntake {
   readonly savedProgress?: ReadonlyMap<string, StoreEntry>;
   readonly onCancelled?: (job: string) => void;
+  readonly onConfigurationRevision?: (revision: number) => void;
 }
 
-function createTestIntake({ savedProgress = new Map(), onCancelled }: TestIntake) {
+function createTestIntake({
+  savedProgress = new Map(),
+  onCancelled,
+  onConfigurationRevision,
+}: TestIntake) {
   const cell = createCell({ now: () => 0, onStepSettled: () => undefined });
   const intake = createJobIntake({
     cell,
@@ -52,6 +59,7 @@
     configuration: () => undefined,
     beginDueOccurrences: () => undefined,
     onChange: () => undefined,
+    onConfigurationRevision,
     contain: (_source, _fields, handle) => {
       handle();
     },
@@ -72,6 +80,18 @@
     });
   });
 
+  describe('a job that was accepted under a later configuration than that of the leader', () => {
+    // The leader started its tasks and answered by its older configuration after that (CONFIG).
+    it('makes the revision known, whether it is announced or read from the store', () => {
+      const noted: number[] = [];
+      const { intake } = createTestIntake({
+        onConfigurationRevision: (revision) => noted.push(revision),
+      });
+      intake.applyListing(listJobs());
+      expect(noted).to.deep.equal([REVISION, REVISION]);
+    });
+  });
+
   describe('a job with a progress record that cannot be read', () => {
     // Guards against a second run of tasks that had run under a former leader (TWICE).
     it('is withheld at the restore and at later listings, and others are not', () => {
--- a/test/intake/configuration-feed.test.ts
+++ b/test/intake/configuration-feed.test.ts
@@ -104,4 +104,27 @@
     feed.stop();
     expect(feed.confirmedAt).to.be.greaterThan(0);
   });
+
+  // A leader answered by an older configuration than that of a job whose tasks it had started.
+  it('confirms no configuration that is older than one that is known to exist, and reads that one', async () => {
+    const { store, state } = createStore();
+    const holder = createConfigurationHolder({ events: SILENT_EVENTS });
+    const feed = createConfigurationFeed({
+      store,
+      key: KEY,
+      decode: (text) =>
+        ({ version: Number(text), queues: [], teams: [] }) as unknown as CellConfiguration,
+      holder,
+      reachability: createReachability({ events: SILENT_EVENTS }),
+      events: SILENT_EVENTS,
+    });
+    await feed.refresh();
+    state.entry = { key: KEY, value: '2', revision: 2 };
+    feed.noteRevision(2);
+    expect(feed.confirmedAt).to.equal(-Infinity);
+    await feed.refresh();
+    feed.stop();
+    expect(holder.current?.configuration.version).to.equal(2);
+    expect(feed.confirmedAt).to.be.greaterThan(0);
+  });
 });
