Give reads of the configuration and renewals of the leader's lease connections of their own

Cause: they shared 12 connections with the reads of job states, two or three a query, and with all writes.

Change: calls with precedence use two connections that no other calls use.

Result: the new test of the store's client fails without the change (a read behind 40 others is not answered within 500 ms).

--- a/src/records/key-value-store.ts
+++ b/src/records/key-value-store.ts
@@ -66,6 +66,8 @@
 export interface CallOptions {
   /** Timeout in milliseconds; the outcome of a write is unknown after it. */
   readonly timeoutMs?: number;
+  /** Whether the call goes before all others of this host that wait for the store; for few and short ones. */
+  readonly precedence?: boolean;
 }
 
 export interface KeyValueStore {
@@ -82,6 +84,7 @@
     options?: CallOptions,
   ): Promise<Result<TransactionOutcome, StoreFailure>>;
   grantLease(lifetimeMs: number): Promise<Result<number, StoreFailure>>;
+  /** Goes before all others, because the lease ends meanwhile. */
   renewLease(lease: number, options?: CallOptions): Promise<Result<void, StoreFailure>>;
   endLease(lease: number): Promise<Result<void, StoreFailure>>;
 }
--- a/test/platform-adapter/store-client.test.ts
+++ b/test/platform-adapter/store-client.test.ts
@@ -4,7 +4,7 @@
  */
 import { once } from 'node:events';
 import { createServer } from 'node:http';
-import type { Server } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
 import { createStoreClient } from '../../platform/store-client.js';
@@ -45,6 +45,28 @@
     return client.transact({ conditions: [], writes: [write] });
   }
 
+  describe('calls with precedence', () => {
+    // Behind reads of job states, the configuration grew old (CONFIG) and a leader at its limit lost its lease (SHORT).
+    it('are answered while as many other calls wait as there are connections for them', async () => {
+      const held: ServerResponse[] = [];
+      server.removeAllListeners('request');
+      server.on('request', (request, response) => {
+        request.resume();
+        if (request.url?.startsWith('/kv-key?key=jobs') === true) held.push(response);
+        else response.end(JSON.stringify({ key: 'op/config', value: '', revision: 3 }));
+      });
+      const others = Array.from({ length: 40 }, (_, job) => client.get(`jobs/${String(job)}`));
+      const timeoutMs = 500;
+      const read = await client.get('op/config', { timeoutMs, precedence: true });
+      const renewal = await client.renewLease(7, { timeoutMs });
+      for (const response of held) response.destroy();
+      client.close();
+      await Promise.all(others);
+      expect(read._unsafeUnwrap()?.revision).to.equal(3);
+      expect(renewal.isOk()).to.equal(true);
+    });
+  });
+
   describe('a listing', () => {
     it('shows the other items beside one without a value', async () => {
       // An entry without bytes among those of the workers made every listing fail, so their copy grew old for good.
