Authorize a submission again when its configuration was replaced, also if its job exists

Cause: a transaction that conflicts shows all conditions that do not hold. If the job of a submission existed, the submission was answered as accepted, although the same conflict showed a later configuration, which may have removed its key or its queue; nor did the host adopt that one (CONFIG).

Change: a replaced configuration goes before an existing job. Only if an earlier attempt of the same submission had no answer, and may have created the job under the configuration of its time, is it accepted as before.

Result: the first of the two new tests fails without the change (accepted).

--- a/src/intake/submissions.ts
+++ b/src/intake/submissions.ts
@@ -138,11 +138,13 @@
         ({ key }) => key === JOB_STORE_KEYS.job(id) || key === JOB_STORE_KEYS.progressOf(id),
       );
       const configuration = entries.find(({ key }) => key === item.configuration.key);
+      const replaced = configuration?.revision !== item.configuration.revision;
+      // An earlier attempt that may have taken effect was allowed by the configuration of its time.
+      if (replaced && !item.uncertain) settle(item, { kind: 'replaced', configuration });
       // An existing job was accepted before, at this host or at another one.
-      if (existing) settle(item, { kind: 'accepted' });
-      else if (configuration?.revision !== item.configuration.revision) {
-        settle(item, item.uncertain ? { kind: 'unknown' } : { kind: 'replaced', configuration });
-      } else retry(item);
+      else if (existing) settle(item, { kind: 'accepted' });
+      else if (replaced) settle(item, { kind: 'unknown' });
+      else retry(item);
     }
   }
 
--- a/test/intake/submissions.test.ts
+++ b/test/intake/submissions.test.ts
@@ -3,8 +3,9 @@
  * submissions did so although other hosts could have accepted them (incident inc-0481).
  */
 import { expect } from 'chai';
-import { err } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import { createSubmissionBatcher } from '../../src/intake/index.js';
+import { JOB_STORE_KEYS } from '../../src/jobs/index.js';
 import type { Job } from '../../src/jobs/index.js';
 import { SILENT_EVENTS } from '../../src/observability/index.js';
 import type { KeyValueStore } from '../../src/records/index.js';
@@ -45,3 +46,37 @@
     expect(performance.now() - startedAt).to.be.at.least(299);
   });
 });
+
+describe('a submission whose configuration has been replaced', () => {
+  const replacement = { key: CONFIGURATION.key, value: '{}', revision: 2 };
+  const existing = { key: JOB_STORE_KEYS.job(JOB.id), value: '{}', revision: 1 };
+
+  function submit(outcomes: readonly ('conflict' | 'unanswered')[]) {
+    const pending = [...outcomes];
+    const store = {
+      transact: () =>
+        Promise.resolve(
+          pending.shift() === 'conflict'
+            ? ok({ kind: 'conflict', entries: [replacement, existing] })
+            : err({ kind: 'unknown', detail: 'no answer' }),
+        ),
+    } as unknown as KeyValueStore;
+    return createSubmissionBatcher({ store, events: SILENT_EVENTS }).submit(
+      JOB,
+      CONFIGURATION,
+      performance.now() + LONG_MS,
+    );
+  }
+
+  // A job that was sent again was answered 200 by a key or a route that had been removed (CONFIG).
+  it('is authorized again, although its job exists', async () => {
+    expect(await submit(['conflict'])).to.deep.equal({
+      kind: 'replaced',
+      configuration: replacement,
+    });
+  });
+
+  it('is accepted if an earlier attempt, without an answer, may have created its job', async () => {
+    expect(await submit(['unanswered', 'conflict'])).to.deep.equal({ kind: 'accepted' });
+  });
+});
