--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -212,5 +212,25 @@
       expect(decodeConfiguration('{')).to.equal(undefined);
       expect(decodeConfiguration('{"routes":[]}')).to.equal(undefined);
     });
+
+    // One field in a form that the schema did not take kept a host at the version before (CONFIG).
+    it('takes null and a field that is left out for one without a value', () => {
+      const route = { name: 'r', host: 'h', prefix: '/p/', service: 's' };
+      const routes = [
+        { ...route, advice: null, stretch: null },
+        { ...route, advice: { 'decide-ms': 10, 'valid-ms': 2500 } },
+      ];
+      const tenants = [{ name: 't', 'api-keys': null, cap: { cpu: 1000, gpu: null } }];
+      const decoded = decodeConfiguration(
+        JSON.stringify({ version: 2, routes, tenants, limits: null }),
+      );
+      expect(decoded?.queues[0]).to.include({ stretch: 1 }).and.not.have.property('advice');
+      expect(decoded?.queues[1]?.advice).to.deep.equal({
+        decideMs: 10,
+        perWorkerMs: 0,
+        validMs: 2500,
+      });
+      expect(decoded?.teams[0]?.limit.processors).to.equal(1);
+    });
   });
 });
