--- a/src/cell-host/load-report.ts
+++ b/src/cell-host/load-report.ts
@@ -7,6 +7,7 @@
 import type { EventLog } from '../observability/index.js';
 
 const REPORT_INTERVAL_MS = 1000;
+const NOTHING = { rounds: 0, tookMs: 0, starts: 0 };
 
 export interface LoadReport {
   /** Adds a sample of the process and, when a report is due, logs it with the load of the cell. */
@@ -16,7 +17,7 @@
 export function createLoadReport({ events }: { readonly events: EventLog }): LoadReport {
   let reportedAt = -Infinity;
   let samples: LoadSample[] = [];
-  let reported: Pick<CellLoad, 'rounds' | 'tookMs'> = { rounds: 0, tookMs: 0 };
+  let reported: Pick<CellLoad, 'rounds' | 'tookMs' | 'starts'> = NOTHING;
 
   const sum = (field: keyof LoadSample) =>
     Math.round(samples.reduce((total, sample) => total + sample[field], 0));
@@ -25,9 +26,9 @@
     add: (sample, nowMs, describeCell) => {
       samples.push(sample);
       if (nowMs - reportedAt < REPORT_INTERVAL_MS) return;
-      const { rounds, tookMs, ...load } = describeCell();
+      const { rounds, tookMs, starts, ...load } = describeCell();
       // The counts of a new term begin at zero again.
-      const since = rounds < reported.rounds ? { rounds: 0, tookMs: 0 } : reported;
+      const since = rounds < reported.rounds ? NOTHING : reported;
       events.info('leader-load', {
         ...load,
         activeMs: sum('activeMs'),
@@ -35,10 +36,11 @@
         longestDelayMs: Math.round(Math.max(...samples.map(({ delayMs }) => delayMs))),
         rounds: rounds - since.rounds,
         planMs: Math.round(tookMs - since.tookMs),
+        starts: starts - since.starts,
       });
       reportedAt = nowMs;
       samples = [];
-      reported = { rounds, tookMs };
+      reported = { rounds, tookMs, starts };
     },
   };
 }
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -43,6 +43,10 @@
 export interface PlanningEffort {
   readonly rounds: number;
   readonly tookMs: number;
+  /** Starts that were sent to workers. */
+  readonly starts: number;
+  /** Steps that the last round left waiting, by what kept them; `untried` if it did not get to them. */
+  readonly blocked: Readonly<Partial<Record<PlacementBarrier | 'untried', number>>>;
 }
 
 export interface DispatcherOptions {
@@ -89,7 +93,7 @@
   let roundRequested = false;
   let stopped = false;
   let pauseMs = pauseAfterRound(0);
-  let effort: PlanningEffort = { rounds: 0, tookMs: 0 };
+  let effort: PlanningEffort = { rounds: 0, tookMs: 0, starts: 0, blocked: {} };
 
   function schedule(delayMs: number) {
     if (stopped) return;
@@ -146,10 +150,28 @@
     options.onRound?.({ steps, barriers });
     const tookMs = performance.now() - startedAt;
     meters.planSeconds.observe(tookMs / 1000);
-    effort = { rounds: effort.rounds + 1, tookMs: effort.tookMs + tookMs };
+    effort = {
+      ...effort,
+      rounds: effort.rounds + 1,
+      tookMs: effort.tookMs + tookMs,
+      blocked: countBarriers(steps, barriers),
+    };
     pauseMs = pauseAfterRound(tookMs);
   }
 
+  function countBarriers(
+    steps: readonly WaitingStep[],
+    barriers: ReadonlyMap<string, PlacementBarrier>,
+  ): PlanningEffort['blocked'] {
+    const counts: Partial<Record<PlacementBarrier | 'untried', number>> = {};
+    for (const { key, constraint } of steps) {
+      if (!cell.ready.has(key)) continue;
+      const barrier = constraint?.known === false ? 'permit' : (barriers.get(key) ?? 'untried');
+      counts[barrier] = (counts[barrier] ?? 0) + 1;
+    }
+    return counts;
+  }
+
   function describeWorker(session: WorkerSession, nowMs: number): CandidateWorker {
     const { worker, used, runs } = session;
     return {
@@ -366,6 +388,7 @@
         run.session.withdraw(run);
       } else {
         run.progress.begun = true;
+        effort = { ...effort, starts: effort.starts + 1 };
         run.fleetAgeMs = options.fleetAgeMs();
         run.orderedMs = Math.round(performance.now() - run.startedAt);
         void run.session.start(run, run.progress.job.spec, tickets.get(run));
