Count the pause between planning rounds from the end of the last one

Cause: a change that requests a round waited for the pause of the last one from the request on, even if that one was long over. With a round of 9 ms each change waited 63 ms, twice for each job: once for its tickets and once for its workers.

Change: what has passed since the last round counts. Planning takes at most the same eighth of the processor.

--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -20,7 +20,7 @@
 import type { OrderWindow } from './order-window.js';
 import { createPlacementRoom } from './placement-room.js';
 import type { PlacementRoom } from './placement-room.js';
-import { pauseAfterRound } from './round-pace.js';
+import { delayOfRequest, pauseAfterRound } from './round-pace.js';
 import { createRun, stepNameOf } from './run.js';
 import type { Run } from './run.js';
 import { createRunForecast } from './run-forecast.js';
@@ -93,6 +93,7 @@
   let roundRequested = false;
   let stopped = false;
   let pauseMs = pauseAfterRound(0);
+  let roundEndedAt = -Infinity;
   let effort: PlanningEffort = { rounds: 0, tookMs: 0, starts: 0, blocked: {} };
 
   function schedule(delayMs: number) {
@@ -115,7 +116,7 @@
     if (roundRequested) return;
     if (timer !== undefined) clearTimeout(timer);
     roundRequested = true;
-    schedule(pauseMs);
+    schedule(delayOfRequest(pauseMs, performance.now() - roundEndedAt));
   }
 
   function plan() {
@@ -148,7 +149,8 @@
     if (options.orderWindow.allowsPlacement) orderPlacements(placements, round);
     requestPermits(steps, round, barriers);
     options.onRound?.({ steps, barriers });
-    const tookMs = performance.now() - startedAt;
+    roundEndedAt = performance.now();
+    const tookMs = roundEndedAt - startedAt;
     meters.planSeconds.observe(tookMs / 1000);
     effort = {
       ...effort,
--- a/src/controller/round-pace.ts
+++ b/src/controller/round-pace.ts
@@ -11,7 +11,12 @@
 /** Pause as a multiple of the round's duration, so that planning takes at most an eighth of the processor unless the pause is limited. */
 const PAUSE_PER_ROUND = 7;
 
-/** Milliseconds to wait before the next round after one that took `roundMs`. */
+/** Milliseconds to wait between the end of a round that took `roundMs` and the next one. */
 export function pauseAfterRound(roundMs: number): number {
   return Math.min(MAX_PAUSE_MS, Math.max(MIN_PAUSE_MS, roundMs * PAUSE_PER_ROUND));
 }
+
+/** Milliseconds to wait for a round that is requested `sinceMs` after the end of the last one. */
+export function delayOfRequest(pauseMs: number, sinceMs: number): number {
+  return Math.max(MIN_PAUSE_MS, pauseMs - sinceMs);
+}
--- a/test/controller/round-pace.test.ts
+++ b/test/controller/round-pace.test.ts
@@ -1,6 +1,6 @@
 /** Guards against planning that delays the handling of callers, workers and the store. */
 import { expect } from 'chai';
-import { pauseAfterRound } from '../../src/controller/round-pace.js';
+import { delayOfRequest, pauseAfterRound } from '../../src/controller/round-pace.js';
 
 describe('pauseAfterRound', () => {
   it('waits for the minimum pause after a cheap round', () => {
@@ -18,3 +18,15 @@
     expect(pauseAfterRound(200)).to.equal(120);
   });
 });
+
+// Each change waited for the whole pause of the last round, however long ago that one was, and urgent work came late (SHORT).
+describe('delayOfRequest', () => {
+  it('waits for what is left of the pause', () => {
+    expect(delayOfRequest(70, 0)).to.equal(70);
+    expect(delayOfRequest(70, 50)).to.equal(20);
+  });
+
+  it('lets changes that arrive together share a round, however long ago the last one was', () => {
+    expect(delayOfRequest(70, 5000)).to.equal(3);
+  });
+});
