Ask for the tickets of a new job at once instead of in the next planning round

Cause: each job waited for two rounds, one that asks for its tickets and one that uses them. A round looks at all workers of the cell, so that rounds are spaced by their cost; at 245 workers and a leader at its limit that is 60 to 120 ms each, of a slack of 600 ms.

Change: a new job is asked about when the leader learns of it, unless other queries wait, which go in the order of a round. The workers to name come from the last round, which sorts them only if a step asks for them.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -90,6 +90,7 @@
     },
     onAdded: (entry) => {
       waits.noteJob(entry);
+      dispatcher.announce(entry);
     },
   });
   const share = createShareMeter({ now });
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -8,14 +8,19 @@
 import type { CandidateWorker, Hold, PlacementBarrier } from '../planner/index.js';
 import { orderSteps, planRound } from '../planner/index.js';
 import type { CellConfiguration, Queue } from '../queues/index.js';
-import { openTask, setPhase } from '../jobs/index.js';
+import { formatStepName, openTask, setPhase } from '../jobs/index.js';
 import { subtractResources } from '../model/index.js';
 import { termsOf } from './cell.js';
-import type { Cell, ReadyStep } from './cell.js';
+import type { Cell, JobEntry, ReadyStep } from './cell.js';
 import type { FleetSessions } from './fleet-sessions.js';
 import type { JobLifecycle } from './job-lifecycle.js';
-import type { PermitClient } from './permit-client.js';
-import { describePermitRequests } from './permit-requests.js';
+import type { PermitClient, PermitRequest } from './permit-client.js';
+import {
+  createWorkerLookup,
+  describeFirstRequest,
+  describePermitRequests,
+} from './permit-requests.js';
+import type { WorkerLookup } from './permit-requests.js';
 import { isLeadershipFresh } from './leadership-freshness.js';
 import type { OrderWindow } from './order-window.js';
 import { createPlacementRoom } from './placement-room.js';
@@ -28,12 +33,16 @@
 import type { PlannedRound } from './wait-publisher.js';
 import type { WorkerSession } from './worker-session-types.js';
 
+/** Age up to which what a round knew of the workers serves to choose those that a query names. */
+const MAX_LOOKUP_AGE_MS = 1000;
 /** Interval of planning rounds without any change, because slack and the validity of tickets depend on time. */
 const IDLE_INTERVAL_MS = 100;
 
 export interface Dispatcher {
   /** Requests a planning round after the pause that the last round asks for. */
   request(): void;
+  /** Asks at once for the tickets of a new job, which would otherwise wait for a round before they are asked for. */
+  announce(entry: JobEntry): void;
   /** Sends no further orders, before a planned stop. */
   stop(): void;
   /** Planning rounds of this term and their total duration. */
@@ -80,6 +89,7 @@
   readonly room: PlacementRoom;
   readonly queues: ReadonlyMap<string, Queue>;
   readonly sessionsById: ReadonlyMap<string, WorkerSession>;
+  readonly workersOf: WorkerLookup;
 }
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
@@ -94,6 +104,7 @@
   let stopped = false;
   let pauseMs = pauseAfterRound(0);
   let roundEndedAt = -Infinity;
+  let workersOf: WorkerLookup | undefined;
   let effort: PlanningEffort = { rounds: 0, tookMs: 0, starts: 0, blocked: {} };
 
   function schedule(delayMs: number) {
@@ -129,7 +140,9 @@
       room: createPlacementRoom([...sessions.all()]),
       queues: new Map(configuration.queues.map((queue) => [queue.name, queue])),
       sessionsById: new Map(usable.map((session) => [session.incarnation.id, session])),
+      workersOf: createWorkerLookup(() => usable),
     };
+    workersOf = round.workersOf;
     const steps = orderSteps(
       [...cell.ready.values()].map((ready) => describeStep(ready, round)),
       round.nowMs,
@@ -161,6 +174,29 @@
     pauseMs = pauseAfterRound(tookMs);
   }
 
+  function announce({ progress }: JobEntry) {
+    const configuration = options.configuration();
+    if (configuration === undefined || workersOf === undefined) return;
+    if (stopped || performance.now() - roundEndedAt > MAX_LOOKUP_AGE_MS) return;
+    const { job } = progress;
+    const queue = configuration.queues.find(({ name }) => name === job.queue);
+    const { advice } = termsOf(job, queue);
+    if (advice === undefined) return;
+    const service = queue?.service ?? job.service;
+    const requests: PermitRequest[] = [];
+    for (const { number: occurrence, steps } of progress.occurrences.values()) {
+      for (const { number, step, waitingCount } of steps) {
+        const key = formatStepName({ job: job.id, occurrence, step: number });
+        if (!cell.ready.has(key)) continue;
+        const { size, requiredLabel } = step;
+        const workers = workersOf({ service, requiredLabel });
+        const wanted = { key, tasks: waitingCount, size, timing: advice, workers };
+        requests.push(describeFirstRequest(wanted));
+      }
+    }
+    permits.requestNew(requests);
+  }
+
   function countBarriers(
     steps: readonly WaitingStep[],
     barriers: ReadonlyMap<string, PlacementBarrier>,
@@ -268,7 +304,7 @@
         return { name: job.queue, ...termsOf(job, round.queues.get(job.queue)) };
       },
       tasksOf: ({ key }) => cell.ready.get(key)?.step.waitingCount ?? 0,
-      sessions: [...round.sessionsById.values()],
+      workersOf: round.workersOf,
       round: effort.rounds,
     });
     permits.requestMissing(requests);
@@ -407,6 +443,7 @@
   schedule(IDLE_INTERVAL_MS);
   return {
     request,
+    announce,
     get effort() {
       return effort;
     },
--- a/src/controller/permit-client.ts
+++ b/src/controller/permit-client.ts
@@ -88,6 +88,8 @@
    * The requests come in the order in which their steps get workers and replace those that wait.
    */
   requestMissing(requests: readonly PermitRequest[]): void;
+  /** Queries permits for steps that no round has seen yet, unless other queries wait, which go in the order of a round. */
+  requestNew(requests: readonly PermitRequest[]): void;
   /** A ticket that is valid long enough to order a start; undefined if there is none. */
   ticket(step: string, worker: string, born: number): string | undefined;
   /** Whether the service has answered for the step. */
@@ -338,6 +340,11 @@
       queue = prepareQueries(requests);
       dispatchQueued();
     },
+    requestNew: (requests) => {
+      if (queue.length > 0) return;
+      queue = prepareQueries(requests.filter(({ step }) => !steps.has(step)));
+      dispatchQueued();
+    },
     ticket: (step, worker, born) => {
       const permit = steps.get(step)?.permits.get(worker);
       return permit !== undefined && isUsable(permit, born) ? permit.ticket : undefined;
--- a/src/controller/permit-requests.ts
+++ b/src/controller/permit-requests.ts
@@ -8,9 +8,10 @@
  * behind them from starting.
  */
 import { ROUNDING_TOLERANCE } from '../model/index.js';
+import type { Resources } from '../model/index.js';
 import type { PlacementBarrier, WaitingStep } from '../planner/index.js';
 import { countAtLeast } from '../planner/index.js';
-import type { Queue } from '../queues/index.js';
+import type { AdviceTiming, Queue } from '../queues/index.js';
 import type { PermitRequest } from './permit-client.js';
 import type { WorkerSession } from './worker-session-types.js';
 
@@ -32,7 +33,7 @@
   readonly queueOf: (step: WaitingStep) => Pick<Queue, 'name' | 'advice'> | undefined;
   /** Number of tasks of the step that still wait after this round. */
   readonly tasksOf: (step: WaitingStep) => number;
-  readonly sessions: readonly PermitWorker[];
+  readonly workersOf: WorkerLookup;
   /** Number of the round. */
   readonly round: number;
 }
@@ -42,10 +43,9 @@
 
 /** Requests permits for the waiting steps, and renewals for the first of those that can use them. */
 export function describePermitRequests(options: PermitRequestsOptions): PermitRequest[] {
-  const { steps, barriers, queueOf, tasksOf, sessions, round } = options;
+  const { steps, barriers, queueOf, tasksOf, workersOf, round } = options;
   const nextPosition = createCounter();
   const nextRenewal = createCounter();
-  const workersOf = createWorkerLookup(sessions);
   const requests: PermitRequest[] = [];
   for (const step of steps) {
     const queue = queueOf(step);
@@ -68,6 +68,34 @@
   return requests;
 }
 
+/** A step that no round has seen yet. */
+export interface NewStep {
+  readonly key: string;
+  readonly tasks: number;
+  readonly size: Resources;
+  readonly timing: AdviceTiming;
+  readonly workers: EligibleWorkers;
+}
+
+/** Requests the first permits of a step. */
+export function describeFirstRequest({
+  key,
+  tasks,
+  size,
+  timing,
+  workers,
+}: NewStep): PermitRequest {
+  return {
+    step: key,
+    timing,
+    tasks,
+    workers: workers.born,
+    withRoom: countAtLeast(workers.freeProcessors, size.processors - ROUNDING_TOLERANCE),
+    renew: false,
+    additional: false,
+  };
+}
+
 function isRenewed(
   { team }: WaitingStep,
   queue: string,
@@ -90,28 +118,32 @@
 }
 
 /** Workers that are eligible for a step, those with the most free processors first. */
-interface EligibleWorkers {
+export interface EligibleWorkers {
   /** Start of each worker's incarnation, by the worker's id. */
   readonly born: ReadonlyMap<string, number>;
   /** Free processors of each worker, in the same order. */
   readonly freeProcessors: readonly number[];
 }
 
-/** Returns a function that maps a step to its eligible workers. Steps with the same service and label share a result. */
-function createWorkerLookup(
-  sessions: readonly PermitWorker[],
-): (step: WaitingStep) => EligibleWorkers {
-  const byFreeProcessors = sessions
-    .map((session) => ({
-      session,
-      free: session.worker.room.processors - session.used.processors,
-    }))
-    .sort((left, right) => right.free - left.free);
+/** Maps a step to its eligible workers. */
+export type WorkerLookup = (
+  step: Pick<WaitingStep, 'service' | 'requiredLabel'>,
+) => EligibleWorkers;
+
+/** Sorts the workers when the first step asks for them; steps with the same service and label share a result. */
+export function createWorkerLookup(sessions: () => readonly PermitWorker[]): WorkerLookup {
+  let byFreeProcessors: readonly { session: PermitWorker; free: number }[] | undefined;
   const lists = new Map<string, EligibleWorkers>();
   return ({ service, requiredLabel }) => {
     const key = `${service} ${requiredLabel ?? ''}`;
     const known = lists.get(key);
     if (known !== undefined) return known;
+    byFreeProcessors ??= sessions()
+      .map((session) => ({
+        session,
+        free: session.worker.room.processors - session.used.processors,
+      }))
+      .sort((left, right) => right.free - left.free);
     const eligible = byFreeProcessors.filter(
       ({ session: { worker } }) =>
         worker.service === service &&
--- a/test/controller/exact-limits.test.ts
+++ b/test/controller/exact-limits.test.ts
@@ -3,7 +3,10 @@
  */
 import { expect } from 'chai';
 import { createCell } from '../../src/controller/cell.js';
-import { describePermitRequests } from '../../src/controller/permit-requests.js';
+import {
+  createWorkerLookup,
+  describePermitRequests,
+} from '../../src/controller/permit-requests.js';
 import type { PermitWorker } from '../../src/controller/permit-requests.js';
 import { planRound } from '../../src/planner/index.js';
 import { amount, candidate, waiting } from '../planner/support.js';
@@ -40,7 +43,7 @@
       barriers: new Map(),
       queueOf: () => ({ name: 'q', advice: { decideMs: 1, perWorkerMs: 1, validMs: 1 } }),
       tasksOf: () => 1,
-      sessions: [session as unknown as PermitWorker],
+      workersOf: createWorkerLookup(() => [session as unknown as PermitWorker]),
       round: 0,
     });
     expect(request?.withRoom).to.equal(1);
--- a/test/controller/permit-client.test.ts
+++ b/test/controller/permit-client.test.ts
@@ -231,3 +231,27 @@
     expect(calls[1]?.caller).to.equal('b');
   });
 });
+
+describe('a step that no round has seen yet', () => {
+  // Each job waited for a round before its tickets were asked for, and for another one to use them (SHORT).
+  it('is asked about at once while no other query waits', () => {
+    const { client, asked } = createClient(['a']);
+    client.requestNew([ask('new')]);
+    expect(asked()).to.deep.equal(['new']);
+  });
+
+  it('is left to the next round while other queries wait, which go in its order', () => {
+    const { client, asked } = createClient(['a']);
+    client.requestMissing(['1', '2', '3', '4', '5', '6'].map((step) => ask(step)));
+    const before = asked();
+    client.requestNew([ask('new')]);
+    expect(asked()).to.deep.equal(before);
+  });
+
+  it('is not asked about twice', () => {
+    const { client, asked } = createClient(['a']);
+    client.requestNew([ask('new')]);
+    client.requestNew([ask('new')]);
+    expect(asked()).to.deep.equal(['new']);
+  });
+});
--- a/test/controller/simulated-cell.ts
+++ b/test/controller/simulated-cell.ts
@@ -3,7 +3,10 @@
  * take place every 50 ms, a query is answered in the next one, and runs end as the jobs' fates say.
  */
 import { createPermitClient } from '../../src/controller/permit-client.js';
-import { describePermitRequests } from '../../src/controller/permit-requests.js';
+import {
+  createWorkerLookup,
+  describePermitRequests,
+} from '../../src/controller/permit-requests.js';
 import { subtractResources } from '../../src/model/index.js';
 import { createEventLog, createMeters } from '../../src/observability/index.js';
 import type { AdviceAnswer, AdviceCaller } from '../../src/advice/index.js';
@@ -140,11 +143,13 @@
         round,
         queueOf: () => QUEUE,
         tasksOf: ({ key }) => find(key).waitingTasks.size,
-        sessions: workers.map((worker) => ({
-          incarnation: { id: worker.id, born: 1 },
-          worker: { ...worker, incarnation: { id: worker.id, born: 1 } } as never,
-          used: subtractResources(worker.room, free(worker)),
-        })),
+        workersOf: createWorkerLookup(() =>
+          workers.map((worker) => ({
+            incarnation: { id: worker.id, born: 1 },
+            worker: { ...worker, incarnation: { id: worker.id, born: 1 } } as never,
+            used: subtractResources(worker.room, free(worker)),
+          })),
+        ),
       }),
     );
   }
