--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -208,16 +208,21 @@
   const sweeper = setInterval(sweep, 1000);
   sweeper.unref();
 
-  function acceptsWork({ worker, incarnation }: WorkerSession): boolean {
+  function mayGetWork(key: string, { worker }: WorkerSession): boolean {
     if (worker.state !== 'ready' || isEvacuated(worker.dataCentre)) return false;
-    const absence = unlisted.get(keyOf(incarnation));
+    const absence = unlisted.get(key);
     return absence === undefined || performance.now() < absence.usableUntil;
   }
 
   return {
-    usable: () =>
-      [...sessions.values()].filter((session) => session.reachable && acceptsWork(session)),
-    acceptsWork,
+    usable: () => {
+      const usable: WorkerSession[] = [];
+      for (const [key, session] of sessions) {
+        if (session.reachable && mayGetWork(key, session)) usable.push(session);
+      }
+      return usable;
+    },
+    acceptsWork: (session) => mayGetWork(keyOf(session.incarnation), session),
     all: () => sessions.values(),
     replace: (workers, unreadable) => {
       const listed = new Set([...workers.values()].map(({ incarnation }) => keyOf(incarnation)));
