--- a/src/intake/caller-service.ts
+++ b/src/intake/caller-service.ts
@@ -116,6 +116,10 @@
   return advice === undefined ? terms : { ...terms, advice };
 }
 
+function leaveOpen(denial: DenialReason): DenialReason {
+  return denial === 'no-configuration' ? denial : 'unconfirmed';
+}
+
 export function createCallerService(options: CallerServiceOptions): CallerService {
   const { store, configuration, submissions, admission, waits, reader, events } = options;
   const { isStoreLost, configurationApplyMs = DEFAULT_APPLY_MS } = options;
@@ -156,26 +160,19 @@
 
   async function decideAccess(caller: Caller): Promise<Result<Access, DenialReason>> {
     const arrivedAt = performance.now();
-    const isConfirmed = ({ maxAgeMs }: { readonly maxAgeMs: number }) =>
-      options.confirmedAt() >= arrivedAt - maxAgeMs;
     for (let reads = 0; ; reads += 1) {
       const access = checkAccess(caller);
       const maxAgeMs = access.isOk()
         ? configurationApplyMs * GRANT_FRESHNESS_PART
         : DENIAL_FRESHNESS_MS;
-      if (isConfirmed({ maxAgeMs })) return access;
-      if (reads === MAX_CONFIRMING_READS || !options.canRefresh())
-        return withoutConfirmation(access);
+      if (options.confirmedAt() >= arrivedAt - maxAgeMs) return access;
+      if (reads === MAX_CONFIRMING_READS || !options.canRefresh()) {
+        return access.orElse((denial) => err(leaveOpen(denial)));
+      }
       await options.refreshConfiguration();
     }
   }
 
-  function withoutConfirmation(access: Result<Access, DenialReason>): Result<Access, DenialReason> {
-    return access.orElse((denial) =>
-      err(denial === 'no-configuration' ? denial : ('unconfirmed' as const)),
-    );
-  }
-
   async function submit(
     caller: Caller,
     work: JobSubmission,
