Set no limit of deferrable starts while a new leader reads its jobs

The event loop of a new leader has work all the time until it has read the cell, and nothing has been started yet, so that the limit began at its least rate and took two seconds to end.

--- a/src/controller/start-budget.ts
+++ b/src/controller/start-budget.ts
@@ -23,6 +23,8 @@
 }
 
 const INTERVAL_MS = 200;
+/** Start of a term that sets no limit: a new leader reads all jobs at once, whatever it is going to start. */
+const SETTLING_MS = 1500;
 /** With less time left, whatever arrives waits behind all that has arrived before. */
 const BUSY_SHARE = 0.95;
 const SPARE_SHARE = 0.85;
@@ -48,7 +50,8 @@
   let limit = Infinity;
   let tokens = 0;
   let taken = 0;
-  let updatedAt = now();
+  const createdAt = now();
+  let updatedAt = createdAt;
 
   function update() {
     const elapsedMs = now() - updatedAt;
@@ -58,6 +61,7 @@
     perSecond += (taken / elapsedS - perSecond) * SMOOTHING;
     taken = 0;
     const share = utilization();
+    if (updatedAt - createdAt < SETTLING_MS) return;
     if (share >= BUSY_SHARE) {
       limit = Math.max(MIN_PER_SECOND, Math.min(limit, perSecond) * DECREASE);
     } else if (share < SPARE_SHARE) {
