--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -23,6 +23,8 @@
 import type { WorkerLookup } from './permit-requests.js';
 import { isLeadershipFresh } from './leadership-freshness.js';
 import type { OrderWindow } from './order-window.js';
+import { countBlockedSteps } from './blocked-steps.js';
+import type { BlockedSteps } from './blocked-steps.js';
 import { createPlacementRoom } from './placement-room.js';
 import type { PlacementRoom } from './placement-room.js';
 import { delayOfRequest, pauseAfterRound } from './round-pace.js';
@@ -56,8 +58,8 @@
   readonly tookMs: number;
   /** Starts that were sent to workers. */
   readonly starts: number;
-  /** Steps that the last round left waiting, by what kept them; `untried` if it did not get to them. */
-  readonly blocked: Readonly<Partial<Record<PlacementBarrier | 'untried', number>>>;
+  /** Steps that the last round left waiting, by what kept them. */
+  readonly blocked: BlockedSteps;
 }
 
 export interface DispatcherOptions {
@@ -178,7 +180,10 @@
       ...effort,
       rounds: effort.rounds + 1,
       tookMs: effort.tookMs + tookMs,
-      blocked: countBarriers(steps, barriers),
+      blocked: countBlockedSteps(
+        steps.filter(({ key }) => cell.ready.has(key)),
+        barriers,
+      ),
     };
     pauseMs = pauseAfterRound(tookMs);
   }
@@ -206,19 +211,6 @@
     permits.requestNew(requests);
   }
 
-  function countBarriers(
-    steps: readonly WaitingStep[],
-    barriers: ReadonlyMap<string, PlacementBarrier>,
-  ): PlanningEffort['blocked'] {
-    const counts: Partial<Record<PlacementBarrier | 'untried', number>> = {};
-    for (const { key, constraint } of steps) {
-      if (!cell.ready.has(key)) continue;
-      const barrier = constraint?.known === false ? 'permit' : (barriers.get(key) ?? 'untried');
-      counts[barrier] = (counts[barrier] ?? 0) + 1;
-    }
-    return counts;
-  }
-
   function describeWorker(session: WorkerSession, nowMs: number): CandidateWorker {
     const { worker, used, runs } = session;
     return {
