--- a/src/admission/expected-wait.ts
+++ b/src/admission/expected-wait.ts
@@ -147,6 +147,8 @@
 ): QueueWaits {
   const usual = flow.usualTask(queue.name);
   const urgency = urgencyOf(queue);
+  // Free room is of no use to work that the leader has no time to start, which goes on at the rate of its starts.
+  const waitsForLeader = urgency !== 0 && others.some(({ isHeldByLeader }) => isHeldByLeader);
   const job = {
     urgency,
     // The estimates of the queue's jobs are not known here; real durations give nearly the same slack.
@@ -154,8 +156,10 @@
     rivals: others.filter(
       ({ accelerators }) => accelerators === 0 || (usual?.accelerators ?? 0) > 0,
     ),
-    freeCores: freeCoresFor(usual, usage.free),
-    rateCores: Math.max(flow.endedCores(usage.flow), usage.cores),
+    freeCores: waitsForLeader ? 0 : freeCoresFor(usual, usage.free),
+    rateCores: waitsForLeader
+      ? flow.endedCores(usage.flow)
+      : Math.max(flow.endedCores(usage.flow), usage.cores),
   };
   const arriving = (classes: WorkClasses) => flow.arrivingCores(usage.flow, classes);
   return {
--- a/src/admission/rivals.ts
+++ b/src/admission/rivals.ts
@@ -49,8 +49,13 @@
   readonly cores: number;
   readonly coreMs: number;
   readonly accelerators: number;
+  /** Whether the leader has no time to start it. */
+  readonly isHeldByLeader: boolean;
 }
 
+/** Work that waits for the leader takes room as soon as it is started. */
+const ROOM_BARRIERS: ReadonlySet<WaitingWork['barrier']> = new Set([undefined, 'room', 'leader']);
+
 export const urgencyOf = ({ priority }: { readonly priority: number }) => (priority === 0 ? 0 : 1);
 
 /**
@@ -59,7 +64,7 @@
  * becomes free piece by piece, and a label names few of the workers.
  */
 export function competesForRoom(work: WaitingWork): boolean {
-  return canPrecede(work) && (work.barrier === undefined || work.barrier === 'room');
+  return canPrecede(work) && ROOM_BARRIERS.has(work.barrier);
 }
 
 /** Whether other work of the team waits for this under the team's limit. */
@@ -72,7 +77,7 @@
 }
 
 export function describeRival(
-  { step, queue, waiting }: WaitingWork,
+  { step, queue, waiting, barrier }: WaitingWork,
   backlog: { readonly nowMs: number; readonly flow: Pick<FlowMeter, 'usualTask'> },
 ): Rival {
   const cores = step.size.processors * waiting;
@@ -84,6 +89,7 @@
     cores,
     coreMs: cores * expectedWorkMs(step.workMs, backlog.flow.usualTask(queue)),
     accelerators: step.size.accelerators,
+    isHeldByLeader: barrier === 'leader',
   };
 }
 
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -40,6 +40,7 @@
 import { createSilentWorkers } from './silent-workers.js';
 import { createShareMeter } from './share-meter.js';
 import { createSpareTime } from './spare-time.js';
+import { createStartBudget } from './start-budget.js';
 import { awaitStoppingRuns } from './stopping-runs.js';
 import { createTermClock } from './term-clock.js';
 import { createWaitPublisher } from './wait-publisher.js';
@@ -82,6 +83,7 @@
     },
   });
   const spareTime = createSpareTime();
+  const startBudget = createStartBudget();
   const forecast = createRunForecast({ now, hasSpareTime: () => spareTime.isLeft });
   const cell = createCell({
     now,
@@ -193,6 +195,7 @@
     clock,
     fleetAgeMs,
     forecast,
+    startBudget,
     remoteFactor: options.remoteFactor,
     onRound: (round) => {
       waits.noteRound(round);
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -30,6 +30,8 @@
 import type { Run } from './run.js';
 import { createRunForecast } from './run-forecast.js';
 import type { RunForecast } from './run-forecast.js';
+import { UNLIMITED_STARTS } from './start-budget.js';
+import type { StartBudget } from './start-budget.js';
 import type { PlannedRound } from './wait-publisher.js';
 import type { WorkerSession } from './worker-session-types.js';
 
@@ -77,6 +79,8 @@
   readonly clock?: () => number;
   /** By default, one that has learned nothing. */
   readonly forecast?: RunForecast;
+  /** How much deferrable work the leader has time to start; by default, there is no limit. */
+  readonly startBudget?: StartBudget;
   /** How many times as long work takes away from its place; if unset, work does not wait for its place. */
   readonly remoteFactor?: number | undefined;
   /** Called after each round with its steps, in order, and what kept them from being placed. */
@@ -95,6 +99,7 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { cell, sessions, lifecycle, permits, events, meters } = options;
   const { forecast = createRunForecast(), clock = Date.now } = options;
+  const { startBudget = UNLIMITED_STARTS } = options;
   /** Waits of steps for their place, from round to round. */
   const holds = new Map<string, Hold>();
   const faults = createFaultContainment({ events, meters });
@@ -154,12 +159,16 @@
       steps,
       budgets: describeBudgets(configuration),
       round: effort.rounds,
+      maxDeferrableTasks: startBudget.left,
       remoteFactor: options.remoteFactor,
       holds,
       onBlocked: ({ key }, barrier) => barriers.set(key, barrier),
     });
     // Permits are requested all the same, so that placement can continue as soon as the workers are known again.
-    if (options.orderWindow.allowsPlacement) orderPlacements(placements, round);
+    if (options.orderWindow.allowsPlacement) {
+      startBudget.take(placements.filter(({ step }) => step.priority !== 0).length);
+      orderPlacements(placements, round);
+    }
     requestPermits(steps, round, barriers);
     options.onRound?.({ steps, barriers });
     roundEndedAt = performance.now();
--- a/src/controller/spare-time.ts
+++ b/src/controller/spare-time.ts
@@ -41,7 +41,8 @@
   };
 }
 
-function createUtilizationMeter(): () => number {
+/** Returns a function that tells the share of the time since its last call in which the event loop had work. */
+export function createUtilizationMeter(): () => number {
   let last = performance.eventLoopUtilization();
   return () => {
     const next = performance.eventLoopUtilization();
--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -106,6 +106,7 @@
 /**
  * What keeps the tasks of a waiting step from being placed. `pool`: no worker of its service could run it, even with
  * everything else gone. `limit`: the team is at its limit. `permit`: workers that may run it have room, but the step has
- * no valid permits for them. `room`: the workers that may run it are full.
+ * no valid permits for them. `room`: the workers that may run it are full. `leader`: it is deferrable, and the leader has
+ * no time to start more of such work now.
  */
-export type PlacementBarrier = 'pool' | 'limit' | 'permit' | 'room';
+export type PlacementBarrier = 'pool' | 'limit' | 'permit' | 'room' | 'leader';
--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -53,6 +53,8 @@
   readonly budgets: ReadonlyMap<string, TeamBudget>;
   readonly maxReservingGangs?: number;
   readonly maxUnplacedSteps?: number;
+  /** Tasks of deferrable work after which no further step of such work is placed; by default, there is no limit. */
+  readonly maxDeferrableTasks?: number;
   /** Number of the round, which selects the fraction of a long backlog that is tried. */
   readonly round?: number;
   /** How many times as long work takes away from its place; if unset, work does not wait for its place. */
@@ -80,6 +82,7 @@
     budgets,
     maxReservingGangs = MAX_RESERVING_GANGS,
     maxUnplacedSteps = MAX_UNPLACED_STEPS,
+    maxDeferrableTasks = Infinity,
     round = 0,
     remoteFactor,
     holds = new Map<string, Hold>(),
@@ -89,6 +92,7 @@
   const reserved = new Set<string>();
   const placements: Placement[] = [];
   let reservingGangs = 0;
+  let deferrableTasks = 0;
   const locality =
     remoteFactor === undefined ? undefined : createLocality({ nowMs, remoteFactor, holds });
   pruneHolds(holds, steps);
@@ -105,6 +109,11 @@
       continue;
     }
     if (step.constraint?.known === false) continue;
+    const isDeferrable = step.priority !== 0;
+    if (isDeferrable && deferrableTasks >= maxDeferrableTasks) {
+      onBlocked(step, 'leader');
+      continue;
+    }
     const isBehind = pool.unplacedSteps >= maxUnplacedSteps;
     if (isBehind && (position + round) % TAIL_STRIDE !== 0) continue;
     // Urgent work is short and may use workers that a gang has reserved.
@@ -119,6 +128,7 @@
     const context = { nowMs, locality, runnable };
     const placed = startable.length === 0 ? [] : place(step, usable(startable), budgets, context);
     placements.push(...placed);
+    if (isDeferrable) deferrableTasks += placed.length;
     if (placed.length === step.waiting) continue;
     // Work that waits for its place although it fits elsewhere holds up nothing behind it.
     if (placed.length + (locality?.heldTasks(step) ?? 0) >= step.waiting) {
--- a/test/admission/expected-wait.test.ts
+++ b/test/admission/expected-wait.test.ts
@@ -204,6 +204,26 @@
     });
   });
 
+  // Jobs were accepted that the leader had no time to start, and then ended too late (SHORT).
+  describe('in a cell with room whose leader has no time to start deferrable work', () => {
+    const free = Array.from({ length: 100 }, () => ({
+      processors: 64,
+      memoryMb: 1,
+      accelerators: 0,
+    }));
+    const room = { free, busyCores: 5000 };
+    const work = times(100, { queue: 'patterns', barrier: 'leader', step: DEFERRABLE });
+
+    it('is the work ahead by the rate at which runs end', () => {
+      const waits = computeWaits({ work, room, endedCores: 1000 });
+      expect(waits.get('patterns')?.within.onTimeMs).to.equal(5000);
+    });
+
+    it('is none for urgent work', () => {
+      expect(computeWaits({ work, room }).get('checks')?.within.onTimeMs).to.equal(0);
+    });
+  });
+
   describe('behind work that takes no room', () => {
     const withoutRoom: Record<string, WorkOptions> = {
       'at its limit': { barrier: 'limit' },
--- a/test/planner/plan.test.ts
+++ b/test/planner/plan.test.ts
@@ -49,6 +49,37 @@
     });
   });
 
+  describe('work that the leader has no time to start', () => {
+    const steps = [
+      waiting('urgent', { priority: 0, objectiveAtMs: 5000 }),
+      waiting('first', { objectiveAtMs: 6000 }),
+      waiting('second', { objectiveAtMs: 7000 }),
+    ];
+
+    function planWith(maxDeferrableTasks: number) {
+      const blocked = new Map<string, string>();
+      const placements = planRound({
+        nowMs: 0,
+        workers: [candidate('w', { room: amount(100) })],
+        steps,
+        budgets: new Map(),
+        maxDeferrableTasks,
+        onBlocked: ({ key }, barrier) => blocked.set(key, barrier),
+      });
+      return { placed: placements.map(({ step }) => step.key), blocked };
+    }
+
+    it('is deferrable work beyond the tasks that it has time for', () => {
+      const { placed, blocked } = planWith(1);
+      expect(placed).to.deep.equal(['urgent', 'first']);
+      expect([...blocked]).to.deep.equal([['second', 'leader']]);
+    });
+
+    it('is never urgent work', () => {
+      expect(planWith(0).placed).to.deep.equal(['urgent']);
+    });
+  });
+
   describe('gangs in a full cell', () => {
     it('places all members or none', () => {
       const workers = [candidate('a', { room: amount(20) }), candidate('b', { room: amount(10) })];
