--- a/test/planner/plan.test.ts
+++ b/test/planner/plan.test.ts
@@ -56,12 +56,12 @@
       waiting('second', { objectiveAtMs: 7000 }),
     ];
 
-    function planWith(maxDeferrableTasks: number) {
+    function planWith(maxDeferrableTasks: number, waitingSteps: readonly WaitingStep[] = steps) {
       const blocked = new Map<string, string>();
       const placements = planRound({
         nowMs: 0,
         workers: [candidate('w', { room: amount(100) })],
-        steps,
+        steps: waitingSteps,
         budgets: new Map(),
         maxDeferrableTasks,
         onBlocked: ({ key }, barrier) => blocked.set(key, barrier),
@@ -75,6 +75,13 @@
       expect([...blocked]).to.deep.equal([['second', 'leader']]);
     });
 
+    it('is no gang, which counts all the same', () => {
+      const gang = waiting('gang', { gang: true, tasks: [0, 1], objectiveAtMs: 5500 });
+      const { placed } = planWith(2, [gang, ...steps]);
+      expect(placed).to.deep.equal(['urgent', 'gang', 'gang']);
+      expect(planWith(0, [gang, ...steps]).placed).to.deep.equal(['urgent', 'gang', 'gang']);
+    });
+
     it('is never urgent work', () => {
       expect(planWith(0).placed).to.deep.equal(['urgent']);
     });
