--- a/src/admission/expected-wait.ts
+++ b/src/admission/expected-wait.ts
@@ -148,7 +148,7 @@
   const usual = flow.usualTask(queue.name);
   const urgency = urgencyOf(queue);
   // Free room is of no use to work that the leader has no time to start, which goes on at the rate of its starts.
-  const waitsForLeader = urgency !== 0 && others.some(({ isHeldByLeader }) => isHeldByLeader);
+  const isLeaderBound = urgency !== 0 && others.some(({ waitsForLeader }) => waitsForLeader);
   const job = {
     urgency,
     // The estimates of the queue's jobs are not known here; real durations give nearly the same slack.
@@ -156,8 +156,8 @@
     rivals: others.filter(
       ({ accelerators }) => accelerators === 0 || (usual?.accelerators ?? 0) > 0,
     ),
-    freeCores: waitsForLeader ? 0 : freeCoresFor(usual, usage.free),
-    rateCores: waitsForLeader
+    freeCores: isLeaderBound ? 0 : freeCoresFor(usual, usage.free),
+    rateCores: isLeaderBound
       ? flow.endedCores(usage.flow)
       : Math.max(flow.endedCores(usage.flow), usage.cores),
   };
--- a/src/admission/rivals.ts
+++ b/src/admission/rivals.ts
@@ -50,7 +50,7 @@
   readonly coreMs: number;
   readonly accelerators: number;
   /** Whether the leader has no time to start it. */
-  readonly isHeldByLeader: boolean;
+  readonly waitsForLeader: boolean;
 }
 
 /** Work that waits for the leader takes room as soon as it is started. */
@@ -89,7 +89,7 @@
     cores,
     coreMs: cores * expectedWorkMs(step.workMs, backlog.flow.usualTask(queue)),
     accelerators: step.size.accelerators,
-    isHeldByLeader: barrier === 'leader',
+    waitsForLeader: barrier === 'leader',
   };
 }
 
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -92,7 +92,7 @@
     },
     onAdded: (entry) => {
       waits.noteJob(entry);
-      dispatcher.announce(entry);
+      dispatcher.requestFirstPermits(entry);
     },
   });
   const share = createShareMeter({ now });
--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -37,7 +37,7 @@
 import type { PlannedRound } from './wait-publisher.js';
 import type { WorkerSession } from './worker-session-types.js';
 
-/** Age up to which what a round knew of the workers serves to choose those that a query names. */
+/** Age up to which the workers of the last round serve to choose those that a query names. */
 const MAX_LOOKUP_AGE_MS = 1000;
 /** Interval of planning rounds without any change, because slack and the validity of tickets depend on time. */
 const IDLE_INTERVAL_MS = 100;
@@ -45,8 +45,8 @@
 export interface Dispatcher {
   /** Requests a planning round after the pause that the last round asks for. */
   request(): void;
-  /** Asks at once for the tickets of a new job, which would otherwise wait for a round before they are asked for. */
-  announce(entry: JobEntry): void;
+  /** Requests the first permits of a new job at once, which would otherwise wait for a planning round. */
+  requestFirstPermits(entry: JobEntry): void;
   /** Sends no further orders, before a planned stop. */
   stop(): void;
   /** Planning rounds of this term and their total duration. */
@@ -188,7 +188,7 @@
     pauseMs = pauseAfterRound(tookMs);
   }
 
-  function announce({ progress }: JobEntry) {
+  function requestFirstPermits({ progress }: JobEntry) {
     const configuration = options.configuration();
     if (configuration === undefined || workersOf === undefined) return;
     if (stopped || performance.now() - roundEndedAt > MAX_LOOKUP_AGE_MS) return;
@@ -208,7 +208,7 @@
         requests.push(describeFirstRequest(wanted));
       }
     }
-    permits.requestNew(requests);
+    permits.requestFirst(requests);
   }
 
   function describeWorker(session: WorkerSession, nowMs: number): CandidateWorker {
@@ -444,7 +444,7 @@
   schedule(IDLE_INTERVAL_MS);
   return {
     request,
-    announce,
+    requestFirstPermits,
     get effort() {
       return effort;
     },
--- a/src/controller/permit-client.ts
+++ b/src/controller/permit-client.ts
@@ -89,7 +89,7 @@
    */
   requestMissing(requests: readonly PermitRequest[]): void;
   /** Queries permits for steps that no round has seen yet, unless other queries wait, which go in the order of a round. */
-  requestNew(requests: readonly PermitRequest[]): void;
+  requestFirst(requests: readonly PermitRequest[]): void;
   /** A ticket that is valid long enough to order a start; undefined if there is none. */
   ticket(step: string, worker: string, born: number): string | undefined;
   /** Whether the service has answered for the step. */
@@ -340,7 +340,7 @@
       queue = prepareQueries(requests);
       dispatchQueued();
     },
-    requestNew: (requests) => {
+    requestFirst: (requests) => {
       if (queue.length > 0) return;
       queue = prepareQueries(requests.filter(({ step }) => !steps.has(step)));
       dispatchQueued();
--- a/src/controller/start-budget.ts
+++ b/src/controller/start-budget.ts
@@ -4,7 +4,8 @@
  * is of no use to its callers. Deferrable work then waits in the planner, where its wait is known and published, and not
  * unseen in front of the event loop.
  *
- * The limit follows the time that the event loop has left: it falls while there is none and rises while there is some.
+ * A token bucket, whose rate follows the time that the event loop has left: it falls while there is none and rises while
+ * there is some.
  */
 import { createUtilizationMeter } from './spare-time.js';
 
@@ -35,7 +36,7 @@
 const MIN_PER_SECOND = 20;
 /** The limit ends when it is this many times what is started. */
 const UNUSED_FACTOR = 2;
-/** Part of the measured rate that the last interval makes up. */
+/** Weight of the last interval in the smoothed rate of starts. */
 const SMOOTHING = 0.3;
 
 /** A budget without a limit. */
@@ -47,7 +48,7 @@
 export function createStartBudget(options: StartBudgetOptions = {}): StartBudget {
   const { utilization = createUtilizationMeter(), now = () => performance.now() } = options;
   let perSecond = 0;
-  let limit = Infinity;
+  let limitPerSecond = Infinity;
   let tokens = 0;
   let taken = 0;
   const createdAt = now();
@@ -63,23 +64,24 @@
     const share = utilization();
     if (updatedAt - createdAt < SETTLING_MS) return;
     if (share >= BUSY_SHARE) {
-      limit = Math.max(MIN_PER_SECOND, Math.min(limit, perSecond) * DECREASE);
+      limitPerSecond = Math.max(MIN_PER_SECOND, Math.min(limitPerSecond, perSecond) * DECREASE);
     } else if (share < SPARE_SHARE) {
-      limit *= INCREASE ** (elapsedMs / INTERVAL_MS);
-      if (limit > UNUSED_FACTOR * Math.max(perSecond, MIN_PER_SECOND)) limit = Infinity;
+      limitPerSecond *= INCREASE ** (elapsedMs / INTERVAL_MS);
+      const unused = UNUSED_FACTOR * Math.max(perSecond, MIN_PER_SECOND);
+      if (limitPerSecond > unused) limitPerSecond = Infinity;
     }
     // What an interval leaves unused is not saved for a burst.
-    tokens = Math.min(0, tokens) + limit * elapsedS;
+    tokens = Math.min(0, tokens) + limitPerSecond * elapsedS;
   }
 
   return {
     get left() {
       update();
-      return limit === Infinity ? Infinity : Math.max(0, Math.floor(tokens));
+      return limitPerSecond === Infinity ? Infinity : Math.max(0, Math.floor(tokens));
     },
     take: (tasks) => {
       taken += tasks;
-      if (limit !== Infinity) tokens -= tasks;
+      if (limitPerSecond !== Infinity) tokens -= tasks;
     },
   };
 }
--- a/src/intake/caller-service.ts
+++ b/src/intake/caller-service.ts
@@ -116,7 +116,8 @@
   return advice === undefined ? terms : { ...terms, advice };
 }
 
-function leaveOpen(denial: DenialReason): DenialReason {
+/** The answer where a denial cannot be confirmed. */
+function toUnconfirmed(denial: DenialReason): DenialReason {
   return denial === 'no-configuration' ? denial : 'unconfirmed';
 }
 
@@ -167,7 +168,7 @@
         : DENIAL_FRESHNESS_MS;
       if (options.confirmedAt() >= arrivedAt - maxAgeMs) return access;
       if (reads === MAX_CONFIRMING_READS || !options.canRefresh()) {
-        return access.orElse((denial) => err(leaveOpen(denial)));
+        return access.orElse((denial) => err(toUnconfirmed(denial)));
       }
       await options.refreshConfiguration();
     }
--- a/src/intake/configuration-feed.ts
+++ b/src/intake/configuration-feed.ts
@@ -100,7 +100,7 @@
 
   async function read() {
     const sentAt = performance.now();
-    const found = await store.get(key, { timeoutMs: CALL_TIMEOUT_MS, precedence: true });
+    const found = await store.get(key, { timeoutMs: CALL_TIMEOUT_MS, priority: 'high' });
     if (found.isErr()) {
       reportFailure(found.error);
       return;
--- a/src/records/key-value-store.ts
+++ b/src/records/key-value-store.ts
@@ -66,8 +66,8 @@
 export interface CallOptions {
   /** Timeout in milliseconds; the outcome of a write is unknown after it. */
   readonly timeoutMs?: number;
-  /** Whether the call goes before all others of this host that wait for the store; for few and short ones. */
-  readonly precedence?: boolean;
+  /** Calls of high priority do not wait for others of this host; for few and short ones. `normal` by default. */
+  readonly priority?: 'normal' | 'high';
 }
 
 export interface KeyValueStore {
@@ -84,7 +84,7 @@
     options?: CallOptions,
   ): Promise<Result<TransactionOutcome, StoreFailure>>;
   grantLease(lifetimeMs: number): Promise<Result<number, StoreFailure>>;
-  /** Goes before all others, because the lease ends meanwhile. */
+  /** Has high priority, because the lease ends meanwhile. */
   renewLease(lease: number, options?: CallOptions): Promise<Result<void, StoreFailure>>;
   endLease(lease: number): Promise<Result<void, StoreFailure>>;
 }
--- a/test/controller/announced-jobs.test.ts
+++ b/test/controller/first-permits.test.ts
@@ -1,4 +1,4 @@
-/** Guards against urgent jobs that wait for planning rounds before their tickets are asked for (SHORT). */
+/** Guards against urgent jobs that wait for planning rounds before their permits are requested (SHORT). */
 import { expect } from 'chai';
 import { createCell, createJobEntry } from '../../src/controller/cell.js';
 import { createDispatcher } from '../../src/controller/dispatcher.js';
@@ -57,7 +57,7 @@
       requestMissing: (requests: readonly PermitRequest[]) => {
         byRound.push(...requests.map(({ step }) => step));
       },
-      requestNew: (requests: readonly PermitRequest[]) => {
+      requestFirst: (requests: readonly PermitRequest[]) => {
         atOnce.push(...requests);
       },
       isKnown: () => false,
@@ -75,7 +75,7 @@
 }
 
 describe('a job that the leader learns of between two rounds', () => {
-  it('has its tickets asked for at once, for workers with room, without a look at all workers', async () => {
+  it('has its permits requested at once, for workers with room, without a look at all workers', async () => {
     const { cell, dispatcher, counts, byRound, atOnce } = createCase();
     cell.add(createEntry('first'));
     await eventually(() => byRound.length > 0 || undefined, 'a round');
@@ -83,7 +83,7 @@
     for (let job = 0; job < 20; job += 1) {
       const entry = createEntry(`job-${String(job)}`);
       cell.add(entry);
-      dispatcher.announce(entry);
+      dispatcher.requestFirstPermits(entry);
     }
     dispatcher.stop();
     expect(atOnce.map(({ step }) => step)).to.have.length(20);
@@ -96,7 +96,7 @@
     const { cell, dispatcher, atOnce } = createCase();
     const entry = createEntry('first');
     cell.add(entry);
-    dispatcher.announce(entry);
+    dispatcher.requestFirstPermits(entry);
     dispatcher.stop();
     expect(atOnce).to.deep.equal([]);
   });
--- a/test/controller/permit-client.test.ts
+++ b/test/controller/permit-client.test.ts
@@ -236,7 +236,7 @@
   // Each job waited for a round before its tickets were asked for, and for another one to use them (SHORT).
   it('is asked about at once while no other query waits', () => {
     const { client, asked } = createClient(['a']);
-    client.requestNew([ask('new')]);
+    client.requestFirst([ask('new')]);
     expect(asked()).to.deep.equal(['new']);
   });
 
@@ -244,14 +244,14 @@
     const { client, asked } = createClient(['a']);
     client.requestMissing(['1', '2', '3', '4', '5', '6'].map((step) => ask(step)));
     const before = asked();
-    client.requestNew([ask('new')]);
+    client.requestFirst([ask('new')]);
     expect(asked()).to.deep.equal(before);
   });
 
   it('is not asked about twice', () => {
     const { client, asked } = createClient(['a']);
-    client.requestNew([ask('new')]);
-    client.requestNew([ask('new')]);
+    client.requestFirst([ask('new')]);
+    client.requestFirst([ask('new')]);
     expect(asked()).to.deep.equal(['new']);
   });
 });
--- a/test/platform-adapter/store-client.test.ts
+++ b/test/platform-adapter/store-client.test.ts
@@ -45,7 +45,7 @@
     return client.transact({ conditions: [], writes: [write] });
   }
 
-  describe('calls with precedence', () => {
+  describe('calls of high priority', () => {
     // Behind reads of job states, the configuration grew old (CONFIG) and a leader at its limit lost its lease (SHORT).
     it('are answered while as many other calls wait as there are connections for them', async () => {
       const held: ServerResponse[] = [];
@@ -57,7 +57,7 @@
       });
       const others = Array.from({ length: 40 }, (_, job) => client.get(`jobs/${String(job)}`));
       const timeoutMs = 500;
-      const read = await client.get('op/config', { timeoutMs, precedence: true });
+      const read = await client.get('op/config', { timeoutMs, priority: 'high' });
       const renewal = await client.renewLease(7, { timeoutMs });
       for (const response of held) response.destroy();
       client.close();
