Move the sending of start orders out of the dispatcher

What decides whether an order may still be sent once its placement is durable is a module of its own now; the code is the same.

--- a/src/controller/dispatcher.ts
+++ b/src/controller/dispatcher.ts
@@ -21,19 +21,19 @@
   describePermitRequests,
 } from './permit-requests.js';
 import type { WorkerLookup } from './permit-requests.js';
-import { isLeadershipFresh } from './leadership-freshness.js';
 import type { OrderWindow } from './order-window.js';
 import { countBlockedSteps } from './blocked-steps.js';
 import type { BlockedSteps } from './blocked-steps.js';
 import { createPlacementRoom } from './placement-room.js';
 import type { PlacementRoom } from './placement-room.js';
 import { delayOfRequest, pauseAfterRound } from './round-pace.js';
-import { createRun, stepNameOf } from './run.js';
+import { createRun } from './run.js';
 import type { Run } from './run.js';
 import { createRunForecast } from './run-forecast.js';
 import type { RunForecast } from './run-forecast.js';
 import { UNLIMITED_STARTS } from './start-budget.js';
 import type { StartBudget } from './start-budget.js';
+import { createStartOrders } from './start-orders.js';
 import type { PlannedRound } from './wait-publisher.js';
 import type { WorkerSession } from './worker-session-types.js';
 
@@ -112,7 +112,8 @@
   let pauseMs = pauseAfterRound(0);
   let roundEndedAt = -Infinity;
   let workersOf: WorkerLookup | undefined;
-  let effort: PlanningEffort = { rounds: 0, tookMs: 0, starts: 0, blocked: {} };
+  let effort: Omit<PlanningEffort, 'starts'> = { rounds: 0, tookMs: 0, blocked: {} };
+  const startOrders = createStartOrders({ ...options, isStopped: () => stopped });
 
   function schedule(delayMs: number) {
     if (stopped) return;
@@ -177,7 +178,6 @@
     const tookMs = roundEndedAt - startedAt;
     meters.planSeconds.observe(tookMs / 1000);
     effort = {
-      ...effort,
       rounds: effort.rounds + 1,
       tookMs: effort.tookMs + tookMs,
       blocked: countBlockedSteps(
@@ -328,7 +328,7 @@
       cell.refresh(entry);
       const writtenAt = performance.now();
       void options.write(job).then((durable) => {
-        sendOrders(runs, durable, writtenAt);
+        if (durable) startOrders.send(runs, writtenAt);
       });
     }
   }
@@ -381,72 +381,12 @@
     meters.placements.inc({ place, waited: heldMs === undefined ? 'no' : 'yes' });
   }
 
-  /** Sends the start orders of one job, or withdraws them. If any run of a gang is withdrawn, all of them are. */
-  function sendOrders(runs: readonly Run[], durable: boolean, writtenAt: number) {
-    if (!durable) return;
-    const leadershipFresh = isLeadershipFresh({
-      nowMs: performance.now(),
-      writtenAt,
-      renewedAt: options.renewedAt(),
-    });
-    const viewsFresh = options.orderWindow.remainingMs() > 0;
-    const maySend = leadershipFresh && viewsFresh && !stopped;
-    const withdrawn = new Set<Run>();
-    const tickets = new Map<Run, string | undefined>();
-    for (const run of runs) {
-      const permitRequired = needsPermit(run);
-      const ticket = permitRequired
-        ? permits.ticket(stepNameOf(run), run.session.incarnation.id, run.session.incarnation.born)
-        : undefined;
-      tickets.set(run, ticket);
-      // While the record was being written, the worker may have fallen silent, and a successor may have been told so.
-      const accepted = maySend && sessions.acceptsWork(run.session) && run.session.reachable;
-      const isAllowed = accepted && (!permitRequired || ticket !== undefined);
-      if (run.status !== 'logging' || !isAllowed) withdrawn.add(run);
-    }
-    for (const run of runs) {
-      if (!run.step.step.gang || !withdrawn.has(run)) continue;
-      for (const other of runs) if (other.step === run.step) withdrawn.add(other);
-    }
-    for (const run of runs) {
-      if (withdrawn.has(run)) {
-        events.info('order-withdrawn', {
-          job: run.progress.job.id,
-          task: run.name,
-          run: run.number,
-          worker: run.session.incarnation.id,
-          status: run.status,
-          ticketed: tickets.get(run) !== undefined,
-          leadershipFresh,
-          viewsFresh,
-          acceptsWork: sessions.acceptsWork(run.session),
-          reachable: run.session.reachable,
-          fleetAgeMs: options.fleetAgeMs(),
-          entryRevision: run.session.worker.revision,
-        });
-        run.session.withdraw(run);
-      } else {
-        run.progress.begun = true;
-        effort = { ...effort, starts: effort.starts + 1 };
-        run.fleetAgeMs = options.fleetAgeMs();
-        run.orderedMs = Math.round(performance.now() - run.startedAt);
-        void run.session.start(run, run.progress.job.spec, tickets.get(run));
-      }
-    }
-  }
-
-  function needsPermit(run: Run): boolean {
-    const { job } = run.progress;
-    const queue = options.configuration()?.queues.find(({ name }) => name === job.queue);
-    return termsOf(job, queue).advice !== undefined;
-  }
-
   schedule(IDLE_INTERVAL_MS);
   return {
     request,
     requestFirstPermits,
     get effort() {
-      return effort;
+      return { ...effort, starts: startOrders.sent };
     },
     stop: () => {
       stopped = true;
