--- a/test/admission/expected-wait.test.ts
+++ b/test/admission/expected-wait.test.ts
@@ -204,7 +204,7 @@
     });
   });
 
-  // Jobs were accepted that the leader had no time to start, and then ended too late (SHORT).
+  // Guards against jobs that are accepted although the leader has no time to start them before they are useless (SHORT).
   describe('in a cell with room whose leader has no time to start deferrable work', () => {
     const free = Array.from({ length: 100 }, () => ({
       processors: 64,
--- a/test/intake/access.test.ts
+++ b/test/intake/access.test.ts
@@ -70,13 +70,13 @@
       expect(decision).to.equal('granted');
     });
 
-    // A new route was answered with 404 at hosts whose read had failed.
+    // Guards against 404 for a new route at a host whose read has failed.
     it('is not denied by a configuration that could not be confirmed', async () => {
       const { decision } = await decide({ hasQueue: false, ageMs: 400, reads: ['failed'] });
       expect(decision).to.equal('unconfirmed');
     });
 
-    // Concurrent callers share reads.
+    // Guards against a denial by what a read shared with earlier callers has found.
     it('is not denied by a read that was sent before the caller arrived', async () => {
       const reads = ['no-queue', 'queue'] as const;
       const late = await decide({ hasQueue: false, ageMs: 400, reads, sentAgoMs: 300 });
@@ -95,7 +95,7 @@
       expect({ decision, reads }).to.deep.equal({ decision: 'granted', reads: 0 });
     });
 
-    // A host with a delayed event loop answered by a route that had been removed seconds before.
+    // Guards against a removed route that a host with a delayed event loop goes on serving.
     it('is not granted by a configuration that is older than changes may be', async () => {
       const late = await decide({ hasQueue: true, ageMs: 3500, reads: ['no-queue'] });
       expect(late.decision).to.equal('no-queue');
--- a/test/intake/configuration-feed.test.ts
+++ b/test/intake/configuration-feed.test.ts
@@ -79,7 +79,7 @@
     expect(performance.now() - writtenAt).to.be.lessThan(2000);
   });
 
-  // A read whose content the host could not use counted as a confirmation of what it had before.
+  // Guards against a read that the host cannot decode and takes for a confirmation of what it had before.
   it('confirms no configuration while a later version cannot be read', async () => {
     const { store, state } = createStore();
     const feed = createConfigurationFeed({
@@ -105,7 +105,7 @@
     expect(feed.confirmedAt).to.be.greaterThan(0);
   });
 
-  // A leader answered by an older configuration than that of a job whose tasks it had started.
+  // Guards against a leader that answers by an older configuration than that of a job whose tasks it has started.
   it('confirms no configuration that is older than one that is known to exist, and reads that one', async () => {
     const { store, state } = createStore();
     const holder = createConfigurationHolder({ events: SILENT_EVENTS });
--- a/test/intake/submissions.test.ts
+++ b/test/intake/submissions.test.ts
@@ -68,7 +68,7 @@
     );
   }
 
-  // A job that was sent again was answered 200 by a key or a route that had been removed (CONFIG).
+  // Guards against 200 for a job that is sent again with a key or a route that has been removed (CONFIG).
   it('is authorized again, although its job exists', async () => {
     expect(await submit(['conflict'])).to.deep.equal({
       kind: 'replaced',
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -213,7 +213,7 @@
       expect(decodeConfiguration('{"routes":[]}')).to.equal(undefined);
     });
 
-    // One field in a form that the schema did not take kept a host at the version before (CONFIG).
+    // Guards against a host that stays at the version before because of the form of one field (CONFIG).
     it('takes null and a field that is left out for one without a value', () => {
       const route = { name: 'r', host: 'h', prefix: '/p/', service: 's' };
       const routes = [
--- a/test/platform-adapter/store-client.test.ts
+++ b/test/platform-adapter/store-client.test.ts
@@ -46,7 +46,7 @@
   }
 
   describe('calls of high priority', () => {
-    // Behind reads of job states, the configuration grew old (CONFIG) and a leader at its limit lost its lease (SHORT).
+    // Guards against reads of the configuration and renewals of the lease that wait behind reads of job states (CONFIG, SHORT).
     it('are answered while as many other calls wait as there are connections for them', async () => {
       const held: ServerResponse[] = [];
       server.removeAllListeners('request');
