Start a long-running gang again however often its members end

Cause: the ends of single long-running tasks left failures and completions out of account, those of gangs did not.

Change: the end of a member of a long-running gang counts no failure and completes nothing. Where a member is done, the others are stopped, because the members of a gang start together.

--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -45,6 +45,8 @@
 
 /** Ends of a gang member after which the other members do not end by themselves and have to be stopped. */
 const ENDS_REQUIRING_GANG_STOP: ReadonlySet<RunEnd> = new Set([
+  // Of a long-running gang, whose members start again together; any other is done as a whole.
+  'done',
   'stopped',
   'lapsed',
   'never-ran',
@@ -127,12 +129,13 @@
 
   function applyGangEnd(entry: JobEntry, run: Run, end: RunEnd) {
     const { step } = run;
+    const { longRunning } = step.step;
     if (isStepDone(step)) return;
-    if (end === 'done') {
+    if (end === 'done' && !longRunning) {
       setDone(step, [0, step.step.count - 1]);
       return;
     }
-    if (end === 'failed' && step.gangFailedRun < run.number) {
+    if (end === 'failed' && !longRunning && step.gangFailedRun < run.number) {
       step.gangFailedRun = run.number;
       step.gangFailures += 1;
       run.task.failedOn.push(run.session.incarnation.id);
