Compare the runs of a leaving worker with its remaining time until it leaves

Cause: when a worker announced that it leaves, its runs were compared with its remaining time once, by their expected ends. A leader that was elected while a worker was leaving compared nothing, because the state did not change.

Class: a decision that rests on an estimate and is not made again when the estimate changes. Stalled runs and the expected wait are compared again with each report and each round.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -28,7 +28,8 @@
 import type { FinishedJob } from './housekeeping.js';
 import { EXTEND_WITHOUT_STORE_MS, maxInheritedLeaseMs } from './inherited-leases.js';
 import { createJobIntake } from './job-intake.js';
-import { createJobLifecycle, stopStalledRuns, stopUnfinishableRuns } from './job-lifecycle.js';
+import { createJobLifecycle, stopStalledRuns } from './job-lifecycle.js';
+import { createLeavingWorkers } from './leaving-workers.js';
 import { createOrderWindow, latestOrderAt } from './order-window.js';
 import { createPermitClient } from './permit-client.js';
 import { createProgressLog } from './progress-log.js';
@@ -160,18 +161,17 @@
     events,
     meters,
   });
+  const leavingWorkers = createLeavingWorkers({
+    stop: (run, reason) => {
+      lifecycle.stop(run, reason);
+    },
+    expectRestMs: (run) => forecast.expectRestMs(run),
+  });
   const sessions = createFleetSessions({
     open: openSession,
     events,
     onChange: requestPlan,
-    onLeaving: (session) => {
-      stopUnfinishableRuns(session, {
-        stop: (run, reason) => {
-          lifecycle.stop(run, reason);
-        },
-        expectRestMs: (run) => forecast.expectRestMs(run),
-      });
-    },
+    onLeaving: leavingWorkers.update,
     latestOrderAt: () => latestOrderAt(fleetView),
     isEvacuated: evacuations.isEvacuated,
     contain: faults.contain,
@@ -455,6 +455,7 @@
     spareTime.close();
     housekeeping.close();
     evacuations.close();
+    leavingWorkers.close();
     waits.close();
     feed.stop();
     log.close();
--- a/src/controller/fleet-sessions.ts
+++ b/src/controller/fleet-sessions.ts
@@ -38,6 +38,7 @@
   readonly open: (worker: FleetWorker) => WorkerSession;
   readonly events: EventLog;
   readonly onChange: () => void;
+  /** Called with each entry of a worker that is leaving. */
   readonly onLeaving: (session: WorkerSession) => void;
   /**
    * Monotonic time until which a worker may be given work whose entry is found to be gone now. It may have reported that
@@ -164,10 +165,13 @@
     // With clocks that jump, a former incarnation can have the higher time; its end is for its worker to tell.
     markUnusable(id, key);
     unlisted.delete(key);
-    const session = sessions.get(key);
-    if (session?.ended === true) return;
-    if (session === undefined) {
-      endOlderIncarnations(addSession(key, worker));
+    const known = sessions.get(key);
+    if (known?.ended === true) return;
+    const session = known ?? addSession(key, worker);
+    const wasLeaving = known?.worker.state === 'leaving';
+    known?.update(worker);
+    endOlderIncarnations(session);
+    if (known === undefined) {
       events.info('worker-listed', {
         worker: id,
         born: worker.incarnation.born,
@@ -175,18 +179,16 @@
         service: worker.service,
         state: worker.state,
       });
-    } else {
-      const previous = session.worker;
-      session.update(worker);
-      endOlderIncarnations(session);
-      if (previous.state !== 'leaving' && worker.state === 'leaving') {
+    }
+    if (worker.state === 'leaving') {
+      if (!wasLeaving) {
         events.info('worker-leaving', {
           worker: id,
           leavesInMs: worker.leavesInMs,
           runs: session.runs.size,
         });
-        options.onLeaving(session);
       }
+      options.onLeaving(session);
     }
     options.onChange();
   }
--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -16,7 +16,6 @@
 import type { WriteUrgency } from './progress-log.js';
 import { hasStalled, stallTimeoutMs } from './run.js';
 import type { Run } from './run.js';
-import type { RunForecast } from './run-forecast.js';
 import type { WorkerSession } from './worker-session-types.js';
 
 export interface JobLifecycle {
@@ -236,15 +235,3 @@
     for (const stalled of step.step.gang ? step.tasks.values() : [task]) stalled.stalls += 1;
   }
 }
-
-/** Stops runs that would not finish before the worker leaves, so that they restart elsewhere. */
-export function stopUnfinishableRuns(
-  { worker, runs }: WorkerSession,
-  { stop, expectRestMs }: Pick<JobLifecycle, 'stop'> & Pick<RunForecast, 'expectRestMs'>,
-): void {
-  const leavesInMs = worker.leavesInMs ?? 0;
-  for (const run of runs.values()) {
-    if (!run.step.step.longRunning && expectRestMs(run) < leavesInMs) continue;
-    stop(run, `the worker leaves in ${String(leavesInMs)} ms`);
-  }
-}
