--- a/src/controller/leaving-workers.ts
+++ b/src/controller/leaving-workers.ts
@@ -57,7 +57,7 @@
   return {
     update: (session) => {
       const { leavesInMs = 0 } = session.worker;
-      // An entry that is listed late says how much time was left when it was written.
+      // An entry that is read late overstates the time that is left.
       const until = Math.min(staysUntil.get(session) ?? Infinity, now() + leavesInMs);
       staysUntil.set(session, until);
       check(session, until);
--- a/test/admission/expected-wait.test.ts
+++ b/test/admission/expected-wait.test.ts
@@ -204,7 +204,7 @@
     });
   });
 
-  // Guards against jobs that are accepted although the leader has no time to start them before they are useless (SHORT).
+  // Guards against jobs that are accepted although the leader has no time to start them before they are useless.
   describe('in a cell with room whose leader has no time to start deferrable work', () => {
     const free = Array.from({ length: 100 }, () => ({
       processors: 64,
--- a/test/controller/first-permits.test.ts
+++ b/test/controller/first-permits.test.ts
@@ -1,4 +1,4 @@
-/** Guards against urgent jobs that wait for planning rounds before their permits are requested (SHORT). */
+/** Guards against urgent jobs that wait for planning rounds before their permits are requested. */
 import { expect } from 'chai';
 import { createCell, createJobEntry } from '../../src/controller/cell.js';
 import { createDispatcher } from '../../src/controller/dispatcher.js';
@@ -28,7 +28,7 @@
   return createJobEntry({ progress, queue: undefined, beyondShare: false });
 }
 
-/** A dispatcher for 245 workers, with how often their sessions were listed and which steps were asked for when. */
+/** A dispatcher for 245 workers, with how often their sessions were listed and which steps were queried when. */
 function createCase() {
   const sessions = Array.from({ length: WORKERS }, (_, index) => {
     const worker = createWorkerEntry(1, {
@@ -75,7 +75,7 @@
 }
 
 describe('a job that the leader learns of between two rounds', () => {
-  it('has its permits requested at once, for workers with room, without a look at all workers', async () => {
+  it('has its permits requested at once, for workers with room, without listing all workers', async () => {
     const { cell, dispatcher, counts, byRound, atOnce } = createCase();
     cell.add(createEntry('first'));
     await eventually(() => byRound.length > 0 || undefined, 'a round');
--- a/test/controller/job-intake.test.ts
+++ b/test/controller/job-intake.test.ts
@@ -81,7 +81,7 @@
   });
 
   describe('a job that was accepted under a later configuration than that of the leader', () => {
-    // Guards against a leader that starts its tasks and then answers by its own configuration (CONFIG).
+    // Guards against a leader that starts its tasks and then answers by its own configuration.
     it('makes the revision known, whether it is announced or read from the store', () => {
       const noted: number[] = [];
       const { intake } = createTestIntake({
--- a/test/controller/permit-client.test.ts
+++ b/test/controller/permit-client.test.ts
@@ -233,8 +233,8 @@
 });
 
 describe('a step that no round has seen yet', () => {
-  // Each job waited for a round before its tickets were asked for, and for another one to use them (SHORT).
-  it('is asked about at once while no other query waits', () => {
+  // Guards against jobs that wait for one round to request their permits, and for another to use them.
+  it('is queried at once while no other query waits', () => {
     const { client, asked } = createClient(['a']);
     client.requestFirst([ask('new')]);
     expect(asked()).to.deep.equal(['new']);
@@ -248,7 +248,7 @@
     expect(asked()).to.deep.equal(before);
   });
 
-  it('is not asked about twice', () => {
+  it('is not queried twice', () => {
     const { client, asked } = createClient(['a']);
     client.requestFirst([ask('new')]);
     client.requestFirst([ask('new')]);
--- a/test/controller/round-pace.test.ts
+++ b/test/controller/round-pace.test.ts
@@ -19,7 +19,7 @@
   });
 });
 
-// Each change waited for the whole pause of the last round, however long ago that one was, and urgent work came late (SHORT).
+// Guards against changes that wait for the whole pause after a round that ended long ago.
 describe('delayOfRequest', () => {
   it('waits for what is left of the pause', () => {
     expect(delayOfRequest(70, 0)).to.equal(70);
--- a/test/controller/start-budget.test.ts
+++ b/test/controller/start-budget.test.ts
@@ -1,4 +1,4 @@
-/** Guards against a leader at its limit that starts urgent work too late because of deferrable work (SHORT). */
+/** Guards against a leader at its limit that starts urgent work too late because of deferrable work. */
 import { expect } from 'chai';
 import { createStartBudget, UNLIMITED_STARTS } from '../../src/controller/start-budget.js';
 import type { StartBudget } from '../../src/controller/start-budget.js';
--- a/test/intake/access.test.ts
+++ b/test/intake/access.test.ts
@@ -1,4 +1,4 @@
-/** Guards against access that is decided by a configuration which a confirmed change has replaced (CONFIG). */
+/** Guards against access that is decided by a configuration which a confirmed change has replaced. */
 import { expect } from 'chai';
 import type { DenialReason } from '../../src/intake/index.js';
 import { createCallerService } from '../../src/intake/index.js';
--- a/test/intake/submissions.test.ts
+++ b/test/intake/submissions.test.ts
@@ -68,7 +68,7 @@
     );
   }
 
-  // Guards against 200 for a job that is sent again with a key or a route that has been removed (CONFIG).
+  // Guards against 200 for a job that is sent again with a key or a route that has been removed.
   it('is authorized again, although its job exists', async () => {
     expect(await submit(['conflict'])).to.deep.equal({
       kind: 'replaced',
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -213,7 +213,7 @@
       expect(decodeConfiguration('{"routes":[]}')).to.equal(undefined);
     });
 
-    // Guards against a host that stays at the version before because of the form of one field (CONFIG).
+    // Guards against a host that stays at the version before because of the form of one field.
     it('takes null and a field that is left out for one without a value', () => {
       const route = { name: 'r', host: 'h', prefix: '/p/', service: 's' };
       const routes = [
