--- a/src/controller/worker-reports.ts
+++ b/src/controller/worker-reports.ts
@@ -31,7 +31,7 @@
   /** Applies a report that was requested at `requestedAt` in monotonic milliseconds. */
   apply(report: WorkerReport, requestedAt: number): Promise<void>;
   /** Applies an end that a former leader has read from the worker. */
-  applyReported(end: ReportedEnd): void;
+  readonly applyReported: (end: ReportedEnd) => void;
 }
 
 export interface WorkerReportsOptions {
--- a/src/controller/worker-session.ts
+++ b/src/controller/worker-session.ts
@@ -7,17 +7,16 @@
  */
 import type { WorkerConnection, WorkerReport } from '../fleet/index.js';
 import type { RunEnd } from '../jobs/index.js';
-import { addResources, NO_RESOURCES, subtractResources } from '../model/index.js';
-import type { Resources } from '../model/index.js';
 import { createFaultContainment } from '../observability/index.js';
-import { pause } from '../records/index.js';
 import { createLeaseClock } from './lease-clock.js';
 import { choosePauseMs, chooseWaitMs } from './renewal-pace.js';
 import { LATE_ORDER_MS, mayReachLaterIncarnation } from './run.js';
 import type { Run } from './run.js';
 import { createRunExpiry } from './run-expiry.js';
+import { createSessionRuns } from './session-runs.js';
 import { createSessionToken } from './session-token.js';
 import { UNREACHABLE_CONNECTION } from './unreachable-connection.js';
+import { createWakeablePause } from './wakeable-pause.js';
 import { createWorkerOrders } from './worker-orders.js';
 import { createWorkerReports } from './worker-reports.js';
 import type { WorkerSession, WorkerSessionOptions } from './worker-session-types.js';
@@ -41,10 +40,8 @@
   /** Monotonic time at which an answer has shown a later incarnation; undefined unless one is expected to report. */
   let replacedAt: number | undefined;
   const faults = createFaultContainment({ events, meters });
-  const runs = new Map<string, Run>();
   let worker = options.worker;
   let connection = connectTo(worker.address);
-  let used: Resources = NO_RESOURCES;
   let confirmed = false;
   let silentRenewals = 0;
   let closed = false;
@@ -61,7 +58,21 @@
     isConfirmed: () => confirmed,
   });
   const expiry = createRunExpiry({ clock, isConfirmed: () => confirmed });
-  let wake: () => void = () => undefined;
+  const sessionRuns = createSessionRuns({
+    worker: incarnation,
+    epoch,
+    onEnd: (run, end, checkpoint) => options.onEnd(session, run, end, checkpoint),
+    learnEnd: options.learnEnd,
+    describeWorker: () => ({
+      entryRevision: worker.revision,
+      silentMs: Math.round(performance.now() - Math.max(answeredAt, openedAt)),
+      workerClockMs: Math.round(clock.now()),
+    }),
+    events,
+    meters,
+  });
+  const { byTask: runs, end: endRun } = sessionRuns;
+  const betweenRenewals = createWakeablePause();
   const orders = createWorkerOrders({
     worker: incarnation,
     epoch,
@@ -69,9 +80,7 @@
     connection: () => connection,
     clock,
     isOpen: () => !closed && !ended && !observing,
-    onStart: () => {
-      wake();
-    },
+    onStart: betweenRenewals.wake,
     onUnansweredStart: expiry.noteUnanswered,
     endRun,
     onOtherIncarnation: () => {
@@ -127,7 +136,7 @@
     },
     runs,
     get used() {
-      return used;
+      return sessionRuns.used;
     },
     get confirmed() {
       return confirmed;
@@ -156,7 +165,7 @@
     startRenewals: () => {
       faults.keepRunning('renew leases', renewUntilClosed);
     },
-    attach,
+    attach: sessionRuns.attach,
     adopt,
     outrank,
     start: orders.start,
@@ -165,9 +174,7 @@
       void endRun(run, 'never-ran', '');
     },
     end: endIncarnation,
-    applyReported: (end) => {
-      reports.applyReported(end);
-    },
+    applyReported: reports.applyReported,
     observe: () => {
       observing = true;
       if (runs.size === 0) close();
@@ -192,16 +199,6 @@
     return address === '' ? UNREACHABLE_CONNECTION : options.connect(address, incarnation);
   }
 
-  function attach(run: Run) {
-    runs.set(run.name, run);
-    used = addResources(used, run.size);
-  }
-
-  function detach(run: Run) {
-    runs.delete(run.name);
-    used = runs.size === 0 ? NO_RESOURCES : subtractResources(used, run.size);
-  }
-
   function outrank(formerToken: number, underWayUntil: number) {
     token.outrank(formerToken);
     noteForeignCalls(underWayUntil);
@@ -235,7 +232,7 @@
       successor.adopt(run);
       return;
     }
-    attach(run);
+    sessionRuns.attach(run);
     run.session = session;
     run.task.worker = incarnation;
     run.listed = false;
@@ -251,36 +248,7 @@
     }
     noteForeignCalls(run.lateStartUntil);
     orders.resume(run);
-    wake();
-  }
-
-  /** Removes a run whose end is certain and reports the end to the controller. */
-  function endRun(run: Run, end: RunEnd, checkpoint: string, reason?: string): Promise<boolean> {
-    if (runs.get(run.name) !== run) return Promise.resolve(true);
-    detach(run);
-    meters.taskEnds.inc({ how: end });
-    const workMs = end === 'done' ? options.learnEnd?.(run) : undefined;
-    events.info('run-ended', {
-      job: run.progress.job.id,
-      task: run.name,
-      run: run.number,
-      worker: incarnation.id,
-      born: incarnation.born,
-      end,
-      reason,
-      epoch,
-      orderedMs: run.orderedMs,
-      fleetAgeMs: run.fleetAgeMs,
-      entryRevision: worker.revision,
-      answeredMs: run.answeredMs === undefined ? undefined : Math.round(run.answeredMs),
-      tookMs: Math.round(performance.now() - run.startedAt),
-      percent: run.percent,
-      listed: run.listed,
-      silentMs: Math.round(performance.now() - Math.max(answeredAt, openedAt)),
-      workerClockMs: Math.round(clock.now()),
-      workMs: workMs === undefined ? undefined : Math.round(workMs),
-    });
-    return options.onEnd(session, run, end, checkpoint);
+    betweenRenewals.wake();
   }
 
   function endIncarnation(reason: string, next?: WorkerSession) {
@@ -299,7 +267,7 @@
     });
     next?.outrank(token.current, callsMayArriveUntil());
     for (const run of handedOver) {
-      detach(run);
+      sessionRuns.detach(run);
       next?.adopt(run);
     }
     for (const run of [...runs.values()]) endWithCheckpoint(run, 'lost', reason);
@@ -409,16 +377,6 @@
     return false;
   }
 
-  /** Sleeps between renewals; a new start order ends the sleep. */
-  async function sleep(ms: number) {
-    await Promise.race([
-      pause(ms),
-      new Promise<void>((resolve) => {
-        wake = resolve;
-      }),
-    ]);
-  }
-
   async function renewUntilClosed() {
     while (!closed && !ended) {
       const startedAt = performance.now();
@@ -432,7 +390,7 @@
       const acknowledges = reports.acknowledgedThrough > 0;
       const pauseMs = choosePauseMs({ answered, idle: isIdle(), hasUnacknowledged, acknowledges });
       const sleepMs = pauseMs - (performance.now() - startedAt);
-      if (sleepMs > 0) await sleep(sleepMs);
+      if (sleepMs > 0) await betweenRenewals.wait(sleepMs);
     }
   }
 
