--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -3,20 +3,13 @@
  * and places tasks until the term ends.
  */
 import type { FleetWorker } from '../fleet/index.js';
-import {
-  encodeProgress,
-  isFinal,
-  isFinalRecord,
-  JOB_STORE_KEYS,
-  keysUntilEnd,
-} from '../jobs/index.js';
 import { createFaultContainment } from '../observability/index.js';
 import { createWorkerHealth } from '../planner/index.js';
-import type { StoreEntry } from '../records/index.js';
 import { pause } from '../records/index.js';
 import { createCell, termsOf } from './cell.js';
 import { createCellEvacuations } from './cell-evacuations.js';
 import { createCellFeed } from './cell-feed.js';
+import { describeCellWork } from './cell-work.js';
 import type { Controller, ControllerOptions } from './controller-types.js';
 import { createDispatcher } from './dispatcher.js';
 import { createFencingTokens } from './fencing-tokens.js';
@@ -25,19 +18,19 @@
 import { createFormerLeader } from './former-leader.js';
 import type { FormerLeader } from './former-leader.js';
 import { createHousekeeping } from './housekeeping.js';
-import type { FinishedJob } from './housekeeping.js';
 import { EXTEND_WITHOUT_STORE_MS, maxInheritedLeaseMs } from './inherited-leases.js';
 import { createJobIntake } from './job-intake.js';
 import { createJobLifecycle, stopStalledRuns } from './job-lifecycle.js';
+import { createJobProgressLog } from './job-progress-log.js';
 import { createLeavingWorkers } from './leaving-workers.js';
 import { createOrderWindow, latestOrderAt } from './order-window.js';
 import { createPermitClient } from './permit-client.js';
-import { createProgressLog } from './progress-log.js';
 import { createResponsiveClock } from './responsive-clock.js';
+import { createRestoredRecords } from './restored-records.js';
 import { stepNameOf } from './run.js';
 import { createForecastReport } from './forecast-report.js';
 import { createRunForecast } from './run-forecast.js';
-import type { SilentWorker } from './silent-workers.js';
+import { createSilentWorkerReports } from './silent-worker-reports.js';
 import { createSilentWorkers } from './silent-workers.js';
 import { createShareMeter } from './share-meter.js';
 import { createSpareTime } from './spare-time.js';
@@ -48,8 +41,6 @@
 import { createWorkerSession } from './worker-session.js';
 import type { WorkerSession } from './worker-session-types.js';
 
-/** A worker that answers again is given no work before the record is written. */
-const SILENT_WORKERS_INTERVAL_MS = 200;
 /** Drain time of the platform where its settings do not give another. */
 const DEFAULT_DRAIN_MS = 2000;
 /** Likewise for cancellations. */
@@ -68,8 +59,7 @@
   let closed = false;
   let formerLeader: FormerLeader | undefined;
   let condition = term.condition;
-  const savedProgress = new Map<string, StoreEntry>();
-  const finishedJobs = new Map<string, FinishedJob>();
+  const { savedProgress, finishedJobs, applyProgress } = createRestoredRecords({ clock });
 
   const faults = createFaultContainment({ events, meters });
   const health = createWorkerHealth({ now });
@@ -111,19 +101,11 @@
     events,
     meters,
   });
-  const log = createProgressLog({
+  const log = createJobProgressLog({
     store,
     reachability,
     condition: term.condition,
-    keyOf: JOB_STORE_KEYS.progressOf,
-    removalsOf: (job) => {
-      const entry = cell.jobs.get(job);
-      return entry !== undefined && isFinal(entry.progress.state) ? keysUntilEnd(job) : [];
-    },
-    encode: (job) => {
-      const entry = cell.jobs.get(job);
-      return entry === undefined ? undefined : encodeProgress(entry.progress);
-    },
+    cell,
     events,
     onLeadershipLost: options.onLeadershipLost,
     onLeaderKeyMissing: options.onLeaderKeyMissing,
@@ -162,9 +144,7 @@
     meters,
   });
   const leavingWorkers = createLeavingWorkers({
-    stop: (run, reason) => {
-      lifecycle.stop(run, reason);
-    },
+    stop: lifecycle.stop,
     expectRestMs: (run) => forecast.expectRestMs(run),
   });
   const sessions = createFleetSessions({
@@ -197,9 +177,7 @@
     forecast,
     startBudget,
     remoteFactor: options.remoteFactor,
-    onRound: (round) => {
-      waits.noteRound(round);
-    },
+    onRound: waits.noteRound,
   });
 
   function requestPlan() {
@@ -265,27 +243,16 @@
     stopStalledRuns(session, {
       clockMs,
       health,
-      stop: (run, reason) => {
-        lifecycle.stop(run, reason);
-      },
-      isGangRunning: ({ progress, step }) =>
-        lifecycle
-          .runsOf(progress.job.id)
-          .filter((run) => run.step === step)
-          .every(({ status }) => status === 'running'),
+      stop: lifecycle.stop,
+      isGangRunning: lifecycle.isGangRunning,
     });
   }
 
-  function listSilentWorkers(): SilentWorker[] {
-    return [...sessions.all()].flatMap(({ incarnation, silentLeaseLeftMs }) =>
-      silentLeaseLeftMs === undefined ? [] : [{ incarnation, leaseLeftMs: silentLeaseLeftMs }],
-    );
-  }
-
-  const silentWorkersTimer = setInterval(() => {
-    if (feed.restored && !closed) void silentWorkers.publish(listSilentWorkers());
-  }, SILENT_WORKERS_INTERVAL_MS);
-  silentWorkersTimer.unref();
+  const silentWorkerReports = createSilentWorkerReports({
+    record: silentWorkers,
+    sessions: () => sessions.all(),
+    active: () => feed.restored && !closed,
+  });
 
   const forecastReport = createForecastReport({
     forecast: forecast.forecast,
@@ -296,16 +263,6 @@
 
   const fleetEntries = createFleetEntries({ fleet: options.fleet, sessions, events, meters });
 
-  /** Keeps only the ids of ended jobs, so that a takeover spends no time decoding their records. */
-  function applyProgress(entries: readonly StoreEntry[]) {
-    for (const entry of entries) {
-      const id = entry.key.slice(JOB_STORE_KEYS.progress.length);
-      if (isFinalRecord(entry.value)) {
-        finishedJobs.set(id, { finishedAtMs: clock(), revision: entry.revision });
-      } else savedProgress.set(id, entry);
-    }
-  }
-
   function handleRestored() {
     savedProgress.clear();
     sessions.endFormerIncarnations();
@@ -343,9 +300,7 @@
     savedProgress,
     finishedJobs,
     configuration: () => configuration.current?.configuration,
-    beginDueOccurrences: (entry) => {
-      housekeeping.beginDueOccurrences(entry);
-    },
+    beginDueOccurrences: housekeeping.beginDueOccurrences,
     onChange: requestPlan,
     onConfigurationRevision: options.onConfigurationRevision,
     contain: faults.contain,
@@ -361,24 +316,12 @@
     evacuations: options.evacuations,
     onProgress: applyProgress,
     onSilentWorkers: silentWorkers.restore,
-    onFleet: (entries) => {
-      fleetEntries.applyListing(entries);
-    },
-    onFleetChange: (change) => {
-      fleetEntries.applyChange(change);
-    },
-    onJobs: (entries) => {
-      intake.applyListing(entries);
-    },
-    onJobChange: (change) => {
-      intake.applyChange(change);
-    },
-    onCancelledJobs: (ids) => {
-      intake.applyCancelledJobs(ids);
-    },
-    onCancelledJob: (id) => {
-      intake.applyCancelledJob(id);
-    },
+    onFleet: fleetEntries.applyListing,
+    onFleetChange: fleetEntries.applyChange,
+    onJobs: intake.applyListing,
+    onJobChange: intake.applyChange,
+    onCancelledJobs: intake.applyCancelledJobs,
+    onCancelledJob: intake.applyCancelledJob,
     onEvacuations: evacuations.applyListing,
     onEvacuationChange: evacuations.applyChange,
     onRestored: handleRestored,
@@ -391,9 +334,7 @@
       condition = next.condition;
       log.updateCondition(condition);
     },
-    handleCallersChanged: () => {
-      permits.dispatchQueued();
-    },
+    handleCallersChanged: permits.dispatchQueued,
     describeEvacuations: () => evacuations.describe(),
     addAcceptedJob: (job, ageMs) => {
       // Before the restore is complete, the job is in the listing that is still being read.
@@ -402,22 +343,14 @@
     get fleetAgeMs() {
       return fleetAgeMs();
     },
-    describeLoad: () => {
-      const all = [...sessions.all()];
-      return {
-        ...dispatcher.effort,
-        waitingSteps: cell.ready.size,
-        runs: all.reduce((sum, { runs }) => sum + runs.size, 0),
-        workers: all.length,
-        pendingWrites: log.pending,
-        openBytes: cell.openBytes,
-        fleetAgeMs: fleetAgeMs(),
-        cancellationsAgeMs: Math.round(now() - feed.cancellationsConfirmedAt),
-        ...(options.evacuations === undefined
-          ? {}
-          : { evacuationsAgeMs: Math.round(now() - feed.evacuationsConfirmedAt) }),
-      };
-    },
+    describeLoad: () => ({
+      ...describeCellWork({ cell, sessions, dispatcher, log }),
+      fleetAgeMs: fleetAgeMs(),
+      cancellationsAgeMs: Math.round(now() - feed.cancellationsConfirmedAt),
+      ...(options.evacuations === undefined
+        ? {}
+        : { evacuationsAgeMs: Math.round(now() - feed.evacuationsConfirmedAt) }),
+    }),
     quiesce: async (timeoutMs) => {
       dispatcher.stop();
       await awaitStoppingRuns({
@@ -450,7 +383,7 @@
     closed = true;
     responsiveClock.stop();
     dispatcher.stop();
-    clearInterval(silentWorkersTimer);
+    silentWorkerReports.close();
     forecastReport.close();
     spareTime.close();
     housekeeping.close();
--- a/src/controller/fleet-entries.ts
+++ b/src/controller/fleet-entries.ts
@@ -16,8 +16,8 @@
 
 export interface FleetEntries {
   /** Applies a complete listing of the entries. */
-  applyListing(entries: readonly StoreEntry[]): void;
-  applyChange(change: StoreChange): void;
+  readonly applyListing: (entries: readonly StoreEntry[]) => void;
+  readonly applyChange: (change: StoreChange) => void;
 }
 
 export interface FleetEntriesOptions {
--- a/src/controller/housekeeping.ts
+++ b/src/controller/housekeeping.ts
@@ -43,7 +43,7 @@
 
 export interface Housekeeping {
   /** Starts all occurrences of the job that are due. */
-  beginDueOccurrences(entry: JobEntry): void;
+  readonly beginDueOccurrences: (entry: JobEntry) => void;
   close(): void;
 }
 
--- a/src/controller/job-intake.ts
+++ b/src/controller/job-intake.ts
@@ -28,11 +28,11 @@
 
 export interface JobIntake {
   /** Applies a complete listing of the prefix of jobs. */
-  applyListing(entries: readonly StoreEntry[]): void;
-  applyChange(change: StoreChange): void;
+  readonly applyListing: (entries: readonly StoreEntry[]) => void;
+  readonly applyChange: (change: StoreChange) => void;
   /** Applies a complete listing of the cancelled jobs that have not ended. */
-  applyCancelledJobs(ids: readonly string[]): void;
-  applyCancelledJob(id: string): void;
+  readonly applyCancelledJobs: (ids: readonly string[]) => void;
+  readonly applyCancelledJob: (id: string) => void;
   /** Adds a job that was accepted `ageMs` ago before the feed delivers it. */
   addAccepted(job: Job, ageMs: number | undefined): void;
 }
--- a/src/controller/job-lifecycle.ts
+++ b/src/controller/job-lifecycle.ts
@@ -25,7 +25,9 @@
   applyEnd(run: Run, end: RunEnd, checkpoint: string): Promise<boolean>;
   cancel(entry: JobEntry): void;
   /** Stops a run and all other members of its gang, which cannot continue without it. */
-  stop(run: Run, reason: string): void;
+  readonly stop: (run: Run, reason: string) => void;
+  /** Whether all members of the run's gang are running. */
+  readonly isGangRunning: (run: Run) => boolean;
   /** Runs of the job that have not ended. */
   runsOf(job: string): readonly Run[];
 }
@@ -162,6 +164,10 @@
     for (const member of affected) member.session.stop(member, reason);
   }
 
+  function isGangRunning(run: Run): boolean {
+    return membersOf(run).every(({ status }) => status === 'running');
+  }
+
   function membersOf(run: Run): Run[] {
     return runsOf(run.progress.job.id).filter(({ step }) => step === run.step);
   }
@@ -201,7 +207,7 @@
     options.onChange();
   }
 
-  return { registerRun, applyEnd, cancel, stop, runsOf };
+  return { registerRun, applyEnd, cancel, stop, isGangRunning, runsOf };
 }
 
 /** The checkpoint of any member is valid for the gang, but all members must resume from the same one. */
--- a/src/controller/permit-client.ts
+++ b/src/controller/permit-client.ts
@@ -106,7 +106,7 @@
   invalidate(step: string, worker: string): void;
   forget(step: string): void;
   /** Sends queued queries to hosts that can take another call. */
-  dispatchQueued(): void;
+  readonly dispatchQueued: () => void;
 }
 
 export interface NamedWorker {
--- a/src/controller/wait-publisher.ts
+++ b/src/controller/wait-publisher.ts
@@ -38,7 +38,7 @@
 
 export interface WaitPublisher {
   noteJob(entry: JobEntry): void;
-  noteRound(round: PlannedRound): void;
+  readonly noteRound: (round: PlannedRound) => void;
   noteEnd(run: Run, end: RunEnd): void;
   close(): void;
 }
