Hold deferrable gangs back as well while the leader has no time to start them

Cause: gangs were exempt from the budget but counted in it. However little time the leader had, they were started, and what they took was missing for all other deferrable work. The exemption was meant to keep room for them; other deferrable work is held back meanwhile, too.

Change: a gang is placed whole once there is time for any of it, and counts like other work. The test of the exemption is replaced by one of this, which fails without the change.

--- a/src/planner/plan.ts
+++ b/src/planner/plan.ts
@@ -53,7 +53,7 @@
   readonly budgets: ReadonlyMap<string, TeamBudget>;
   readonly maxReservingGangs?: number;
   readonly maxUnplacedSteps?: number;
-  /** Tasks of deferrable work after which no further step of it is placed, except gangs; by default, there is no limit. */
+  /** Tasks of deferrable work after which no further step of it is placed; by default, there is no limit. */
   readonly maxDeferrableTasks?: number;
   /** Number of the round, which selects the fraction of a long backlog that is tried. */
   readonly round?: number;
@@ -110,8 +110,7 @@
     }
     if (step.constraint?.known === false) continue;
     const isDeferrable = step.priority !== 0;
-    // A gang needs room for all of its tasks at once, which other work would take while it is held back.
-    if (isDeferrable && !step.gang && deferrableTasks >= maxDeferrableTasks) {
+    if (isDeferrable && deferrableTasks >= maxDeferrableTasks) {
       onBlocked(step, 'leader');
       continue;
     }
--- a/test/planner/plan.test.ts
+++ b/test/planner/plan.test.ts
@@ -75,11 +75,15 @@
       expect([...blocked]).to.deep.equal([['second', 'leader']]);
     });
 
-    it('is no gang, which counts all the same', () => {
+    // Guards against gangs that keep a leader at its limit, behind which other deferrable work starves.
+    it('is a deferrable gang as well, which is placed whole once there is time for any of it', () => {
       const gang = waiting('gang', { gang: true, tasks: [0, 1], objectiveAtMs: 5500 });
-      const { placed } = planWith(2, [gang, ...steps]);
-      expect(placed).to.deep.equal(['urgent', 'gang', 'gang']);
-      expect(planWith(0, [gang, ...steps]).placed).to.deep.equal(['urgent', 'gang', 'gang']);
+      const whole = planWith(1, [gang, ...steps]);
+      expect(whole.placed).to.deep.equal(['urgent', 'gang', 'gang']);
+      expect([...whole.blocked.values()]).to.deep.equal(['leader', 'leader']);
+      const none = planWith(0, [gang, ...steps]);
+      expect(none.placed).to.deep.equal(['urgent']);
+      expect(none.blocked.get('gang')).to.equal('leader');
     });
 
     it('is never urgent work', () => {
